--- /dev/null
+++ b/src/unit.rs
@@ -0,0 +1,138 @@
+//! Quantities: a newtype for each size, rate and share.
+
+use std::{fmt, ops::Add, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, ErrorKind};
+
+/// A sum of money in millionths of the operator's currency unit.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct MicroCost(pub u64);
+
+impl Add for MicroCost {
+    type Output = MicroCost;
+
+    fn add(self, other: MicroCost) -> MicroCost {
+        MicroCost(self.0.saturating_add(other.0))
+    }
+}
+
+impl fmt::Display for MicroCost {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
+
+impl FromStr for MicroCost {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let value: f64 = text.parse().map_err(|_| {
+            Error::new(ErrorKind::InvalidInput)
+                .context(format!("`{text}` is not an amount"))
+        })?;
+        if !(0.0..1e12).contains(&value) {
+            return Err(Error::new(ErrorKind::InvalidInput)
+                .context(format!("amount `{text}` is out of range")));
+        }
+        Ok(MicroCost((value * 1e6).round() as u64))
+    }
+}
+
+/// A share or score from 0 to 1.
+#[derive(
+    Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Share(f64);
+
+impl Share {
+    /// Nothing.
+    pub const ZERO: Share = Share(0.0);
+    /// The whole.
+    pub const ONE: Share = Share(1.0);
+
+    /// Creates a share.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidInput`] when `value` is outside 0 to 1.
+    pub fn new(value: f64) -> Result<Share, Error> {
+        if !(0.0..=1.0).contains(&value) {
+            return Err(Error::new(ErrorKind::InvalidInput)
+                .context(format!("{value} is not between 0 and 1")));
+        }
+        Ok(Share(value))
+    }
+
+    /// The value, from 0 to 1.
+    pub fn value(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.0)
+    }
+}
+
+impl FromStr for Share {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let value: f64 = text.parse().map_err(|_| {
+            Error::new(ErrorKind::InvalidInput)
+                .context(format!("`{text}` is not a share"))
+        })?;
+        Share::new(value)
+    }
+}
+
+impl TryFrom<f64> for Share {
+    type Error = Error;
+
+    fn try_from(value: f64) -> Result<Self, Error> {
+        Share::new(value)
+    }
+}
+
+impl From<Share> for f64 {
+    fn from(share: Share) -> f64 {
+        share.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn amounts_round_trip() {
+        let cost: MicroCost = "1.25".parse().unwrap();
+        assert_eq!(cost, MicroCost(1_250_000));
+        assert_eq!(cost.to_string(), "1.250000");
+        assert!("-1".parse::<MicroCost>().is_err());
+        assert!("nan".parse::<MicroCost>().is_err());
+    }
+
+    #[test]
+    fn shares_are_bounded() {
+        assert!(Share::new(1.01).is_err());
+        assert!(Share::new(f64::NAN).is_err());
+        assert_eq!("0.5".parse::<Share>().unwrap().value(), 0.5);
+    }
+}
