--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -28,8 +28,11 @@
 /// Signs of life in one datagram.
 const BEATS: usize = 24;
 
-/// Loads in one datagram.
-const LOADS: usize = 20;
+/// Loads of the own hall in one datagram.
+const LOADS: usize = 14;
+
+/// Loads of other halls in one datagram to the own hall.
+const LOADS_REMOTE: usize = 6;
 
 /// Sums in one datagram.
 const TALLIES: usize = 10;
@@ -123,9 +126,9 @@
             && let Some(peer) = pick_remote_peer(vm)
         {
             let mut gossip = message(vm, counter);
-            // Signs of life and loads matter in their own hall only.
+            // Signs of life matter in their own hall only.
             gossip.beats.clear();
-            gossip.loads.clear();
+            gossip.loads = vm.view.loads(LOADS, 0, vm.clock.now());
             let datagram = Datagram::Gossip(gossip);
             self.send(vm, peer.address, &datagram).await;
         }
@@ -253,7 +256,7 @@
         proof_age_ms: proof_age
             .map(|age| age.as_millis().min(u32::MAX.into()) as u32),
         beats,
-        loads: vm.view.loads(LOADS, now),
+        loads: vm.view.loads(LOADS, LOADS_REMOTE, now),
         tallies: {
             let tallies = vm.tallies.lock().expect("tallies lock");
             tallies.entries(TALLIES, now)
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -52,9 +52,8 @@
     async fn next(&mut self) -> Result<Option<sse::Event>, AttemptFault> {
         loop {
             let ready = self.splitter.next();
-            match ready.map_err(|_| AttemptFault::TooLarge)? {
-                Some(event) => return Ok(Some(event)),
-                None => {}
+            if let Some(event) = ready.map_err(|_| AttemptFault::TooLarge)? {
+                return Ok(Some(event));
             }
             let chunk = within(SILENCE_LIMIT, self.exchange.next_chunk());
             match chunk.await {
--- a/src/rendezvous.rs
+++ b/src/rendezvous.rs
@@ -12,7 +12,7 @@
     let mut scored: Vec<(u64, &T)> = members
         .map(|member| (score(subject, member.as_ref()), member))
         .collect();
-    scored.sort_by(|a, b| b.0.cmp(&a.0));
+    scored.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
     scored.into_iter().map(|(_, member)| member).collect()
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -70,7 +70,7 @@
         "Time between two reads of the platform's list.";
     "store"."deadline_ms" = Some("1000"),
         "Longest time one call to the store may take.";
-    "store"."writes_per_s" = Some("20"),
+    "store"."writes_per_s" = Some("30"),
         "Writes a second that this VM may make, with a burst of as many.";
     "store"."reads_per_s" = Some("40"),
         "Reads a second that this VM may make, with a burst of as many.";
--- a/src/view.rs
+++ b/src/view.rs
@@ -11,6 +11,8 @@
     time::{Duration, Instant},
 };
 
+use rand::seq::IndexedRandom;
+
 use crate::{
     event::Event,
     id::{DataHallId, Incarnation, ModelId, ServiceId, UpstreamId, VmId},
@@ -22,9 +24,12 @@
     upstream::{Serves, Upstream},
 };
 
-/// Load figures older than this are not passed on.
+/// Load figures of the own hall older than this are not passed on.
 const PASS_ON_AGE: Duration = Duration::from_secs(3);
 
+/// Load figures of other halls older than this are not passed on.
+const PASS_ON_AGE_REMOTE: Duration = Duration::from_secs(30);
+
 /// Another entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -302,16 +307,31 @@
         newly_leaving
     }
 
-    /// The newest loads of this hall's upstreams, for passing on.
-    pub fn loads(&self, limit: usize, now: Instant) -> Vec<LoadEntry> {
-        let mut entries: Vec<LoadEntry> = self
+    /// Loads for passing on: the newest of this hall's upstreams, and some
+    /// of other halls' drawn at random.
+    ///
+    /// What other halls have loaded changes rarely, and matters when this
+    /// hall cannot serve a request.
+    pub fn loads(
+        &self,
+        local: usize,
+        remote: usize,
+        now: Instant,
+    ) -> Vec<LoadEntry> {
+        let (near, far): (Vec<_>, Vec<_>) = self
             .all_upstreams()
+            .into_iter()
+            .partition(|u| u.record.data_hall == self.data_hall);
+        let mut entries: Vec<LoadEntry> = near
             .iter()
-            .filter(|u| u.record.data_hall == self.data_hall)
-            .filter_map(|upstream| load_entry(upstream, now))
+            .filter_map(|upstream| load_entry(upstream, PASS_ON_AGE, now))
             .collect();
         entries.sort_by_key(|entry| entry.age_ms);
-        entries.truncate(limit);
+        entries.truncate(local);
+        let drawn = far.choose_multiple(&mut rand::rng(), remote);
+        entries.extend(drawn.filter_map(|upstream| {
+            load_entry(upstream, PASS_ON_AGE_REMOTE, now)
+        }));
         entries
     }
 
@@ -335,10 +355,14 @@
     }
 }
 
-fn load_entry(upstream: &Upstream, now: Instant) -> Option<LoadEntry> {
+fn load_entry(
+    upstream: &Upstream,
+    oldest: Duration,
+    now: Instant,
+) -> Option<LoadEntry> {
     let load = upstream.load()?;
     let age = now.saturating_duration_since(load.at);
-    if age > PASS_ON_AGE {
+    if age > oldest {
         return None;
     }
     let small = |value: u32| value.min(u16::MAX.into()) as u16;
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -1,6 +1,6 @@
 //! The demo: a whole small site under mixed traffic, checked at the end.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use argh::FromArgs;
 use hdrhistogram::Histogram;
@@ -20,6 +20,9 @@
 /// Callers at once.
 const CALLERS: usize = 24;
 
+/// Longest time that a call is shown to take, in microseconds.
+const LONGEST_US: u64 = 3_600_000_000;
+
 /// Longest time that the traffic of the demo may take.
 const TRAFFIC_LIMIT: Duration = Duration::from_secs(300);
 
@@ -178,9 +181,28 @@
                 lines.push(self.line(organisation, kind));
             }
         }
+        lines.extend(self.other_answers());
         lines.join("\n")
     }
 
+    /// Everything but whole answers, by code.
+    fn other_answers(&self) -> Vec<String> {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for call in &self.calls {
+            let name = match &call.came_back {
+                CameBack::Whole => continue,
+                CameBack::Refused { code, run } => format!("{code} ({run})"),
+                CameBack::Broken(reason) => format!("broken: {reason}"),
+                CameBack::Wrong(reason) => format!("wrong: {reason}"),
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+            .iter()
+            .map(|(name, count)| format!("{count:>5} {name}"))
+            .collect()
+    }
+
     fn line(&self, organisation: &str, kind: &str) -> String {
         let mine: Vec<&CallRecord> = self
             .calls
@@ -190,7 +212,8 @@
             .collect();
         let whole = mine.iter().filter(|call| call.is_whole()).count();
         let refused = mine.iter().filter(|call| call.code().is_some()).count();
-        let mut took = Histogram::<u64>::new(3).expect("three digits");
+        let mut took =
+            Histogram::<u64>::new_with_max(LONGEST_US, 3).expect("bounds");
         for call in &mine {
             took.saturating_record(call.took.as_micros() as u64);
         }
