--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -60,6 +60,7 @@
 struct Link {
     writer: AsyncMutex<TcpStream>,
     pending: Pending,
+    is_closed: Arc<AtomicBool>,
     _reader: Task<()>,
 }
 
@@ -132,16 +133,30 @@
     async fn link(&self, address: SocketAddr) -> io::Result<Arc<Link>> {
         let mut links = self.links.lock().await;
         if let Some(link) = links.get(&address) {
-            return Ok(link.clone());
+            if !link.is_closed.load(Ordering::Relaxed) {
+                return Ok(link.clone());
+            }
+            // Only a new connection tells whether the VM is there again.
+            links.remove(&address);
         }
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let pending: Pending = Arc::default();
-        let reader =
-            read_replies(stream.clone(), self.codec.clone(), pending.clone());
+        let is_closed = Arc::new(AtomicBool::new(false));
+        let replies = read_replies(
+            stream.clone(),
+            self.codec.clone(),
+            pending.clone(),
+        );
+        let closes = is_closed.clone();
+        let reader = async move {
+            replies.await;
+            closes.store(true, Ordering::Relaxed);
+        };
         let link = Arc::new(Link {
             writer: AsyncMutex::new(stream),
             pending,
+            is_closed,
             _reader: task::spawn(reader),
         });
         links.insert(address, link.clone());
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -7,6 +7,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::OnceLock,
     time::{Duration, Instant},
 };
 
@@ -235,12 +236,20 @@
     }
 }
 
-/// The program to start processes of; tests name it, being another one.
+static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+
+/// Sets the program that processes are started of; tests name it, being
+/// another one.
+pub fn set_program(path: impl Into<PathBuf>) {
+    // The first word holds; all tests of one binary say the same.
+    let _ = PROGRAM.set(path.into());
+}
+
 fn program() -> FleetResult<PathBuf> {
-    if let Ok(path) = std::env::var("STANDINS_PROGRAM") {
-        return Ok(path.into());
+    match PROGRAM.get() {
+        Some(path) => Ok(path.clone()),
+        None => std::env::current_exe().map_err(|error| error.to_string()),
     }
-    std::env::current_exe().map_err(|error| error.to_string())
 }
 
 /// An entry VM of a fleet.
--- /dev/null
+++ b/standins/tests/whole_path.rs
@@ -0,0 +1,309 @@
+//! The whole path as an ordinary product: requests, sessions, decisions,
+//! templates, bad input, planned stops.
+
+mod common;
+
+use std::{io::Write, net::TcpStream, time::Duration};
+
+use common::*;
+use hyper::Method;
+use lupinseam::http_client::Call;
+use serde_json::{Value, json};
+use smol::Timer;
+use standins::fleet::{Fleet, bearer_key, template};
+
+const VM: &str = "vm-hall-a-1";
+const OTHER_VM: &str = "vm-hall-b-1";
+
+#[test]
+fn requests_are_answered_explained_and_billed() {
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let mut calls = Vec::new();
+        for request in [
+            chat(1, 5, false),
+            chat(2, 9, true),
+            once(3, Some("key-3")),
+            once(4, None),
+            read(5),
+        ] {
+            let call = ask(&fleet, VM, &request).await;
+            assert!(call.is_whole(), "{call:?}");
+            calls.push(call);
+        }
+        for call in &calls {
+            let id = call.decision.as_deref().expect("a decision id");
+            let address = fleet.vms[OTHER_VM].operators;
+            let path = format!("/decisions/{id}?words");
+            let answer = fleet.get(address, &path).await.unwrap();
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            assert_eq!(answer.status, 200, "{text}");
+            assert!(text.contains("answered"), "{text}");
+            assert!(text.contains("configuration revision 5"), "{text}");
+        }
+        assert_kept(&fleet, &calls).await;
+    });
+}
+
+#[test]
+fn a_session_keeps_its_version_through_any_vm() {
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let first =
+            ask(&fleet, VM, &chat_of("writer", 1, 3, false, Some("new")))
+                .await;
+        let token = first.session.clone().expect("a token");
+        let state = json!({ "rolling_out": { "stage": 2 } });
+        let entry = standins::fleet::version("writer", "v2", state, 400, 0.8);
+        fleet.put_version(VM, &entry).await.unwrap();
+        eventually("v2 answers new sessions", || async {
+            let call = ask(&fleet, OTHER_VM, &chat(2, 2, false)).await;
+            call.answered_by.as_deref() == Some("writer@v2")
+        })
+        .await;
+        for (at, vm) in [VM, OTHER_VM].into_iter().enumerate() {
+            let request =
+                chat_of("writer", 10 + at as u64, 3, true, Some(&token));
+            let call = ask(&fleet, vm, &request).await;
+            assert_eq!(call.answered_by.as_deref(), Some("writer@v1"));
+        }
+        fleet
+            .set_version_state(OTHER_VM, "writer", "v1", json!("withdrawn"))
+            .await
+            .unwrap();
+        fleet.wait_in_force().await.unwrap();
+        let request = chat_of("writer", 20, 3, false, Some(&token));
+        let call = ask(&fleet, VM, &request).await;
+        assert_eq!(call.code(), Some("version_withdrawn"));
+        assert_eq!(call.run(), Some("not_run"));
+    });
+}
+
+#[test]
+fn the_loser_of_two_edits_is_told() {
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let path = "/templates/collectif";
+        let read = fleet.get(fleet.vms[VM].operators, path).await.unwrap();
+        let revision = read.header("etag").unwrap().to_owned();
+        let edit = |vm: &str, target: f64| {
+            let mut new: Value = serde_json::from_slice(&read.body).unwrap();
+            new["quality_target"] = json!(target);
+            Call::new(fleet.vms[vm].operators, Method::PUT, path)
+                .header("if-match", &revision)
+                .body(new.to_string())
+        };
+        let (a, b) = futures_lite::future::zip(
+            fleet.fetch(edit(VM, 0.5)),
+            fleet.fetch(edit(OTHER_VM, 0.6)),
+        )
+        .await;
+        let (a, b) = (a.unwrap(), b.unwrap());
+        let statuses = [a.status, b.status];
+        assert!(statuses.contains(&200), "{statuses:?}");
+        assert!(statuses.contains(&412), "{statuses:?}");
+        let (loser, winner) =
+            if a.status == 412 { (a, 0.6) } else { (b, 0.5) };
+        let told: Value = serde_json::from_slice(&loser.body).unwrap();
+        assert_eq!(told["error"]["code"], "edit_conflict");
+        assert_eq!(told["current"]["value"]["quality_target"], winner);
+        fleet.wait_in_force().await.unwrap();
+        for vm in [VM, OTHER_VM] {
+            let now = fleet.get(fleet.vms[vm].operators, path).await.unwrap();
+            let now: Value = serde_json::from_slice(&now.body).unwrap();
+            assert_eq!(now["quality_target"], winner);
+        }
+    });
+}
+
+#[test]
+fn bad_input_gets_a_clear_answer() {
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let callers = fleet.vms[VM].callers;
+        let key = format!("Bearer {}", bearer_key("collectif"));
+        let chat_call = |body: &str| {
+            Call::new(callers, Method::POST, "/v1/chat/completions")
+                .header("authorization", &key)
+                .body(body.to_owned())
+        };
+        let message = r#""messages":[{"role":"user","content":"x"}]"#;
+        let huge = "x".repeat(2 << 20);
+        let cases = [
+            (chat_call("{"), 400, "invalid_input"),
+            (
+                chat_call(&format!("{{{message},\"model\":\"nope\"}}")),
+                404,
+                "not_found",
+            ),
+            (chat_call(&huge), 413, "too_large"),
+            (
+                chat_call(&format!("{{{message}}}"))
+                    .header("lupinseam-session", "forged"),
+                401,
+                "session_invalid",
+            ),
+            (
+                chat_call(&format!("{{{message}}}"))
+                    .header("authorization", "Bearer wrong"),
+                401,
+                "unauthorized",
+            ),
+            (
+                chat_call(&format!("{{{message}}}"))
+                    .header("x-long", &"y".repeat(40_000)),
+                413,
+                "too_large",
+            ),
+            (
+                Call::new(callers, Method::GET, "/services/alerts/x")
+                    .header("authorization", &key),
+                403,
+                "not_allowed",
+            ),
+            (Call::new(callers, Method::GET, "/nothing"), 404, "not_found"),
+            (
+                Call::new(callers, Method::PUT, "/v1/models"),
+                405,
+                "method_not_allowed",
+            ),
+        ];
+        for (call, status, code) in cases {
+            let path = call.path.clone();
+            let answer = fleet.fetch(call).await.unwrap();
+            let value: Value = serde_json::from_slice(&answer.body).unwrap();
+            assert_eq!(answer.status, status, "{path}: {value}");
+            assert_eq!(value["error"]["code"], code, "{path}");
+            assert_eq!(value["error"]["run"], "not_run", "{path}");
+        }
+        assert_eq!(fleet.records().unwrap().len(), 0);
+    });
+}
+
+#[test]
+fn garbage_on_the_peer_port_is_counted_and_dropped() {
+    run(async {
+        let fleet = start(1, |mut plan| {
+            plan.without_proxies = true;
+            plan
+        })
+        .await;
+        let log = fleet.log(VM);
+        let peers: std::net::SocketAddr = log
+            .split("peers ")
+            .nth(1)
+            .and_then(|rest| rest.split_whitespace().next())
+            .and_then(|text| text.parse().ok())
+            .expect("the peer address in the log");
+        let udp = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        for length in [0, 1, 15, 16, 17, 100, 1400, 9000] {
+            udp.send_to(&vec![7; length], peers).unwrap();
+        }
+        let mut tcp = TcpStream::connect(peers).unwrap();
+        tcp.write_all(&u32::MAX.to_be_bytes()).unwrap();
+        let mut tcp = TcpStream::connect(peers).unwrap();
+        tcp.write_all(&[0, 0, 0, 32]).unwrap();
+        tcp.write_all(&[9; 32]).unwrap();
+        eventually("dropped frames are counted", || async {
+            let operators = fleet.vms[VM].operators;
+            let metrics = fleet.get(operators, "/metrics").await.unwrap();
+            let text = String::from_utf8_lossy(&metrics.body).into_owned();
+            text.contains("lupinseam_frames_dropped_total{fault=\"short\"} ")
+                && text.contains("fault=\"format\"")
+        })
+        .await;
+        let call = ask(&fleet, VM, &chat(1, 3, false)).await;
+        assert!(call.is_whole(), "{call:?}");
+    });
+}
+
+#[test]
+fn a_template_is_in_force_everywhere_without_a_restart() {
+    run(async {
+        let fleet = start(2, |plan| plan).await;
+        let call =
+            ask(&fleet, OTHER_VM, &chat_of("tiny", 1, 2, false, None)).await;
+        assert!(call.is_whole());
+        let narrowed = template("collectif", &["writer"], &[]);
+        fleet.put_template(VM, &narrowed).await.unwrap();
+        fleet.wait_in_force().await.unwrap();
+        for vm in fleet.vms.keys() {
+            let call =
+                ask(&fleet, vm, &chat_of("tiny", 2, 2, false, None)).await;
+            assert_eq!(call.code(), Some("not_allowed"), "{vm}");
+            let call = ask(&fleet, vm, &once(3, None)).await;
+            assert_eq!(call.code(), Some("not_allowed"), "{vm}");
+        }
+    });
+}
+
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    run(async {
+        let mut fleet = start(2, |mut plan| {
+            for engine in &mut plan.engines {
+                engine.token_ms = 20;
+            }
+            plan
+        })
+        .await;
+        let streams: Vec<_> = (0..8)
+            .map(|n| {
+                let client = fleet.client.clone();
+                let address = fleet.vms[VM].callers;
+                let request = chat(100 + n, 60, true);
+                async_global_executor::spawn(async move {
+                    standins::caller::send(&client, address, &request).await
+                })
+            })
+            .collect();
+        let keyed = once(200, Some("key-200"));
+        let mut calls = vec![ask(&fleet, VM, &keyed).await];
+        Timer::after(Duration::from_millis(500)).await;
+        let vm = fleet.vms.get_mut(VM).unwrap();
+        let mut process = vm.process.take().unwrap();
+        process.terminate();
+        for stream in streams {
+            let call = stream.await;
+            assert!(call.is_whole(), "{call:?}");
+            calls.push(call);
+        }
+        assert_eq!(process.wait(LIMIT).await, Some(0));
+        calls.extend(ask_until_settled(&fleet, OTHER_VM, &keyed).await);
+        let last = calls.last().unwrap();
+        let id = last.decision.as_deref().unwrap_or_default();
+        let path = format!("/decisions/{id}?words");
+        let operators = fleet.vms[OTHER_VM].operators;
+        let why = fleet.get(operators, &path).await.unwrap();
+        let why = String::from_utf8_lossy(&why.body).into_owned();
+        assert!(last.repeated, "the outcome outlives the VM: {why}");
+        assert_kept(&fleet, &calls).await;
+    });
+}
+
+#[test]
+fn a_new_vm_starts_from_another_while_the_store_is_out() {
+    run(async {
+        let mut fleet = start(2, |plan| plan).await;
+        let out = standins::kv::KvFaults {
+            outage: true,
+            ..standins::kv::KvFaults::default()
+        };
+        fleet.set_kv_faults(out).await.unwrap();
+        fleet.kill_vm(VM);
+        fleet.restart_vm(VM).await.unwrap();
+        wait_for_answer(&fleet, VM).await;
+        let edit = template("collectif", &["writer"], &[]);
+        let refused = fleet.put_template(VM, &edit).await.unwrap_err();
+        assert!(refused.contains("store_un"), "{refused}");
+        let status = fleet.status(VM).await.unwrap();
+        assert_eq!(status["revision"], 5);
+    });
+}
+
+async fn wait_for_answer(fleet: &Fleet, vm: &str) {
+    eventually("the VM answers", || async {
+        ask(fleet, vm, &chat(1, 2, false)).await.is_whole()
+    })
+    .await;
+}
