--- a/src/peer.rs
+++ b/src/peer.rs
@@ -143,11 +143,8 @@
         stream.set_nodelay(true)?;
         let pending: Pending = Arc::default();
         let is_closed = Arc::new(AtomicBool::new(false));
-        let replies = read_replies(
-            stream.clone(),
-            self.codec.clone(),
-            pending.clone(),
-        );
+        let replies =
+            read_replies(stream.clone(), self.codec.clone(), pending.clone());
         let closes = is_closed.clone();
         let reader = async move {
             replies.await;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -16,7 +16,9 @@
     http_client::{Call, HttpClient, WholeAnswer},
     secret::KeyHash,
 };
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{
+    Pid, Signal, kill_process, set_parent_process_death_signal,
+};
 use serde::Serialize;
 use serde_json::{Value, json};
 use smol::Timer;
@@ -127,6 +129,17 @@
     }
 }
 
+/// Set for the processes of a fleet.
+const FLEET_VARIABLE: &str = "STANDINS_FLEET";
+
+/// Lets a process of a fleet end with the one that started it, however that
+/// ends, so that a test that is killed leaves nothing behind.
+pub fn end_with_parent() {
+    if std::env::var_os(FLEET_VARIABLE).is_some() {
+        let _ = set_parent_process_death_signal(Some(Signal::KILL));
+    }
+}
+
 /// A process that this one started, and ends.
 pub struct Process {
     name: String,
@@ -146,6 +159,7 @@
         let mut child = Command::new(program)
             .args(arguments)
             .env("ASYNC_GLOBAL_EXECUTOR_THREADS", THREADS)
+            .env(FLEET_VARIABLE, "1")
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
