--- a/src/message.rs
+++ b/src/message.rs
@@ -161,8 +161,6 @@
     Bills(Vec<Bill>),
     /// Find a decision.
     Decision(RequestId),
-    /// Whether the receiver still knows of a request that it admitted.
-    BillState(RequestId),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -183,11 +181,6 @@
     },
     /// The decision, if it is known.
     Decision(Option<Box<Decision>>),
-    /// Whether the request is still running.
-    BillState {
-        /// Whether it is.
-        running: bool,
-    },
     /// The receiver cannot or may not do it.
     Refused(String),
 }
--- a/src/slot.rs
+++ b/src/slot.rs
@@ -256,7 +256,7 @@
         self.state.take(&record);
         self.backlog.push(record);
         if self.is_offline {
-            // The deputy learns of it with the next claim.
+            // The deputy learns of it with the next claim or tick.
             self.offline_log.claims.push(OfflineClaim {
                 claim: request.clone(),
                 at_unix_ms: self.clock.unix_ms(),
@@ -292,8 +292,10 @@
         let was_owner = self.is_owner();
         if self.has_backlog() || self.is_offline {
             let flushed = self.flush(&[]).await;
-            if matches!(flushed, Flush::Stands) {
-                self.set_offline(false);
+            match flushed {
+                Flush::Stands => self.set_offline(false),
+                Flush::Overtaken => {}
+                Flush::StoreOut => self.tell_deputy().await,
             }
         } else if was_owner
             && self.is_read_due()
@@ -534,6 +536,16 @@
         held
     }
 
+    /// Lets the deputy know outcomes that came since the last claim.
+    async fn tell_deputy(&mut self) {
+        let log = &self.offline_log;
+        let is_behind = self.is_offline && log.held < log.claims.len();
+        if let Some(deputy) = log.deputy.clone().filter(|_| is_behind) {
+            // Without the outcome a repeat is answered `outcome_unknown`.
+            self.send_log(&deputy).await;
+        }
+    }
+
     /// Sends the deputy what it does not hold yet, or all of it anew.
     async fn send_log(&mut self, deputy: &VmLife) -> bool {
         let log = &mut self.offline_log;
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -410,9 +410,6 @@
             PeerRequest::Decision(id) => {
                 PeerReply::Decision(self.decisions.get(&id).map(Box::new))
             }
-            PeerRequest::BillState(id) => {
-                PeerReply::BillState { running: self.ledger.is_running(&id) }
-            }
         }
     }
 }
--- /dev/null
+++ b/standins/tests/upstreams.rs
@@ -0,0 +1,216 @@
+//! Upstreams that die, leave, break off or go bad, and the steward that
+//! gives them orders.
+
+mod common;
+
+use std::{collections::HashMap, time::Duration};
+
+use common::*;
+use serde_json::json;
+use smol::Timer;
+use standins::{
+    caller::CameBack, engine::EngineFaults, fleet::version, site, web,
+};
+
+const VM: &str = "vm-hall-a-1";
+const OTHER_VM: &str = "vm-hall-b-1";
+
+#[test]
+fn a_stream_that_breaks_off_is_resumed_on_its_version() {
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let breaks =
+            EngineFaults { break_next: vec![4, 7], ..Default::default() };
+        fleet.set_upstream_faults("writer-hall-a", &breaks).await.unwrap();
+        let mut calls = Vec::new();
+        for nonce in 1..=3 {
+            let call = ask(&fleet, VM, &chat(nonce, 20, true)).await;
+            assert!(call.is_whole(), "{call:?}");
+            calls.push(call);
+        }
+        let records = fleet.records().unwrap();
+        assert!(records.iter().any(|record| record.resumed));
+        assert_kept(&fleet, &calls).await;
+    });
+}
+
+#[test]
+fn a_stream_that_cannot_be_resumed_is_visibly_broken() {
+    run(async {
+        let mut fleet = start(1, |mut plan| {
+            for engine in &mut plan.engines {
+                engine.token_ms = 50;
+            }
+            plan
+        })
+        .await;
+        let client = fleet.client.clone();
+        let address = fleet.vms[VM].callers;
+        let stream = async_global_executor::spawn(async move {
+            let request = chat(1, 100, true);
+            standins::caller::send(&client, address, &request).await
+        });
+        Timer::after(Duration::from_millis(800)).await;
+        fleet.kill_upstream("writer-hall-a");
+        fleet.kill_upstream("writer-hall-b");
+        let call = stream.await;
+        assert!(matches!(call.came_back, CameBack::Broken(_)), "{call:?}");
+        let next = ask(&fleet, VM, &chat(2, 3, false)).await;
+        assert_eq!(next.run(), Some("not_run"), "{next:?}");
+    });
+}
+
+#[test]
+fn a_leaving_upstream_gets_no_new_work() {
+    run(async {
+        let mut fleet = start(2, |plan| plan).await;
+        let mut calls = Vec::new();
+        fleet.leave("writer-hall-a").await.unwrap();
+        fleet.leave("signatures-hall-a").await.unwrap();
+        let begun = web::unix_ms();
+        while web::unix_ms() < begun + 5000 {
+            let nonce = calls.len() as u64 + 1;
+            let request = match nonce % 2 {
+                0 => chat(nonce, 3, false),
+                _ => once(nonce, None),
+            };
+            let call = ask(&fleet, VM, &request).await;
+            assert!(call.is_whole(), "{call:?}");
+            calls.push(call);
+        }
+        assert_kept(&fleet, &calls).await;
+    });
+}
+
+#[test]
+fn a_withdrawn_version_gets_no_new_work_even_with_the_store_out() {
+    run(async {
+        let fleet = start(2, |plan| plan).await;
+        fleet
+            .set_version_state(OTHER_VM, "tiny", "v1", json!("withdrawn"))
+            .await
+            .unwrap();
+        fleet.wait_in_force().await.unwrap();
+        let withdrawn = web::unix_ms();
+        fleet.set_all_store_paths(standins::proxy::Mode::Cut);
+        let mut calls = Vec::new();
+        for (at, vm) in fleet.vms.keys().enumerate() {
+            let request = chat_of("tiny", at as u64 + 1, 3, false, None);
+            let call = ask(&fleet, vm, &request).await;
+            assert_eq!(call.run(), Some("not_run"), "{call:?}");
+            calls.push(call);
+            let request = chat_of("writer", at as u64 + 9, 3, false, None);
+            calls.push(ask(&fleet, vm, &request).await);
+            assert!(calls.last().unwrap().is_whole());
+        }
+        fleet.set_all_store_paths(standins::proxy::Mode::Pass);
+        let mut rules = site::rules();
+        rules.withdrawn_at_unix_ms.insert("tiny@v1".into(), withdrawn);
+        let found = violations(&fleet, &calls, &rules).await;
+        assert!(found.is_empty(), "{found:?}");
+    });
+}
+
+#[test]
+fn a_bad_version_is_withdrawn_by_the_guard() {
+    run(async {
+        let fleet = start(1, |mut plan| {
+            for engine in &mut plan.engines {
+                engine.loaded = String::new();
+            }
+            plan
+        })
+        .await;
+        for upstream in ["writer-hall-a", "writer-hall-b"] {
+            let errors = HashMap::from([("v2".to_owned(), 0.5)]);
+            let faults = EngineFaults { errors, ..Default::default() };
+            fleet.set_upstream_faults(upstream, &faults).await.unwrap();
+        }
+        let state = json!({ "rolling_out": { "stage": 2 } });
+        let entry = version("writer", "v2", state, 400, 0.8);
+        fleet.put_version(VM, &entry).await.unwrap();
+        fleet.wait_in_force().await.unwrap();
+        let mut nonce = 0;
+        eventually("v2 is withdrawn", || {
+            nonce += 1;
+            let fleet = &fleet;
+            async move {
+                let vm = if nonce % 2 == 0 { VM } else { OTHER_VM };
+                ask(fleet, vm, &chat(nonce, 2, false)).await;
+                let path = "/versions/writer/v2";
+                let address = fleet.vms[VM].operators;
+                let answer = fleet.get(address, path).await.unwrap();
+                String::from_utf8_lossy(&answer.body).contains("withdrawn")
+            }
+        })
+        .await;
+        let records = fleet.records().unwrap();
+        let exposed = records
+            .iter()
+            .filter(|r| r.what == "writer@v2")
+            .filter(|r| r.happened == web::Happened::Run);
+        assert!(exposed.count() < 100);
+    });
+}
+
+#[test]
+fn a_paused_steward_that_wakes_gives_no_order() {
+    run(async {
+        let mut fleet =
+            start(3, |mut plan| {
+                for engine in &mut plan.engines {
+                    // Nothing but the wait guards these.
+                    engine.fenced = false;
+                }
+                plan.with_setting("steward", "lease_ttl_ms", "2000")
+                    .with_setting("steward", "send_max_ms", "400")
+            })
+            .await;
+        for round in 1..=2 {
+            let steward = wait_for_steward(&fleet, None).await;
+            fleet.pause_vm(&steward);
+            let next = wait_for_steward(&fleet, Some(&steward)).await;
+            assert_ne!(next, steward);
+            // Work for a steward appears while the old one sleeps.
+            let state = match round {
+                1 => json!({ "rolling_out": { "stage": 0 } }),
+                _ => json!("withdrawn"),
+            };
+            let entry = version("writer", "v2", state, 400, 0.8);
+            fleet.put_version(&next, &entry).await.unwrap();
+            Timer::after(Duration::from_millis(1500)).await;
+            fleet.resume_vm(&steward);
+            Timer::after(Duration::from_millis(2000)).await;
+        }
+        let records = fleet.records().unwrap();
+        let orders = records
+            .iter()
+            .filter(|r| r.happened == web::Happened::Order)
+            .count();
+        assert!(orders >= 2, "{orders} orders");
+        assert_kept(&fleet, &[]).await;
+    });
+}
+
+/// The VM of hall A that holds the steward lease, other than `but`.
+async fn wait_for_steward(
+    fleet: &standins::fleet::Fleet,
+    but: Option<&str>,
+) -> String {
+    let found = std::cell::RefCell::new(String::new());
+    eventually("there is a steward", || async {
+        for vm in fleet.hall_vms("hall-a") {
+            if Some(vm.as_str()) == but {
+                continue;
+            }
+            let status = fleet.status(&vm).await.unwrap();
+            if !status["steward_epoch"].is_null() {
+                *found.borrow_mut() = vm;
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+    found.into_inner()
+}
