--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -499,6 +499,8 @@
                 on.extend(begin_fault(&mut fleet, &mut rng).await?);
             }
             count += on.len();
+            let at = begun.elapsed().as_secs_f64();
+            eprintln!("{at:.1} s (unix ms {}): {on:?}", crate::web::unix_ms());
             let lasts = rng.random_range(300..2500);
             Timer::after(Duration::from_millis(lasts)).await;
             watch.look(&fleet).await;
