Have bills held in another hall when the own hall has nobody to hold them

Cause: after a VM of a two-VM hall had died, the other answered requests whose bills only it knew; killed within the next second, it took them along. Ruled out: commits in doubt, pagination of the ledger, orphans, the read of bills. Change: holders are asked in order, writers of the hall, its other VMs, VMs of other halls, those that gave no reply last; an answer waits for them up to 0.8 s.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, Weak},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use smol::channel::{Receiver, Sender, bounded, unbounded};
@@ -18,6 +18,7 @@
     message::{PeerReply, PeerRequest},
     peer::PeerError,
     rendezvous,
+    silent::Silent,
     slot::{HoldRequest, Slot, SlotPeers, redirect},
     task::{self, within},
     view::Peer,
@@ -39,9 +40,6 @@
 /// A grant older than this is not used; the claim is given back.
 pub(crate) const GRANT_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Time for which a VM that gave no reply is asked last.
-const SILENT_TIME: Duration = Duration::from_secs(10);
-
 /// Tries to report an outcome, at growing intervals, before giving up.
 const SETTLE_TRIES: u32 = 40;
 
@@ -79,8 +77,7 @@
     slots: Mutex<HashMap<u32, SlotHandle>>,
     /// The VM that last gave a verdict for a slot.
     owners: Mutex<HashMap<u32, VmId>>,
-    /// VMs that took a question and gave no reply, and when.
-    silent: Mutex<HashMap<VmId, Instant>>,
+    silent: Silent,
 }
 
 impl Claims {
@@ -267,18 +264,10 @@
             seen.push(vm.clone());
             new
         });
-        self.put_silent_last(&mut candidates, vm.clock.now());
+        self.silent.put_last(&mut candidates, vm.clock.now());
         candidates
     }
 
-    /// A VM that took a question and gave no reply is asked last for a
-    /// while, so that the caller's next try finds somebody else.
-    fn put_silent_last(&self, candidates: &mut [VmId], now: Instant) {
-        let mut silent = self.silent.lock().expect("silent lock");
-        silent.retain(|_, at| now - *at < SILENT_TIME);
-        candidates.sort_by_key(|vm| silent.contains_key(vm));
-    }
-
     async fn ask(
         &self,
         vm: &Arc<Vm>,
@@ -302,8 +291,7 @@
             }
             Err(PeerError::Broken(_)) => {
                 self.forget(slot, candidate);
-                let mut silent = self.silent.lock().expect("silent lock");
-                silent.insert(candidate.clone(), vm.clock.now());
+                self.silent.note(candidate, vm.clock.now());
                 Asked::Broken
             }
         }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -22,6 +22,7 @@
     membership::Life,
     message::{PeerReply, PeerRequest},
     rendezvous,
+    silent::Silent,
     store::{StoreError, list_all},
     task,
     unit::MicroCost,
@@ -34,8 +35,11 @@
 /// Bills in one commit.
 const COMMIT_LIMIT: usize = 1500;
 
-/// Longest time that a writer is asked to hold bills.
-const HOLD_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time that a VM is asked to hold bills.
+const HOLD_LIMIT: Duration = Duration::from_millis(250);
+
+/// VMs asked to hold the same bills before this VM goes on alone.
+const HOLDERS_ASKED: usize = 3;
 
 /// Time between two words on bills that are not committed yet.
 const RESEND: Duration = Duration::from_secs(1);
@@ -43,8 +47,9 @@
 /// Time for which a writer remembers what it has committed.
 const REMEMBER: Duration = Duration::from_secs(120);
 
-/// Longest time that an answer waits for a second VM to know its bill.
-const SECOND_HOLDER_LIMIT: Duration = Duration::from_millis(300);
+/// Longest time that an answer waits for a second VM to know its bill: as
+/// long as asking all of them may take.
+const SECOND_HOLDER_LIMIT: Duration = Duration::from_millis(800);
 
 const MS_PER_HOUR: u64 = 3_600_000;
 
@@ -87,6 +92,7 @@
 /// The bills at this VM.
 pub(crate) struct Ledger {
     books: Mutex<Books>,
+    silent: Silent,
     news: Sender<()>,
     has_news: Receiver<()>,
 }
@@ -110,7 +116,8 @@
 impl Ledger {
     pub(crate) fn new() -> Ledger {
         let (news, has_news) = bounded(1);
-        Ledger { books: Mutex::default(), news, has_news }
+        let books = Mutex::default();
+        Ledger { books, silent: Silent::default(), news, has_news }
     }
 
     /// Opens the bill of a request before it is dispatched.
@@ -230,22 +237,18 @@
         }
         let requests: Vec<RequestId> =
             due.iter().map(|bill| bill.request.clone()).collect();
-        let Some(writer) = other_writer(vm) else {
-            vm.ledger.keep_alone(due);
-            return false;
-        };
         let full = due.len() >= SEND_LIMIT;
-        let message = PeerRequest::Bills(due.clone());
-        match vm.ask_peer(&writer, message, HOLD_LIMIT).await {
-            Ok(PeerReply::BillsHeld { committed }) => {
+        for holder in holders(vm).into_iter().take(HOLDERS_ASKED) {
+            let message = PeerRequest::Bills(due.clone());
+            let reply = vm.ask_peer(&holder, message, HOLD_LIMIT).await;
+            if let Ok(PeerReply::BillsHeld { committed }) = reply {
                 vm.ledger.mark_held(&requests, &committed);
-                full
-            }
-            _ => {
-                vm.ledger.keep_alone(due);
-                false
+                return full;
             }
+            vm.ledger.silent.note(&holder, vm.clock.now());
         }
+        vm.ledger.keep_alone(due);
+        false
     }
 
     fn due(&self, now: Instant) -> Vec<Bill> {
@@ -417,27 +420,35 @@
     }
 }
 
-/// The first live writer of the hall that is not this VM.
-fn other_writer(vm: &Vm) -> Option<VmId> {
+/// The VMs that may hold this VM's bills, best first: the writers of the
+/// hall, then its other VMs, then those of other halls.
+fn holders(vm: &Vm) -> Vec<VmId> {
     let me = vm.view.vm();
     let live = vm.view.live_hall_vms();
-    let hall = vm.view.data_hall().as_str().as_bytes();
-    let ranked = rendezvous::rank(hall, live.iter().map(VmId::as_str));
-    let writers = ranked.into_iter().take(vm.settings.ledger.writers_per_hall);
-    let mut others: Vec<&str> =
-        writers.filter(|name| *name != me.as_str()).collect();
-    if others.is_empty() {
-        // This VM is the only writer; anybody may hold, then.
-        others = live
-            .iter()
-            .filter(|other| *other != me)
-            .map(VmId::as_str)
-            .collect();
-    }
+    let hall = vm.view.data_hall();
+    let subject = hall.as_str().as_bytes();
+    let ranked = rendezvous::rank(subject, live.iter().map(VmId::as_str));
+    let others: Vec<&str> =
+        ranked.into_iter().filter(|name| *name != me.as_str()).collect();
+    let count = vm.settings.ledger.writers_per_hall.min(others.len());
+    let (writers, rest) = others.split_at(count);
+    let peers = vm.view.peers();
+    let away: Vec<&str> = peers
+        .iter()
+        .filter(|peer| peer.data_hall != *hall && !peer.leaving)
+        .map(|peer| peer.vm.as_str())
+        .collect();
     // VMs spread over the writers, each staying with its own.
-    let mine =
-        rendezvous::rank(me.as_str().as_bytes(), others.iter().copied());
-    mine.first().and_then(|name| name.parse().ok())
+    let mine = me.as_str().as_bytes();
+    let spread = |names: &[&str]| -> Vec<VmId> {
+        let ranked = rendezvous::rank(mine, names.iter().copied());
+        ranked.into_iter().filter_map(|name| name.parse().ok()).collect()
+    };
+    let mut holders = spread(writers);
+    holders.extend(spread(rest));
+    holders.extend(spread(&away));
+    vm.ledger.silent.put_last(&mut holders, vm.clock.now());
+    holders
 }
 
 /// Whether the life of the VM that admitted a request is over.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod server;
 pub mod session;
 pub mod settings;
+mod silent;
 mod slot;
 mod sse;
 mod steward;
--- /dev/null
+++ b/src/silent.rs
@@ -0,0 +1,54 @@
+//! VMs that took a question and gave no reply, to be asked last for a while.
+
+use std::{
+    collections::HashMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use crate::id::VmId;
+
+/// Time for which a VM that gave no reply is asked last.
+const SILENT_TIME: Duration = Duration::from_secs(10);
+
+/// The VMs that lately gave no reply.
+#[derive(Debug, Default)]
+pub(crate) struct Silent {
+    since: Mutex<HashMap<VmId, Instant>>,
+}
+
+impl Silent {
+    /// Notes that a VM gave no reply.
+    pub(crate) fn note(&self, vm: &VmId, now: Instant) {
+        let mut since = self.since.lock().expect("silent lock");
+        since.insert(vm.clone(), now);
+    }
+
+    /// Moves those that lately gave no reply to the end.
+    pub(crate) fn put_last(&self, vms: &mut [VmId], now: Instant) {
+        let mut since = self.since.lock().expect("silent lock");
+        since.retain(|_, at| now - *at < SILENT_TIME);
+        vms.sort_by_key(|vm| since.contains_key(vm));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_silent_are_asked_last_for_a_while() {
+        let now = Instant::now();
+        let silent = Silent::default();
+        let names = ["vm-1", "vm-2", "vm-3"];
+        let all: Vec<VmId> =
+            names.iter().map(|name| name.parse().unwrap()).collect();
+        silent.note(&all[0], now);
+        let mut asked = all.clone();
+        silent.put_last(&mut asked, now);
+        assert_eq!(asked[2], all[0]);
+        let mut later = all.clone();
+        silent.put_last(&mut later, now + SILENT_TIME);
+        assert_eq!(later, all);
+    }
+}
