Ask for the steward lease only when it is wanted and due

Cause: a VM that did not hold the lease looked at it twice a second, wanted or not. The interleaving test of the lease still passes. Ruled out: the watch (one call in ten seconds), the load polls (not the store).

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -65,6 +65,7 @@
     takeover_wait: Duration,
     seen: Option<Seen>,
     held_from: Option<Instant>,
+    looked_at: Option<Instant>,
 }
 
 /// What a step of the lease changed.
@@ -96,6 +97,7 @@
             takeover_wait: ttl + longest_send,
             seen: None,
             held_from: None,
+            looked_at: None,
         }
     }
 
@@ -128,11 +130,8 @@
         if was_held && self.epoch(now()).is_none() {
             self.held_from = None;
         }
-        let due = self.held_from.is_none_or(|from| {
-            let held = now().saturating_duration_since(from);
-            held >= self.ttl.mul_f64(RENEW_SHARE)
-        });
-        if due {
+        if self.is_due(now(), wanted) {
+            self.looked_at = Some(now());
             self.look(store, now).await?;
             self.write(store, now, wanted).await?;
         }
@@ -143,6 +142,25 @@
         })
     }
 
+    /// Whether the store must be asked: to renew, to see whether the holder
+    /// still renews, or to take what is free.
+    ///
+    /// A VM that does not want the lease asks nothing, since each call
+    /// counts in the budget of the whole fleet.
+    fn is_due(&self, now: Instant, wanted: bool) -> bool {
+        let pause = self.ttl.mul_f64(RENEW_SHARE);
+        let has_passed =
+            |from: Instant| now.saturating_duration_since(from) >= pause;
+        match self.held_from {
+            Some(from) => has_passed(from),
+            None if !wanted => false,
+            None => {
+                self.looked_at.is_none_or(has_passed)
+                    || self.next_record(now, wanted).is_some()
+            }
+        }
+    }
+
     /// Gives the lease back, so that a successor need not wait.
     ///
     /// # Errors
