--- a/src/choose.rs
+++ b/src/choose.rs
@@ -5,7 +5,7 @@
 //! arguments, so a decision can be repeated and explained.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashSet,
     time::{Duration, Instant},
 };
 
@@ -619,9 +619,6 @@
     }
 }
 
-/// Facts of the upstreams of several models, gathered once per choice.
-pub type FactsByModel = HashMap<ModelId, Vec<UpstreamFacts>>;
-
 /// Whether any replica of a version could take a request.
 pub fn any_usable(facts: &[UpstreamFacts], version: ShortHash) -> bool {
     facts.iter().any(|one| {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -438,6 +438,13 @@
         .filter(|peer| peer.data_hall != *hall && !peer.leaving)
         .map(|peer| peer.vm.as_str())
         .collect();
+    // A VM that is new here has not heard of the others' lives yet.
+    let unheard: Vec<&str> = peers
+        .iter()
+        .filter(|peer| peer.data_hall == *hall && !peer.leaving)
+        .filter(|peer| vm.view.life(&peer.vm).is_none())
+        .map(|peer| peer.vm.as_str())
+        .collect();
     // VMs spread over the writers, each staying with its own.
     let mine = me.as_str().as_bytes();
     let spread = |names: &[&str]| -> Vec<VmId> {
@@ -446,6 +453,7 @@
     };
     let mut holders = spread(writers);
     holders.extend(spread(rest));
+    holders.extend(spread(&unheard));
     holders.extend(spread(&away));
     vm.ledger.silent.put_last(&mut holders, vm.clock.now());
     holders
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -173,9 +173,12 @@
         VmLife { vm: self.settings.vm.clone(), incarnation: self.incarnation }
     }
 
-    /// Whether it takes requests.
+    /// Whether it takes requests: it has a configuration to work by, and
+    /// knows upstreams and the VMs that hold its bills with it.
     pub(crate) fn is_ready(&self) -> bool {
-        self.has_started.load(Ordering::Relaxed) && !self.is_stopping()
+        self.has_started.load(Ordering::Relaxed)
+            && self.view.listed_at().is_some()
+            && !self.is_stopping()
     }
 
     /// Whether a planned stop is under way.
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -306,7 +306,7 @@
     pub upstreams: BTreeMap<String, FleetUpstream>,
     /// A client for everything.
     pub client: HttpClient,
-    kv: Process,
+    _kv: Process,
     kv_address: SocketAddr,
     _rating: Process,
     rating_address: SocketAddr,
@@ -329,7 +329,7 @@
         let rating = stand_in("rating", &["--seed", "7"])?;
         let mut fleet = Fleet {
             kv_address: kv.address("address")?,
-            kv,
+            _kv: kv,
             list_address: list.address("address")?,
             _list: list,
             rating_address: rating.address("address")?,
@@ -969,11 +969,6 @@
         std::fs::read_to_string(path).unwrap_or_default()
     }
 
-    /// The process id of the key-value service, for reports.
-    pub fn kv_process(&self) -> u32 {
-        self.kv.id()
-    }
-
     /// Reads from any process of the fleet.
     ///
     /// # Errors
--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -33,6 +33,17 @@
     a
 }
 
+/// Settles so many keys that every slot has an owner.
+async fn give_slots_owners(fleet: &Fleet) -> Vec<CallRecord> {
+    let mut calls = Vec::new();
+    for nonce in 1..=40 {
+        let request = once(nonce, Some(&format!("key-{nonce}")));
+        let vm = ALL[nonce as usize % 4];
+        calls.extend(ask_until_settled(fleet, vm, &request).await);
+    }
+    calls
+}
+
 fn last_two_settled(calls: &[CallRecord]) -> usize {
     calls.iter().filter(|call| call.is_whole()).count()
 }
@@ -107,14 +118,7 @@
 fn signatures_go_on_while_the_store_is_out() {
     run(async {
         let fleet = start(2, |plan| plan).await;
-        let mut calls = Vec::new();
-        for nonce in 1..=40 {
-            // Every slot gets an owner.
-            let key = format!("key-{nonce}");
-            let request = once(nonce, Some(&key));
-            let vm = ALL[nonce as usize % 4];
-            calls.extend(ask_until_settled(&fleet, vm, &request).await);
-        }
+        let mut calls = give_slots_owners(&fleet).await;
         for round in 1..=2 {
             let out = KvFaults { outage: true, ..KvFaults::default() };
             fleet.set_kv_faults(out).await.unwrap();
@@ -145,13 +149,7 @@
 fn a_killed_owner_and_the_store_out_together_double_nothing() {
     run(async {
         let mut fleet = start(2, |plan| plan).await;
-        let mut calls = Vec::new();
-        for nonce in 1..=24 {
-            let key = format!("key-{nonce}");
-            let request = once(nonce, Some(&key));
-            let vm = ALL[nonce as usize % 4];
-            calls.extend(ask_until_settled(&fleet, vm, &request).await);
-        }
+        let mut calls = give_slots_owners(&fleet).await;
         let out = KvFaults { outage: true, ..KvFaults::default() };
         fleet.set_kv_faults(out).await.unwrap();
         for nonce in 101..=120 {
@@ -186,13 +184,7 @@
 fn a_paused_owner_that_wakes_grants_nothing_twice() {
     run(async {
         let mut fleet = start(2, |plan| plan).await;
-        let mut calls = Vec::new();
-        for nonce in 1..=24 {
-            let key = format!("key-{nonce}");
-            let request = once(nonce, Some(&key));
-            let vm = ALL[nonce as usize % 4];
-            calls.extend(ask_until_settled(&fleet, vm, &request).await);
-        }
+        let mut calls = give_slots_owners(&fleet).await;
         for round in 1..=2 {
             let paused = ALL[round as usize % 2];
             let others: Vec<&str> =
@@ -236,13 +228,7 @@
 fn a_hall_cut_off_serves_what_it_can_and_rejoins() {
     run(async {
         let fleet = start(2, |plan| plan).await;
-        let mut calls = Vec::new();
-        for nonce in 1..=24 {
-            let key = format!("key-{nonce}");
-            let request = once(nonce, Some(&key));
-            let vm = ALL[nonce as usize % 4];
-            calls.extend(ask_until_settled(&fleet, vm, &request).await);
-        }
+        let mut calls = give_slots_owners(&fleet).await;
         for round in 1..=2 {
             fleet.cut_hall("hall-a", true);
             let mut answered = 0;
