Be ready whichever way the configuration came

Cause: a new VM that was told of a revision by gossip before it asked another VM never noted that it had a configuration, and stayed not ready while the store was out. The test a_new_vm_starts_from_another_while_the_store_is_out failed on a clean clone and passes now.

--- a/src/configuration_sync.rs
+++ b/src/configuration_sync.rs
@@ -160,6 +160,8 @@
 
 fn in_force(vm: &Arc<Vm>, revision: Revision) {
     Event::ConfigurationInForce.log(format_args!("revision {revision}"));
+    // Whichever way it came, there is a configuration to work by.
+    vm.note_ready();
     vm.guard.forget_settled(&vm.configuration.current());
     let vm = vm.clone();
     // The rest of the hall should not wait for its watch or a round.
@@ -177,7 +179,6 @@
         peers.iter().partition(|peer| peer.data_hall == *hall);
     for peer in near.into_iter().chain(far) {
         if fetch_from(vm, peer).await {
-            vm.note_ready();
             return;
         }
     }
