--- a/src/callers.rs
+++ b/src/callers.rs
@@ -28,6 +28,9 @@
 /// Largest total of request headers, in bytes.
 const HEADERS_LIMIT_BYTES: usize = 32 * 1024;
 
+/// Largest body that is read to its end only to be refused, in bytes.
+const DISCARD_LIMIT_BYTES: u64 = 16 << 20;
+
 /// Headers of a caller that an upstream is not shown.
 const PRIVATE_HEADERS: [&str; 6] = [
     "authorization",
@@ -138,6 +141,12 @@
             .get_str(KnownHeaderName::ContentLength)
             .and_then(|text| text.parse::<u64>().ok());
         if stated.is_some_and(|length| length > limit) {
+            if stated.is_some_and(|length| length < DISCARD_LIMIT_BYTES) {
+                // A caller that is still writing might miss the answer.
+                let body = conn.request_body().await;
+                let body = body.with_max_len(DISCARD_LIMIT_BYTES);
+                let _ = body.drain().await;
+            }
             return Err(request.refuse(too_large()));
         }
         // The library takes a body of the bound itself as too long.
