Let services and chats share claim and end, and all roles one ranking of a hall

A service call and a chat request opened their claim and noted their ending in two copies of the same lines; both call Core::claim and Core::prepare_end now. The VMs of a hall were ranked for a subject in three places, which parsed names back from text; View::ranked_hall_vms serves them. The order is the same, and behaviour does not change.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -256,7 +256,8 @@
         candidates.extend(ranked);
         if home != *vm.view.data_hall() {
             // When the home hall is lost, this hall may have to take over.
-            candidates.extend(own_hall_first(vm, slot));
+            candidates
+                .extend(vm.view.ranked_hall_vms(&subject).first().cloned());
         }
         let mut seen = Vec::new();
         candidates.retain(|vm| {
@@ -354,13 +355,6 @@
     there.filter(|peer| !peer.leaving).map(|p| p.vm.clone()).collect()
 }
 
-fn own_hall_first(vm: &Vm, slot: u32) -> Option<VmId> {
-    let names = vm.view.live_hall_vms();
-    let ranked =
-        rendezvous::rank(&slot.to_le_bytes(), names.iter().map(VmId::as_str));
-    ranked.first().and_then(|name| name.parse().ok())
-}
-
 fn start_slot(vm: &Arc<Vm>, number: u32) -> SlotHandle {
     let (mailbox, messages) = unbounded();
     let report: Arc<Mutex<SlotReport>> = Arc::default();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -102,23 +102,14 @@
     pub(crate) async fn run(mut self, target: ServiceTarget) -> Answer {
         let method = target.method.as_str();
         let body = BodyHash::of(method, &target.path, &target.body);
-        let call = &self.state.call;
-        if !call.repeatable
-            && let Some(key) = self.state.key.clone()
-        {
-            match self.core.settle_key(&key, body).await {
-                Ok(None) => {}
-                Ok(Some(recorded)) => return self.core.settle(Ok(recorded)),
-                Err(error) => return self.core.settle(Err(error)),
-            }
+        let key = self.state.key.clone();
+        let repeatable = self.state.call.repeatable;
+        if let Err(end) = self.core.claim(key, body, repeatable).await {
+            return self.core.settle(*end);
         }
         self.core.open_bill(self.state.call.rule.call_price_micro);
         let outcome = self.attempt_all(&target).await;
-        if let Ok(Answer::Whole { status, headers, body }) = &outcome {
-            let recorded = self.core.recorded(*status, headers, body);
-            self.core.set_claim_outcome(recorded);
-        }
-        self.core.ensure_two_know().await;
+        self.core.prepare_end(&outcome).await;
         let Request { core, state } = self;
         state.release();
         core.settle(outcome)
@@ -175,14 +166,10 @@
     /// Runs a chat request to its end, or until its stream has begun.
     pub(crate) async fn run(mut self, body: &[u8]) -> Answer {
         let hash = BodyHash::of("POST", "/v1/chat/completions", body);
-        if !self.state.repeatable
-            && let Some(key) = self.state.admitted.key.clone()
-        {
-            match self.core.settle_key(&key, hash).await {
-                Ok(None) => {}
-                Ok(Some(recorded)) => return self.core.settle(Ok(recorded)),
-                Err(error) => return self.core.settle(Err(error)),
-            }
+        let key = self.state.admitted.key.clone();
+        let repeatable = self.state.repeatable;
+        if let Err(end) = self.core.claim(key, hash, repeatable).await {
+            return self.core.settle(*end);
         }
         let pass = match self.wait_for_room().await {
             Ok(pass) => pass,
@@ -195,11 +182,7 @@
             return relay::run(self, pass).await;
         }
         let outcome = self.cascade(pass).await;
-        if let Ok(Answer::Whole { status, headers, body }) = &outcome {
-            let recorded = self.core.recorded(*status, headers, body);
-            self.core.set_claim_outcome(recorded);
-        }
-        self.core.ensure_two_know().await;
+        self.core.prepare_end(&outcome).await;
         let Request { core, state } = self;
         state.admitted.release();
         core.settle(outcome)
@@ -489,10 +472,36 @@
 }
 
 impl Core {
+    /// Claims the key of a request that may not be repeated.
+    ///
+    /// An error is how the request ends without being run.
+    async fn claim(
+        &mut self,
+        key: Option<String>,
+        body: BodyHash,
+        repeatable: bool,
+    ) -> Result<(), Box<Outcome>> {
+        let Some(key) = key.filter(|_| !repeatable) else { return Ok(()) };
+        match self.settle_key(&key, body).await {
+            Ok(None) => Ok(()),
+            Ok(Some(recorded)) => Err(Box::new(Ok(recorded))),
+            Err(error) => Err(Box::new(Err(error))),
+        }
+    }
+
+    /// Notes what a repeat will be shown, and lets a second VM know the bill.
+    async fn prepare_end(&mut self, outcome: &Outcome) {
+        if let Ok(Answer::Whole { status, headers, body }) = outcome {
+            let recorded = self.recorded(*status, headers, body);
+            self.set_claim_outcome(recorded);
+        }
+        self.ensure_two_know().await;
+    }
+
     /// Settles the claim on a key before the request may run.
     ///
     /// `Some` is the recorded answer of an earlier request with the key.
-    pub(crate) async fn settle_key(
+    async fn settle_key(
         &mut self,
         key: &str,
         body: BodyHash,
@@ -570,7 +579,7 @@
     }
 
     /// What a repeat of this request will be shown.
-    pub(crate) fn recorded(
+    fn recorded(
         &self,
         status: u16,
         headers: &[Header],
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -19,7 +19,7 @@
     frame::{DATAGRAM_LIMIT_BYTES, FrameFault},
     id::VmId,
     message::{Beat, Datagram, Gossip, ShortHash},
-    rendezvous, task,
+    task,
     upstream::Upstream,
     view::{Peer, log_life_changes},
     vm::Vm,
@@ -303,11 +303,8 @@
 
 /// The VM that adds up the sums of this hall.
 fn hall_adder(vm: &Vm) -> Option<VmId> {
-    let live = vm.view.live_hall_vms();
     let subject = format!("tallies of {}", vm.view.data_hall());
-    let ranked =
-        rendezvous::rank(subject.as_bytes(), live.iter().map(VmId::as_str));
-    ranked.first().and_then(|name| name.parse().ok())
+    vm.view.ranked_hall_vms(subject.as_bytes()).into_iter().next()
 }
 
 fn fade_evidence(vm: &Vm) {
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -20,7 +20,7 @@
     http_client::{Call, SendError},
     lease::{Epoch, Lease, LeaseChange},
     message::ShortHash,
-    rendezvous, task,
+    task,
     template::VersionState,
     upstream::{Serves, Upstream},
     vm::Vm,
@@ -202,12 +202,9 @@
 /// Whether this VM is first in line for the lease, so that not all ask.
 fn comes_into_question(vm: &Vm) -> bool {
     const IN_LINE: usize = 2;
-    let live = vm.view.live_hall_vms();
     let subject = format!("steward of {}", vm.view.data_hall());
-    let names = live.iter().map(|vm| vm.as_str());
-    let ranked = rendezvous::rank(subject.as_bytes(), names);
-    let me = vm.view.vm().as_str();
-    ranked.iter().take(IN_LINE).any(|name| *name == me)
+    let ranked = vm.view.ranked_hall_vms(subject.as_bytes());
+    ranked.iter().take(IN_LINE).any(|name| name == vm.view.vm())
 }
 
 /// The next difference between what is and what should be loaded.
--- a/src/view.rs
+++ b/src/view.rs
@@ -240,6 +240,17 @@
         vms
     }
 
+    /// The live entry VMs of this hall in the order in which they come into
+    /// question for `subject`.
+    pub fn ranked_hall_vms(&self, subject: &[u8]) -> Vec<VmId> {
+        let mut vms = self.live_hall_vms();
+        vms.sort_by_cached_key(|vm| {
+            let score = rendezvous::score(subject, vm.as_str().as_bytes());
+            std::cmp::Reverse(score)
+        });
+        vms
+    }
+
     /// The data halls with entry VMs, this one included, sorted.
     pub fn data_halls(&self) -> Vec<DataHallId> {
         let mut halls: BTreeSet<DataHallId> =
