--- a/src/cli.rs
+++ b/src/cli.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     error::Error,
+    gateway::{self, settings::GatewaySettings},
     http_client::{Call, HttpClient, WholeAnswer},
     logging,
     server::{Addresses, Server},
@@ -42,6 +43,7 @@
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
+    Gateway(GatewayCommand),
     Check(Check),
     Template(TemplateCommand),
     Version(VersionCommand),
@@ -59,10 +61,22 @@
     settings: PathBuf,
 }
 
+/// Run one entry VM before a platform until SIGTERM or SIGINT.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct GatewayCommand {
+    /// settings file (INI)
+    #[argh(option)]
+    settings: PathBuf,
+}
+
 /// Check a settings file and report every fault.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct Check {
+    /// the file is that of a VM before a platform
+    #[argh(switch)]
+    gateway: bool,
     /// settings file (INI)
     #[argh(positional)]
     file: PathBuf,
@@ -280,6 +294,7 @@
 fn run_command(command: Command) -> ExitCode {
     match command {
         Command::Serve(serve) => run_serve(&serve),
+        Command::Gateway(command) => run_gateway(command),
         Command::Check(check) => run_check(&check),
         other => match task::block_on(ask(other)) {
             Ok(answer) => print_answer(&answer),
@@ -292,8 +307,12 @@
 }
 
 fn run_check(check: &Check) -> ExitCode {
-    match Settings::from_file(&check.file) {
-        Ok(_) => {
+    let checked = match check.gateway {
+        true => GatewaySettings::from_file(&check.file).map(|_| ()),
+        false => Settings::from_file(&check.file).map(|_| ()),
+    };
+    match checked {
+        Ok(()) => {
             println!("{}: no fault", check.file.display());
             ExitCode::SUCCESS
         }
@@ -325,6 +344,25 @@
     }
 }
 
+fn run_gateway(command: GatewayCommand) -> ExitCode {
+    let settings = match GatewaySettings::from_file(&command.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{fault}");
+            }
+            return ExitCode::FAILURE;
+        }
+    };
+    match task::block_on(gateway::server::run(settings, command.settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lupinseam: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn start(settings: Settings) -> Result<ExitCode, Error> {
     logging::start(&settings.log)?;
     task::block_on(async {
@@ -371,7 +409,7 @@
         }
         Command::Status(status) => get(status.operators, "/status".into()),
         Command::Bills(bills) => bills_call(&bills),
-        Command::Serve(_) | Command::Check(_) => {
+        Command::Serve(_) | Command::Gateway(_) | Command::Check(_) => {
             return Err("not a call".to_owned());
         }
     };
--- a/src/event.rs
+++ b/src/event.rs
@@ -3,9 +3,13 @@
 //! An operator can search for `E042` in the logs and in `docs/EVENTS.md`,
 //! which prints this table; a test keeps the two equal.
 
-use std::fmt;
+use std::{
+    fmt,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use log::Level;
+use serde_json::Value;
 
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident,
@@ -53,6 +57,8 @@
         "The planned stop reached `stop.grace_s` with requests still in flight.";
     /// A task of the VM ended unexpectedly.
     TaskFailed = 6, Error, "A background task failed; a fault of this program.";
+    /// The settings file was read again.
+    Reloaded = 7, Info, "The settings file was read again; says whether anything in it has changed.";
     /// A new configuration is in force.
     ConfigurationInForce = 10, Info, "A newer configuration revision is in force here.";
     /// The configuration cannot be proven current.
@@ -75,6 +81,12 @@
     ListLost = 22, Warn, "The platform's list of VMs does not answer.";
     /// The platform's list answers again.
     ListBack = 23, Info, "The platform's list of VMs answers again.";
+    /// What is known from the store is too old to accept keys by.
+    KnowledgeStale = 24, Warn, "What is known from the platform's store is too old to accept keys; the VM is not ready.";
+    /// What is known is recent enough again.
+    KnowledgeFresh = 25, Info, "What is known from the platform's store is recent enough again.";
+    /// Knowledge came from another VM.
+    KnowledgeFromPeer = 26, Info, "Newer knowledge was taken over from another VM.";
     /// A VM of the hall is suspected.
     PeerSuspected = 30, Info, "Another VM of the data hall is silent and suspected.";
     /// A VM of the hall counts as dead.
@@ -92,6 +104,14 @@
     BreakerOpened = 41, Warn, "An upstream failed repeatedly and gets only trial requests.";
     /// An upstream's breaker closed.
     BreakerClosed = 42, Info, "An upstream answers again.";
+    /// An upstream was listed.
+    UpstreamListed = 43, Info, "An upstream is listed, with its service, version and state.";
+    /// The record of an upstream is gone.
+    UpstreamGone = 44, Info, "The record of an upstream is gone; it gets no new work.";
+    /// An upstream is unfit.
+    UpstreamUnfit = 45, Warn, "An upstream fails too often and is left alone for a while.";
+    /// An upstream is fit again.
+    UpstreamFit = 46, Info, "An upstream that was left alone answers again.";
     /// A claim slot was taken over.
     SlotTaken = 50, Info, "This VM took over a claim slot.";
     /// A claim slot was lost to another VM.
@@ -123,10 +143,22 @@
     VersionWithdrawn = 81, Error, "The roll-out guard withdrew a version in the store.";
     /// A roll-out moved to its next stage.
     StageAdvanced = 82, Info, "A roll-out moved to its next stage.";
+    /// A roll-out was ordered.
+    RolloutOrdered = 83, Info, "The operator ordered a roll-out of a version.";
+    /// A roll-out was stopped here.
+    RolloutStopped = 84, Error, "The answers of a new version are worse than the old one's; it gets no more requests here.";
+    /// The state of a roll-out was recorded.
+    RolloutRecorded = 85, Info, "The state of a roll-out was written to the store, or found there.";
+    /// The state of a roll-out could not be recorded.
+    RolloutNotRecorded = 86, Warn, "The state of a roll-out could not be written to the store, or may have been.";
     /// An answer broke off.
     AnswerBroken = 90, Warn, "An answer broke off and could not be resumed; its caller sees a broken connection or an error event.";
     /// A stream was resumed.
     StreamResumed = 91, Info, "A stream was resumed at another upstream on the same version.";
+    /// A request has ended well.
+    RequestEnded = 100, Info, "A request has ended with an upstream's answer; one line with all its attempts.";
+    /// A request was refused or has failed.
+    RequestFailed = 101, Warn, "A request was refused or has failed; one line with all its attempts and the reason.";
 }
 
 impl Event {
@@ -139,6 +171,17 @@
             self
         );
     }
+
+    /// Writes the event to the log as one JSON object with these fields.
+    pub fn record(self, mut fields: serde_json::Map<String, Value>) {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at_ms = since.unwrap_or_default().as_millis() as u64;
+        fields.insert("at_ms".into(), at_ms.into());
+        fields.insert("event".into(), self.to_string().into());
+        fields.insert("name".into(), format!("{self:?}").into());
+        let line = Value::Object(fields);
+        log::log!(target: "lupinseam", self.level(), "{line}");
+    }
 }
 
 impl fmt::Display for Event {
--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,471 @@
+//! Carrying out a request: attempts at upstreams until one answers.
+//!
+//! A request that may not be repeated is sent a second time only when the
+//! first upstream stated that it did not run, or nothing of it can have
+//! arrived. Everything else goes by the route's attempts, the time left and
+//! the retry budget.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use hyper::{HeaderMap, StatusCode};
+
+use crate::{
+    error::{Error, ErrorKind},
+    gateway::Gateway,
+    health::Verdict,
+    http_client::{Call, Exchange, Reuse, SendError},
+    id::{ModelId, ServiceId, UpstreamId},
+    inbound::{AttemptHead, Inbound, ModelWish},
+    platform::headers::{self, AnswerHead},
+    pool::{Member, NoMember, VersionRule, Want},
+    relay_events::EventRelay,
+    route::{Organisation, Repeat, Route},
+    task,
+    trace::{End, Trace},
+    upstream::InFlight,
+};
+
+/// Time left below which no further attempt is made: it could not answer.
+const LEAST_LEFT: Duration = Duration::from_millis(5);
+
+/// Largest answer that is held whole.
+const ANSWER_LIMIT_BYTES: u64 = 16 << 20;
+
+/// Part of its aim after which a short repeatable request is tried elsewhere.
+const RETRY_AFTER_AIM: f64 = 0.6;
+
+/// Time for which an upstream may give no sign of life while it has work, and
+/// what each token of a prompt adds, since reading a long one takes a while.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+const SILENCE_PER_TOKEN: Duration = Duration::from_micros(200);
+
+/// Time between two looks at a silent upstream.
+const WATCH_PERIOD: Duration = Duration::from_millis(150);
+
+/// Wait that a caller is told when every upstream is full.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
+
+/// A request on its way.
+pub(crate) struct Job {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceId,
+    pub(crate) organisation: Option<Organisation>,
+    pub(crate) inbound: Inbound,
+    pub(crate) body: Bytes,
+    /// When the caller, or the operator's limit, gives up.
+    pub(crate) deadline: Instant,
+    /// Upstreams that were asked.
+    pub(crate) tried: Vec<UpstreamId>,
+    /// Upstreams that the request was sent to, of those.
+    pub(crate) sent: u32,
+    /// Whether it may have run anywhere.
+    pub(crate) may_have_run: bool,
+}
+
+/// An answer to a caller.
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: ReplyBody,
+}
+
+/// The body of an answer.
+pub(crate) enum ReplyBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Events as they come.
+    Events(Box<EventRelay>),
+}
+
+/// An upstream that an attempt goes to, counted as busy with it.
+pub(crate) struct Attempt {
+    pub(crate) member: Arc<Member>,
+    pub(crate) model: Option<ModelId>,
+    pub(crate) began_at: Instant,
+    _in_flight: InFlight,
+}
+
+/// Why an attempt brought no answer that ends the request.
+pub(crate) enum Fault {
+    /// It did not run there.
+    NotRun(&'static str, String),
+    /// It may have run there.
+    Unknown(&'static str, String),
+    /// It ran and failed; this is the upstream's own answer.
+    Failed(Box<Reply>),
+}
+
+impl Job {
+    /// Carries the request out.
+    pub(crate) async fn run(mut self, mut trace: Trace) -> Reply {
+        let budget = self.gateway.retry_budget(&self.service);
+        budget.count_request();
+        loop {
+            let now = self.gateway.clock.now();
+            if self.left(now) < LEAST_LEFT {
+                return self.refuse(trace, ErrorKind::DeadlineExceeded, "");
+            }
+            let attempt = match self.begin(&mut trace, now) {
+                Ok(attempt) => attempt,
+                Err(error) => return self.refuse_with(trace, error),
+            };
+            let fault = match self.route.is_stream {
+                true => match self.ask_stream(attempt, &mut trace).await {
+                    Ok(opened) => return opened.into_reply(self, trace),
+                    Err(fault) => fault,
+                },
+                false => match self.ask_whole(&attempt, &mut trace).await {
+                    Ok(reply) => {
+                        trace.end(End::Answered(reply.status.as_u16()));
+                        return reply;
+                    }
+                    Err(fault) => {
+                        if !matches!(fault, Fault::NotRun("declined", _)) {
+                            self.judge(&attempt, Verdict::Bad, None);
+                        }
+                        fault
+                    }
+                },
+            };
+            if let Err(reply) = self.go_on(fault, &mut trace, &budget) {
+                return self.end_with(reply, trace);
+            }
+        }
+    }
+
+    /// The time left at `now`.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    fn rule(&self, now: Instant) -> VersionRule {
+        let session = self.inbound.session.as_deref();
+        let id = &self.inbound.id;
+        self.gateway.rollouts.rule(&self.service, session, id, now)
+    }
+
+    /// Chooses an upstream and counts it as busy.
+    pub(crate) fn begin(
+        &mut self,
+        trace: &mut Trace,
+        now: Instant,
+    ) -> Result<Attempt, Error> {
+        let want = Want {
+            rule: self.rule(now),
+            prompt: self.prompt_subject(),
+            tried: &self.tried,
+        };
+        let picked = self.gateway.pool.pick(&self.service, &want, now);
+        let member = picked.map_err(|no_member| match no_member {
+            NoMember::Unknown => Error::new(ErrorKind::NoUpstream)
+                .context(format!("no upstream of {}", self.service)),
+            NoMember::Full => Error::new(ErrorKind::Overloaded)
+                .context(format!("{} is full", self.service))
+                .with_retry_after(RETRY_AFTER_FULL),
+        })?;
+        let model = self.model();
+        trace.begin(&member, model.clone());
+        self.tried.push(member.entry.id.clone());
+        if let Some(session) = &self.inbound.session {
+            let software = &member.entry.software;
+            let rollouts = &self.gateway.rollouts;
+            rollouts.note_session(&self.service, session, software, now);
+        }
+        Ok(Attempt {
+            _in_flight: member.upstream.begin(),
+            member,
+            model,
+            began_at: now,
+        })
+    }
+
+    /// The part of the prompt that is shared with most later requests.
+    fn prompt_subject(&self) -> Option<u64> {
+        let parts = &self.inbound.prompt;
+        let shared = parts.len().checked_sub(2)?;
+        Some(parts[shared].id)
+    }
+
+    fn model(&self) -> Option<ModelId> {
+        match self.inbound.model {
+            Some(ModelWish::Any) => self.route.sizes.last().cloned(),
+            _ => None,
+        }
+    }
+
+    fn urgency(&self) -> u8 {
+        let organisation = self.organisation.as_ref();
+        let own = organisation.and_then(|o| o.priority);
+        own.unwrap_or(self.route.priority).min(9)
+    }
+
+    /// The call that an attempt makes.
+    pub(crate) fn call(
+        &self,
+        attempt: &Attempt,
+        resume_after: Option<u64>,
+    ) -> Call {
+        let organisation = self.organisation.as_ref();
+        let head = AttemptHead {
+            time_left: self.left(self.gateway.clock.now()),
+            upstream: &attempt.member.entry.id,
+            organisation: organisation.map(|o| &o.id),
+            model: attempt.model.as_ref(),
+            resume_after,
+            urgency: self.route.is_stream.then(|| self.urgency()),
+        };
+        let mut call = Call::new(
+            attempt.member.entry.address,
+            self.inbound.method.clone(),
+            self.inbound.path.clone(),
+        );
+        call.headers = headers::write_attempt(&self.inbound, &head);
+        call.body = self.body.clone();
+        call
+    }
+
+    /// Sends an attempt and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        attempt: &Attempt,
+        resume_after: Option<u64>,
+        limit: Duration,
+    ) -> Result<(Exchange, AnswerHead), Fault> {
+        let reuse = match self.route.repeat {
+            Repeat::Any => Reuse::Pooled,
+            // On a connection of its own, a failure to connect is known to
+            // come before the first byte.
+            Repeat::Never => Reuse::Fresh,
+        };
+        let call = self.call(attempt, resume_after);
+        let http = self.gateway.http.clone();
+        let answered = async {
+            let sent = http.send(call, reuse).await;
+            sent.map_err(Some)
+        };
+        let silent = async {
+            self.silence(attempt, limit).await;
+            Err(None)
+        };
+        let sent = answered.or(silent).await;
+        let exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(Some(SendError::NotSent(reason))) => {
+                return Err(Fault::NotRun("unreachable", reason));
+            }
+            Err(Some(error)) => {
+                self.note_sent();
+                return Err(Fault::Unknown("broken", error.to_string()));
+            }
+            Err(None) => {
+                self.note_sent();
+                return Err(Fault::Unknown("silent", String::new()));
+            }
+        };
+        self.sent += 1;
+        let status = exchange.status;
+        let head =
+            headers::read_answer(status, &exchange.headers, &self.inbound.id);
+        let now = self.gateway.clock.now();
+        attempt.member.note_heard(now);
+        if !head.is_ours && !head.not_run {
+            self.may_have_run = true;
+            let reason = "the answer belongs to another request".to_owned();
+            return Err(Fault::Unknown("foreign", reason));
+        }
+        if head.not_run {
+            return Err(Fault::NotRun("declined", status.to_string()));
+        }
+        self.may_have_run = true;
+        Ok((exchange, head))
+    }
+
+    fn note_sent(&mut self) {
+        self.sent += 1;
+        self.may_have_run = true;
+    }
+
+    /// Returns when `limit` has passed, or, for a request that may be
+    /// repeated, when its upstream seems dead.
+    async fn silence(&self, attempt: &Attempt, limit: Duration) {
+        let clock = &self.gateway.clock;
+        let tokens = self.inbound.tokens.map_or(0, |tokens| tokens.prompt);
+        let reading = SILENCE_PER_TOKEN * u32::try_from(tokens).unwrap_or(0);
+        let patience = SILENCE_LIMIT + reading;
+        loop {
+            let now = clock.now();
+            let waited = now.saturating_duration_since(attempt.began_at);
+            if waited >= limit {
+                return;
+            }
+            let is_dead =
+                attempt.member.silence(now) >= patience && waited >= patience;
+            if is_dead && self.route.repeat == Repeat::Any {
+                return;
+            }
+            task::sleep((limit - waited).min(WATCH_PERIOD)).await;
+        }
+    }
+
+    async fn ask_whole(
+        &mut self,
+        attempt: &Attempt,
+        trace: &mut Trace,
+    ) -> Result<Reply, Fault> {
+        let left = self.left(attempt.began_at);
+        let limit = match self.can_try_again() {
+            true => self.route.aim.mul_f64(RETRY_AFTER_AIM).min(left),
+            false => left,
+        };
+        let (mut exchange, _) = self.send(attempt, None, limit).await?;
+        exchange.allow_end_at_close();
+        let headers = headers::answer_headers(&exchange.headers);
+        let now = self.gateway.clock.now();
+        let waited = now.saturating_duration_since(attempt.began_at);
+        let body_limit = self.left(now);
+        let read = exchange.read_whole(ANSWER_LIMIT_BYTES);
+        let answer = match task::within(body_limit, read).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(error)) => {
+                return Err(Fault::Unknown("broken", error.to_string()));
+            }
+            None => return Err(Fault::Unknown("silent", String::new())),
+        };
+        let status = status_of(answer.status)?;
+        let body = ReplyBody::Whole(answer.body);
+        let reply = Reply { status, headers, body };
+        if status.is_server_error() {
+            return Err(Fault::Failed(Box::new(reply)));
+        }
+        trace.first_part();
+        trace.end_attempt("answered", "");
+        self.judge(attempt, Verdict::Good, Some(waited));
+        Ok(reply)
+    }
+
+    fn can_try_again(&self) -> bool {
+        self.route.repeat == Repeat::Any && self.sent + 1 < self.route.attempts
+    }
+
+    /// Records how the attempt's upstream did.
+    pub(crate) fn judge(
+        &self,
+        attempt: &Attempt,
+        verdict: Verdict,
+        first_part: Option<Duration>,
+    ) {
+        let gateway = &self.gateway;
+        gateway.judge_upstream(&attempt.member, verdict);
+        gateway.rollouts.record(
+            &self.service,
+            &attempt.member.entry.software,
+            &self.route.name,
+            verdict,
+            first_part,
+        );
+    }
+
+    /// Decides whether another attempt is made after a fault; if not,
+    /// returns what the caller gets.
+    fn go_on(
+        &mut self,
+        fault: Fault,
+        trace: &mut Trace,
+        budget: &crate::retry::RetryBudget,
+    ) -> Result<(), Outcome> {
+        let (is_repeatable, outcome) = match fault {
+            Fault::NotRun(label, reason) => {
+                trace.end_attempt(label, &reason);
+                (true, Outcome::NotRun(reason))
+            }
+            Fault::Unknown(label, reason) => {
+                trace.end_attempt(label, &reason);
+                (self.route.repeat == Repeat::Any, Outcome::Unknown(reason))
+            }
+            Fault::Failed(reply) => {
+                let status = reply.status.as_u16();
+                trace.end_attempt("failed", &status.to_string());
+                (self.route.repeat == Repeat::Any, Outcome::Failed(reply))
+            }
+        };
+        let may_go_on = is_repeatable
+            && self.sent < self.route.attempts
+            && self.tried.len() < self.route.attempts as usize + 2
+            && budget.try_retry();
+        if may_go_on { Ok(()) } else { Err(outcome) }
+    }
+
+    fn end_with(self, outcome: Outcome, trace: Trace) -> Reply {
+        match outcome {
+            Outcome::Failed(reply) => {
+                trace.end(End::Answered(reply.status.as_u16()));
+                *reply
+            }
+            Outcome::NotRun(reason) => {
+                self.refuse(trace, ErrorKind::Overloaded, &reason)
+            }
+            Outcome::Unknown(reason) => {
+                self.refuse(trace, ErrorKind::UpstreamFailed, &reason)
+            }
+        }
+    }
+
+    fn refuse(self, trace: Trace, kind: ErrorKind, reason: &str) -> Reply {
+        let error = Error::new(kind).context(reason.to_owned());
+        self.refuse_with(trace, error)
+    }
+
+    /// The router's own answer; one that promises that the request did not
+    /// run is given only when that is so.
+    fn refuse_with(self, trace: Trace, error: Error) -> Reply {
+        let promises = error.kind().answer().run == crate::error::Run::NotRun;
+        let error = match promises && self.may_have_run {
+            true => Error::new(ErrorKind::UpstreamFailed)
+                .context(error.to_string()),
+            false => error,
+        };
+        refuse(&self.inbound.id, trace, &error)
+    }
+}
+
+/// How a request ends when no attempt brought an answer.
+enum Outcome {
+    NotRun(String),
+    Unknown(String),
+    Failed(Box<Reply>),
+}
+
+fn status_of(status: u16) -> Result<StatusCode, Fault> {
+    StatusCode::from_u16(status)
+        .map_err(|error| Fault::Unknown("broken", error.to_string()))
+}
+
+/// The router's own answer to a request.
+pub(crate) fn refuse(id: &str, trace: Trace, error: &Error) -> Reply {
+    let answer = error.kind().answer();
+    trace.end(End::Refused(answer.status, answer.code, error.to_string()));
+    let mut headers = headers::own_answer_headers(id);
+    if let Some(wait) = error.retry_after() {
+        let wait_s = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = wait_s.parse() {
+            headers.insert(hyper::header::RETRY_AFTER, value);
+        }
+    }
+    let body = crate::answer::refusal_json(error, None).to_string();
+    headers.insert(
+        hyper::header::CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    Reply {
+        status: StatusCode::from_u16(answer.status)
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+        headers,
+        body: ReplyBody::Whole(Bytes::from(body)),
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,294 @@
+//! One entry VM before a platform: what its tasks and listeners share.
+//!
+//! * [`settings`]: its settings.
+//! * [`server`]: its life, from start to planned stop.
+//! * [`watch`]: following the platform's store.
+//! * [`steward`]: recording how far roll-outs are.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use serde_json::{Map, Value, json};
+
+use crate::{
+    clock::SharedClock,
+    event::Event,
+    health::{HealthChange, Verdict},
+    http_client::HttpClient,
+    id::{Incarnation, ServiceId, VersionId},
+    knowledge::{Fact, Knowledge, News},
+    mesh::Peers,
+    metrics::Metrics,
+    platform::store::PlatformStore,
+    pool::{Member, Pool, UpstreamState},
+    retry::RetryBudget,
+    rollout::Rollouts,
+};
+
+pub mod settings;
+
+pub(crate) mod server;
+pub(crate) mod steward;
+pub(crate) mod watch;
+
+use settings::GatewaySettings;
+
+/// Longest time to open a connection to an upstream, which is at most a few
+/// milliseconds away.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Part of the time after which a key that was taken away must be refused,
+/// up to which knowledge is recent enough to accept keys by. The rest covers
+/// a watch that hears nothing for a second before its history is dropped.
+const KEY_PROOF_PART: f64 = 0.75;
+
+/// Time that the store must have been well before a record that vanished
+/// means that its upstream leaves; a live one is back within two seconds.
+const STORE_WELL: Duration = Duration::from_millis(2500);
+
+/// Requests that a retry budget holds in reserve; the platform allows some
+/// tens over all VMs.
+const RETRY_RESERVE: f64 = 4.0;
+
+/// Counts the requests that this VM is working on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InFlightCount(Arc<AtomicUsize>);
+
+impl InFlightCount {
+    /// Counts one more while the guard lives.
+    pub(crate) fn enter(&self) -> Held {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Held(self.0.clone())
+    }
+
+    /// How many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a request while it lives.
+#[derive(Debug)]
+pub(crate) struct Held(Arc<AtomicUsize>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// One entry VM before a platform.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: SharedClock,
+    pub(crate) http: HttpClient,
+    pub(crate) store: PlatformStore,
+    pub(crate) knowledge: Knowledge,
+    pub(crate) pool: Pool,
+    pub(crate) rollouts: Rollouts,
+    pub(crate) peers: Peers,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) in_flight: InFlightCount,
+    pub(crate) incarnation: Incarnation,
+    retries: Mutex<HashMap<ServiceId, Arc<RetryBudget>>>,
+    store_ill_at: Mutex<Option<Instant>>,
+    is_stopping: AtomicBool,
+    was_fresh: AtomicBool,
+}
+
+impl Gateway {
+    /// Puts a VM together; nothing runs yet.
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        clock: SharedClock,
+    ) -> Arc<Gateway> {
+        let started_us = clock.unix_ms() * 1000;
+        Arc::new(Gateway {
+            http: HttpClient::new(CONNECT_LIMIT),
+            store: PlatformStore::new(settings.store),
+            knowledge: Knowledge::default(),
+            pool: Pool::new(settings.data_hall.clone()),
+            rollouts: Rollouts::default(),
+            peers: Peers::new(&settings),
+            metrics: Arc::new(Metrics::new()),
+            in_flight: InFlightCount::default(),
+            incarnation: Incarnation(started_us),
+            retries: Mutex::default(),
+            store_ill_at: Mutex::new(None),
+            is_stopping: AtomicBool::new(false),
+            was_fresh: AtomicBool::new(false),
+            settings,
+            clock,
+        })
+    }
+
+    /// Whether a planned stop is under way.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it takes requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && !self.knowledge.is_empty()
+            && self.is_fresh(self.clock.now())
+    }
+
+    /// Whether what is known is recent enough to accept keys by.
+    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
+        let limit = self.settings.revoke.mul_f64(KEY_PROOF_PART);
+        let age = self.knowledge.proof_age(now);
+        age.is_some_and(|age| age <= limit)
+    }
+
+    /// Logs when knowledge becomes too old, or recent enough again.
+    pub(crate) fn note_freshness(&self) {
+        let now = self.clock.now();
+        let is_fresh = self.is_fresh(now);
+        if self.was_fresh.swap(is_fresh, Ordering::Relaxed) == is_fresh {
+            return;
+        }
+        let age = self.knowledge.proof_age(now);
+        let age_ms = age.map(|age| age.as_millis() as u64);
+        let event = match is_fresh {
+            true => Event::KnowledgeFresh,
+            false => Event::KnowledgeStale,
+        };
+        event.record(fields(json!({ "proof_age_ms": age_ms })));
+    }
+
+    /// The retry budget of a service.
+    pub(crate) fn retry_budget(
+        &self,
+        service: &ServiceId,
+    ) -> Arc<RetryBudget> {
+        let mut retries = self.retries.lock().expect("retries lock");
+        let share = self.settings.retry_share;
+        retries
+            .entry(service.clone())
+            .or_insert_with(|| {
+                Arc::new(RetryBudget::with_reserve(share, RETRY_RESERVE))
+            })
+            .clone()
+    }
+
+    /// Notes that the store does not answer as it should.
+    pub(crate) fn note_store_ill(&self) {
+        let now = self.clock.now();
+        *self.store_ill_at.lock().expect("store lock") = Some(now);
+    }
+
+    fn is_store_well(&self, now: Instant) -> bool {
+        let ill_at = *self.store_ill_at.lock().expect("store lock");
+        ill_at.is_none_or(|at| now.saturating_duration_since(at) >= STORE_WELL)
+    }
+
+    /// Takes in what the store says.
+    pub(crate) fn take_news(&self, news: News) {
+        for unreadable in news.unreadable {
+            Event::ConfigurationBroken.record(fields(json!({
+                "key": unreadable.key,
+                "reason": unreadable.reason,
+            })));
+        }
+        for fact in news.facts {
+            self.take_fact(fact);
+        }
+    }
+
+    fn take_fact(&self, fact: Fact) {
+        let now = self.clock.now();
+        match fact {
+            Fact::Configuration(table) => {
+                let version = table.version();
+                let routes = table.routes_len();
+                if self.knowledge.install(table) {
+                    Event::ConfigurationInForce.record(fields(json!({
+                        "table": version.0,
+                        "routes": routes,
+                    })));
+                }
+            }
+            Fact::Upstream(entry) => {
+                Event::UpstreamListed.record(fields(json!({
+                    "upstream": entry.id,
+                    "service": entry.service,
+                    "software": entry.software,
+                    "leaving": entry.state == UpstreamState::Leaving,
+                })));
+                self.pool.set(entry, now);
+            }
+            Fact::UpstreamGone(id) => {
+                let is_sure = self.is_store_well(now);
+                Event::UpstreamGone.record(fields(json!({
+                    "upstream": id,
+                    "sure": is_sure,
+                })));
+                self.pool.remove(&id, is_sure, now);
+            }
+            Fact::RolloutOrdered(service, order) => {
+                let target = order.target.clone();
+                let allowed_ms = order.time_allowed.as_millis() as u64;
+                if self.rollouts.order(service.clone(), order, now) {
+                    Event::RolloutOrdered.record(fields(json!({
+                        "service": service,
+                        "target": target,
+                        "allowed_ms": allowed_ms,
+                    })));
+                }
+            }
+            Fact::RolloutOver(service) => self.rollouts.forget(&service),
+            Fact::RolloutStatus(service, status) => {
+                self.rollouts.set_status(&service, &status);
+                Event::RolloutRecorded.record(fields(json!({
+                    "service": service,
+                    "target": status.target,
+                    "progress": status.progress.to_string(),
+                })));
+            }
+            Fact::Peer(vm, record) => self.peers.learn(&vm, &record),
+            Fact::PeerGone(vm) => self.peers.forget(&vm),
+        }
+    }
+
+    /// Takes in how an attempt at an upstream ended.
+    pub(crate) fn judge_upstream(&self, member: &Member, verdict: Verdict) {
+        let change = member.health.record(verdict, self.clock.now());
+        let event = match change {
+            None => return,
+            Some(HealthChange::Unfit) => Event::UpstreamUnfit,
+            Some(HealthChange::Fit) => Event::UpstreamFit,
+        };
+        event.record(fields(json!({ "upstream": member.entry.id })));
+    }
+
+    /// This VM's requests at a service's upstreams of other versions.
+    pub(crate) fn in_flight_at_old(
+        &self,
+        service: &ServiceId,
+        target: &VersionId,
+    ) -> u32 {
+        let members = self.pool.of_service(service);
+        let old = members.iter().filter(|m| m.entry.software != *target);
+        old.map(|member| member.upstream.in_flight()).sum()
+    }
+}
+
+/// The fields of a JSON object.
+pub(crate) fn fields(object: Value) -> Map<String, Value> {
+    match object {
+        Value::Object(fields) => fields,
+        other => Map::from_iter([("value".to_owned(), other)]),
+    }
+}
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,179 @@
+//! The life of a VM before a platform: bound, running, stopped.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use async_signal::{Signal, Signals};
+use bytes::Bytes;
+use futures_lite::{StreamExt, future};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{server::conn::http1, service::service_fn};
+use serde_json::json;
+use smol::net::{TcpListener, TcpStream, UdpSocket};
+use smol_hyper::rt::FuturesIo;
+
+use crate::{
+    clock::SystemClock,
+    event::Event,
+    gateway::{Gateway, fields, settings::GatewaySettings, steward, watch},
+    ingress, logging, mesh,
+    platform::headers::READY_PATH,
+    task,
+};
+
+/// Time after a planned stop begins for which connections stay open: the
+/// platform asks every second, and takes a VM out after two misses.
+const LEAVE_TIME: Duration = Duration::from_millis(2300);
+
+/// Part of the grace of a planned stop that is kept for the end itself.
+const END_TIME: Duration = Duration::from_millis(700);
+
+/// Time between two looks at what is still in flight.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Runs a VM until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// When its addresses cannot be bound or signals not be caught.
+pub(crate) async fn run(
+    settings: GatewaySettings,
+    path: PathBuf,
+) -> io::Result<()> {
+    logging::start_queue(settings.log_level).map_err(io::Error::other)?;
+    let vm = settings.vm.to_string();
+    Event::Starting.record(fields(json!({
+        "vm": vm,
+        "release": env!("CARGO_PKG_VERSION"),
+        "settings": path.display().to_string(),
+    })));
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let callers = bind(settings.callers).await?;
+    let readiness = bind(settings.readiness).await?;
+    let metrics = bind(settings.metrics).await?;
+    let streams = bind(settings.peers).await?;
+    let datagrams = UdpSocket::bind(settings.peers).await?;
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    let (close, closing) = smol::channel::bounded::<()>(1);
+    let tasks = [
+        task::spawn(watch::run(gateway.clone())),
+        task::spawn(watch::record_vm(gateway.clone())),
+        task::spawn(steward::run(gateway.clone())),
+        task::spawn(mesh::beat_loop(gateway.clone(), datagrams.clone())),
+        task::spawn(mesh::hear_loop(gateway.clone(), datagrams)),
+        task::spawn(mesh::serve(gateway.clone(), streams)),
+        task::spawn(serve_plain(gateway.clone(), readiness)),
+        task::spawn(serve_plain(gateway.clone(), metrics)),
+        task::spawn(ingress::serve(gateway.clone(), callers, closing)),
+    ];
+    while let Some(signal) = signals.next().await {
+        match signal? {
+            Signal::Hup => reload(&gateway, &path),
+            _ => break,
+        }
+    }
+    stop(&gateway, close).await;
+    drop(tasks);
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| {
+        io::Error::new(error.kind(), format!("{address}: {error}"))
+    })
+}
+
+/// Reads the settings file again and says what would change.
+///
+/// Addresses and names hold for the life of a process, and nothing else in
+/// the file changes while a fleet runs, so no setting is taken over: the line
+/// says which ones wait for the next start.
+fn reload(gateway: &Gateway, path: &Path) {
+    let outcome = match GatewaySettings::from_file(path) {
+        Ok(settings) if same(&settings, &gateway.settings) => "unchanged",
+        Ok(_) => "changed; takes effect at the next start",
+        Err(_) => "faulty; the settings in force stay",
+    };
+    Event::Reloaded.record(fields(json!({ "outcome": outcome })));
+}
+
+fn same(a: &GatewaySettings, b: &GatewaySettings) -> bool {
+    format!("{a:?}") == format!("{b:?}")
+}
+
+/// Ends what is in flight, then returns.
+async fn stop(gateway: &Gateway, close: smol::channel::Sender<()>) {
+    let began_at = gateway.clock.now();
+    let ends_at = began_at + gateway.settings.grace.saturating_sub(END_TIME);
+    gateway.begin_stop();
+    let in_flight = gateway.in_flight.count();
+    Event::Stopping.record(fields(json!({ "in_flight": in_flight })));
+    task::sleep(LEAVE_TIME).await;
+    close.close();
+    while gateway.in_flight.count() > 0 && gateway.clock.now() < ends_at {
+        task::sleep(LOOK_PERIOD).await;
+    }
+    // The last answers are written when their requests have ended.
+    task::sleep(LOOK_PERIOD).await;
+    let cut = gateway.in_flight.count();
+    let event = match cut {
+        0 => Event::Stopped,
+        _ => Event::StopCut,
+    };
+    let passed = gateway.clock.now().saturating_duration_since(began_at);
+    event.record(fields(json!({
+        "cut": cut,
+        "took_ms": passed.as_millis() as u64,
+    })));
+    // Time for the log's thread to write the line.
+    task::sleep(LOOK_PERIOD).await;
+}
+
+/// Answers the platform's question and serves metrics.
+async fn serve_plain(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = gateway.clone();
+                task::spawn(converse(gateway, stream)).detach();
+            }
+            Err(_) => task::sleep(LOOK_PERIOD).await,
+        }
+    }
+}
+
+async fn converse(gateway: Arc<Gateway>, stream: TcpStream) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let response = plain(&gateway, request.uri().path());
+        future::ready(Ok::<_, Infallible>(response))
+    });
+    let connection = http1::Builder::new()
+        .serve_connection(FuturesIo::new(stream), service);
+    // A caller that breaks off asks again.
+    let _ = connection.await;
+}
+
+fn plain(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
+    let (status, text) = match path {
+        READY_PATH if gateway.is_ready() => (StatusCode::OK, "ready\n".into()),
+        READY_PATH => {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+        }
+        "/metrics" => {
+            let in_flight = gateway.in_flight.count() as i64;
+            gateway.metrics.in_flight.set(in_flight);
+            (StatusCode::OK, gateway.metrics.text())
+        }
+        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,195 @@
+//! Settings of a VM before a platform, read from an INI file.
+//!
+//! The platform fills the file's template (`deploy/lupinseam.ini`) at each
+//! start and at each change.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use crate::{
+    id::{DataHallId, VmId},
+    secret::ClusterKey,
+    settings::{Fault, Key, Reader, read_file, read_ini},
+};
+
+const fn key(
+    section: &'static str,
+    name: &'static str,
+    default: Option<&'static str>,
+    meaning: &'static str,
+) -> Key {
+    Key { section, name, default, meaning }
+}
+
+/// Every key that the settings file of such a VM may hold.
+pub const KEYS: &[Key] = &[
+    key("vm", "id", None, "Name of this VM; the same after a restart."),
+    key("vm", "data_hall", None, "Name of the data hall it stands in."),
+    key("listen", "callers", None, "IP and port for callers (HTTP)."),
+    key(
+        "listen",
+        "readiness",
+        None,
+        "IP and port at which the platform asks whether it is ready.",
+    ),
+    key(
+        "listen",
+        "peers",
+        None,
+        "IP and port for other VMs (UDP and TCP); the port is the same on \
+         every VM.",
+    ),
+    key("listen", "metrics", None, "IP and port for metrics (HTTP)."),
+    key(
+        "cluster",
+        "key",
+        None,
+        "Secret of the fleet, 64 hexadecimal digits; authenticates frames \
+         between VMs.",
+    ),
+    key(
+        "platform",
+        "store",
+        None,
+        "IP and port of the platform's key-value store.",
+    ),
+    key(
+        "platform",
+        "watch_ms",
+        Some("1200"),
+        "Longest wait of one watch; each answer proves the configuration \
+         current, so it bounds the age of that proof.",
+    ),
+    key(
+        "peers",
+        "seeds",
+        Some(""),
+        "Addresses of other VMs, comma-separated; their port is replaced by \
+         that of `listen.peers`.",
+    ),
+    key("peers", "beat_ms", Some("500"), "Time between two beats."),
+    key(
+        "keys",
+        "revoke_ms",
+        None,
+        "Time after which a key that was taken away must be refused.",
+    ),
+    key(
+        "requests",
+        "retry_share",
+        Some("0.5"),
+        "Attempts beyond the first, as a share of a service's requests.",
+    ),
+    key("stop", "grace_s", None, "Longest planned stop."),
+    key("log", "level", Some("info"), "Least severe level written."),
+];
+
+/// All settings of a VM before a platform.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The name of this VM.
+    pub vm: VmId,
+    /// Its data hall.
+    pub data_hall: DataHallId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where other VMs connect and send.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The secret of the fleet.
+    pub cluster_key: ClusterKey,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Longest wait of one watch.
+    pub watch_wait: Duration,
+    /// Other VMs to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two beats.
+    pub beat: Duration,
+    /// Time after which a key that was taken away must be refused.
+    pub revoke: Duration,
+    /// Attempts beyond the first, as a share of a service's requests.
+    pub retry_share: f64,
+    /// Longest planned stop.
+    pub grace: Duration,
+    /// The least severe level that is logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the file.
+    pub fn from_file(path: &Path) -> Result<GatewaySettings, Vec<Fault>> {
+        GatewaySettings::from_ini(&read_file(path)?)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text.
+    pub fn from_ini(text: &str) -> Result<GatewaySettings, Vec<Fault>> {
+        read_ini(text, KEYS, read)
+    }
+}
+
+fn read(r: &mut Reader<'_>) -> Option<GatewaySettings> {
+    // Each part is read before any is unwrapped, so that one fault does not
+    // hide the next.
+    let vm = r.value("vm", "id");
+    let data_hall = r.value("vm", "data_hall");
+    let callers = r.value("listen", "callers");
+    let readiness = r.value("listen", "readiness");
+    let peers: Option<SocketAddr> = r.value("listen", "peers");
+    let metrics = r.value("listen", "metrics");
+    let cluster_key = r.value("cluster", "key");
+    let store = r.value("platform", "store");
+    let watch_wait = r.millis("platform", "watch_ms");
+    let seeds = read_seeds(r, peers);
+    let beat = r.millis("peers", "beat_ms");
+    let revoke = r.millis("keys", "revoke_ms");
+    let retry_share = r.number("requests", "retry_share", 0.0, 1.0);
+    let grace = r.seconds("stop", "grace_s");
+    let log_level = r.value("log", "level");
+    Some(GatewaySettings {
+        vm: vm?,
+        data_hall: data_hall?,
+        callers: callers?,
+        readiness: readiness?,
+        peers: peers?,
+        metrics: metrics?,
+        cluster_key: cluster_key?,
+        store: store?,
+        watch_wait: watch_wait?,
+        seeds: seeds?,
+        beat: beat?,
+        revoke: revoke?,
+        retry_share: retry_share?,
+        grace: grace?,
+        log_level: log_level?,
+    })
+}
+
+fn read_seeds(
+    r: &mut Reader<'_>,
+    peers: Option<SocketAddr>,
+) -> Option<Vec<SocketAddr>> {
+    let text = r.text("peers", "seeds")?;
+    let port = peers?.port();
+    let mut seeds = Vec::new();
+    for part in text.split(',').map(str::trim).filter(|p| !p.is_empty()) {
+        match part.parse::<SocketAddr>() {
+            Ok(seed) => seeds.push(SocketAddr::new(seed.ip(), port)),
+            Err(error) => {
+                r.fault("peers", "seeds", format!("`{part}`: {error}"));
+                return None;
+            }
+        }
+    }
+    Some(seeds)
+}
--- /dev/null
+++ b/src/gateway/steward.rs
@@ -0,0 +1,94 @@
+//! Recording in the store how far roll-outs are.
+//!
+//! Any VM can do it, and one of those that hear each other and the store
+//! does: the first in an order that all of them find. Two that each think
+//! they are it do no harm, since every record is written under a condition
+//! and a roll-out that has ended stays ended.
+
+use std::{sync::Arc, time::Duration};
+
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    gateway::{Gateway, fields},
+    platform::{document, store::Committed},
+    rollout::{Due, Progress, Status},
+    store::StoreError,
+    task,
+};
+
+/// Time between two looks at the roll-outs.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Looks after the roll-outs for as long as it is polled.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    loop {
+        task::sleep(PERIOD).await;
+        gateway.note_freshness();
+        for id in gateway.pool.sweep(gateway.clock.now()) {
+            Event::UpstreamGone.record(fields(json!({
+                "upstream": id,
+                "sure": true,
+            })));
+        }
+        if !gateway.rollouts.any_running() {
+            continue;
+        }
+        for (service, reason) in gateway.rollouts.judge() {
+            Event::RolloutStopped.record(fields(json!({
+                "service": service,
+                "reason": reason,
+            })));
+        }
+        let now = gateway.clock.now();
+        let is_steward = gateway.peers.is_steward(&gateway);
+        let old = |service: &_, target: &_| {
+            gateway.in_flight_at_old(service, target)
+        };
+        for due in gateway.rollouts.due(is_steward, old, now) {
+            if let Err(error) = record(&gateway, &due).await {
+                Event::RolloutNotRecorded.record(fields(json!({
+                    "service": due.service,
+                    "progress": due.status.progress.to_string(),
+                    "reason": error.to_string(),
+                })));
+            }
+        }
+    }
+}
+
+/// Writes a state over the one that stands there, unless that has ended the
+/// same roll-out; what stands there afterwards is taken in.
+async fn record(gateway: &Gateway, due: &Due) -> Result<(), StoreError> {
+    let key = document::status_key(&due.service);
+    let held = gateway.store.read(&key).await?;
+    let expected = held.as_ref().map(|item| item.version);
+    let value = held.and_then(|item| item.value);
+    if let Some(held) = value.and_then(|v| document::read_status(&v).ok())
+        && stands(&held, &due.status)
+    {
+        gateway.rollouts.set_status(&due.service, &held);
+        return Ok(());
+    }
+    let value = document::write_status(&due.service, &due.status);
+    let store = &gateway.store;
+    if let Committed::Done(version) =
+        store.write(&key, &value, expected, None).await?
+    {
+        gateway.rollouts.set_status(&due.service, &due.status);
+        Event::RolloutRecorded.record(fields(json!({
+            "service": due.service,
+            "target": due.status.target,
+            "progress": due.status.progress.to_string(),
+            "version": version.0,
+        })));
+    }
+    Ok(())
+}
+
+/// Whether the state held is not to be replaced by `wanted`.
+fn stands(held: &Status, wanted: &Status) -> bool {
+    held.target == wanted.target
+        && (held == wanted || held.progress != Progress::Running)
+}
--- /dev/null
+++ b/src/gateway/watch.rs
@@ -0,0 +1,132 @@
+//! Following the platform's store: one read of everything, then one watch.
+
+use std::{sync::Arc, time::Duration};
+
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    gateway::{Gateway, fields},
+    knowledge::PeerRecord,
+    platform::{
+        document::{self, EVERYTHING},
+        store::Watched,
+    },
+    store::{Backoff, StoreError},
+    task,
+};
+
+/// First wait after the store did not answer.
+const RETRY_LEAST: Duration = Duration::from_millis(100);
+
+/// Longest wait between two tries, so that a store that is back is found
+/// within a part of the time in which a configuration must be in force.
+const RETRY_MOST: Duration = Duration::from_millis(600);
+
+/// Lifetime of the lease of this VM's own record, the longest there is: it
+/// only keeps the list from growing, and liveness is told by beats.
+const RECORD_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Follows the store for as long as it is polled.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut follower = Follower::new(gateway);
+    loop {
+        follower.read_all().await;
+        follower.watch().await;
+    }
+}
+
+struct Follower {
+    gateway: Arc<Gateway>,
+    backoff: Backoff,
+    is_lost: bool,
+}
+
+impl Follower {
+    fn new(gateway: Arc<Gateway>) -> Follower {
+        let backoff = Backoff::new(RETRY_LEAST, RETRY_MOST);
+        Follower { gateway, backoff, is_lost: false }
+    }
+
+    /// Reads everything, as often as it takes.
+    async fn read_all(&mut self) {
+        loop {
+            let asked_at = self.gateway.clock.now();
+            match self.gateway.store.read_all(EVERYTHING).await {
+                Ok(all) => {
+                    self.answered();
+                    let news = self.gateway.knowledge.take_all(all);
+                    self.gateway.take_news(news);
+                    self.gateway.knowledge.prove(asked_at);
+                    return;
+                }
+                Err(error) => self.failed(&error).await,
+            }
+        }
+    }
+
+    /// Takes in changes until the store no longer knows them all.
+    async fn watch(&mut self) {
+        loop {
+            let gateway = &self.gateway;
+            let asked_at = gateway.clock.now();
+            let since = gateway.knowledge.as_of();
+            let wait = gateway.settings.watch_wait;
+            match gateway.store.watch(EVERYTHING, since, wait).await {
+                Ok(Watched::Changes(changes)) => {
+                    let news = gateway.knowledge.take_changes(changes);
+                    gateway.take_news(news);
+                    gateway.knowledge.prove(asked_at);
+                    self.answered();
+                }
+                Ok(Watched::HistoryLost) => {
+                    gateway.note_store_ill();
+                    return;
+                }
+                Err(error) => self.failed(&error).await,
+            }
+        }
+    }
+
+    fn answered(&mut self) {
+        self.backoff.reset();
+        if std::mem::take(&mut self.is_lost) {
+            Event::StoreBack.record(fields(json!({})));
+        }
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        self.gateway.note_store_ill();
+        if !std::mem::replace(&mut self.is_lost, true) {
+            let reason = error.to_string();
+            Event::StoreLost.record(fields(json!({ "reason": reason })));
+        }
+        task::sleep(self.backoff.wait()).await;
+    }
+}
+
+/// Records this VM in the store, so that the others find it.
+pub(crate) async fn record_vm(gateway: Arc<Gateway>) {
+    let mut backoff = Backoff::new(RETRY_LEAST, Duration::from_secs(5));
+    while let Err(error) = try_record_vm(&gateway).await {
+        let reason = format!("recording this VM: {error}");
+        Event::StoreLost.record(fields(json!({ "reason": reason })));
+        task::sleep(backoff.wait()).await;
+    }
+}
+
+async fn try_record_vm(gateway: &Gateway) -> Result<(), StoreError> {
+    let settings = &gateway.settings;
+    let key = document::peer_key(settings.vm.as_str());
+    let value = document::write_peer(&PeerRecord {
+        peers: settings.peers,
+        data_hall: settings.data_hall.clone(),
+    });
+    let lease = gateway.store.take_lease(RECORD_LIFETIME).await?;
+    let held = gateway.store.read(&key).await?;
+    let expected = held.map(|item| item.version);
+    // Refused means that another life of this VM wrote meanwhile; what it
+    // wrote is the same.
+    gateway.store.write(&key, &value, expected, Some(lease)).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,134 @@
+//! How an upstream has been answering, and whether it is fit for requests.
+
+use std::{
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+/// Time in which evidence loses half its weight; a fault of an upstream is
+/// to be seen, and its end too, within a few seconds.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Share of failures from which an upstream is unfit.
+const UNFIT_SHARE: f64 = 0.3;
+
+/// Failures that it takes, so that one alone says nothing.
+const UNFIT_FAILURES: f64 = 2.5;
+
+/// Failures in a row, without any answer, from which it is unfit.
+const UNFIT_IN_A_ROW: u32 = 3;
+
+/// Time that an unfit upstream is left alone; one request then tries it.
+const PAUSE: Duration = Duration::from_millis(1500);
+
+/// Longest pause, after one trial after the other has failed.
+const PAUSE_MOST: Duration = Duration::from_secs(6);
+
+/// How one attempt ended, as far as its upstream is to blame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered.
+    Good,
+    /// It failed, broke off or stayed silent.
+    Bad,
+}
+
+#[derive(Debug)]
+struct State {
+    good: f64,
+    bad: f64,
+    in_a_row: u32,
+    weighed_at: Instant,
+    pause: Duration,
+    out_until: Option<Instant>,
+}
+
+/// The recent record of one upstream.
+#[derive(Debug)]
+pub struct Health(Mutex<State>);
+
+/// A change worth logging.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthChange {
+    /// It is unfit and left alone for a while.
+    Unfit,
+    /// It answers again.
+    Fit,
+}
+
+impl Health {
+    /// Creates a record with nothing in it.
+    pub fn new(now: Instant) -> Health {
+        Health(Mutex::new(State {
+            good: 0.0,
+            bad: 0.0,
+            in_a_row: 0,
+            weighed_at: now,
+            pause: PAUSE,
+            out_until: None,
+        }))
+    }
+
+    /// Whether requests may go there.
+    pub fn is_sound(&self, now: Instant) -> bool {
+        let state = self.0.lock().expect("health lock");
+        state.out_until.is_none_or(|until| now >= until)
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn record(
+        &self,
+        verdict: Verdict,
+        now: Instant,
+    ) -> Option<HealthChange> {
+        let mut state = self.0.lock().expect("health lock");
+        state.fade(now);
+        match verdict {
+            Verdict::Good => state.record_good(now),
+            Verdict::Bad => state.record_bad(now),
+        }
+    }
+}
+
+impl State {
+    fn fade(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.weighed_at);
+        let halves = passed.as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let factor = 0.5_f64.powf(halves);
+        self.good *= factor;
+        self.bad *= factor;
+        self.weighed_at = now;
+    }
+
+    fn record_good(&mut self, now: Instant) -> Option<HealthChange> {
+        self.good += 1.0;
+        self.in_a_row = 0;
+        let was_tried = self.out_until.is_some_and(|until| now >= until);
+        if !was_tried {
+            return None;
+        }
+        self.out_until = None;
+        self.pause = PAUSE;
+        self.bad = 0.0;
+        Some(HealthChange::Fit)
+    }
+
+    fn record_bad(&mut self, now: Instant) -> Option<HealthChange> {
+        self.bad += 1.0;
+        self.in_a_row += 1;
+        if let Some(until) = self.out_until {
+            if now >= until {
+                self.pause = (self.pause * 2).min(PAUSE_MOST);
+                self.out_until = Some(now + self.pause);
+            }
+            return None;
+        }
+        let share = self.bad / (self.good + self.bad);
+        let fails = self.bad >= UNFIT_FAILURES && share >= UNFIT_SHARE;
+        if !fails && self.in_a_row < UNFIT_IN_A_ROW {
+            return None;
+        }
+        self.out_until = Some(now + self.pause);
+        Some(HealthChange::Unfit)
+    }
+}
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -121,7 +121,7 @@
         *headers = self.headers.clone();
         let host = HeaderValue::from_str(&self.address.to_string())
             .map_err(|error| error.to_string())?;
-        headers.insert(HOST, host);
+        headers.entry(HOST).or_insert(host);
         if reuse == Reuse::Fresh {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -297,6 +297,7 @@
             headers: head.headers,
             body,
             framed,
+            ends_at_close: false,
             address: call.address,
             connection: Some(connection),
             pool: (reuse == Reuse::Pooled).then(|| self.pool.clone()),
@@ -379,6 +380,7 @@
     pub headers: HeaderMap,
     body: Incoming,
     framed: bool,
+    ends_at_close: bool,
     address: SocketAddr,
     connection: Option<Connection>,
     pool: Option<Arc<Pool>>,
@@ -390,6 +392,12 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Takes a body without a length or chunks for whole when its connection
+    /// was closed, rather than reset.
+    pub fn allow_end_at_close(&mut self) {
+        self.ends_at_close = true;
+    }
+
     /// The next part of the body, or `None` at its end.
     ///
     /// # Errors
@@ -398,7 +406,7 @@
     /// without a length or chunks cannot be told from a cut one, and counts
     /// as broken.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, SendError> {
-        if !self.framed {
+        if !self.framed && !self.ends_at_close {
             return Err(SendError::Broken("body has no framing".into()));
         }
         loop {
@@ -429,7 +437,9 @@
             }
             whole.extend_from_slice(&chunk);
         }
-        self.release();
+        if self.framed {
+            self.release();
+        }
         Ok(WholeAnswer {
             status: self.status,
             headers: std::mem::take(&mut self.headers),
@@ -437,6 +447,13 @@
         })
     }
 
+    /// Gives the connection back to the pool after a body read to its end.
+    pub fn finish(mut self) {
+        if self.framed {
+            self.release();
+        }
+    }
+
     fn release(&mut self) {
         if let (Some(pool), Some(connection)) =
             (self.pool.take(), self.connection.take())
--- /dev/null
+++ b/src/knowledge.rs
@@ -0,0 +1,240 @@
+//! What a VM knows from the platform's store, and how fresh that is.
+//!
+//! Everything comes as [`Fact`]s with a version that only grows. Whichever
+//! way a fact came — by watch, by a read after the history was lost, or from
+//! another VM — an older version never replaces a newer one.
+//!
+//! Keys may be taken away, so a VM accepts one only while its knowledge is
+//! *proven* recent: by a call of its own, counted from before it was sent, or
+//! by another VM's proof, counted from before that VM was asked.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, RwLock},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{DataHallId, ServiceId, UpstreamId},
+    platform::{
+        document,
+        store::{Item, Items},
+    },
+    pool::UpstreamEntry,
+    rendezvous,
+    rollout::{Order, Status},
+    route::RouteTable,
+    store::StoreVersion,
+};
+
+/// What a VM records of itself for the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRecord {
+    /// Where it listens for other VMs.
+    pub peers: SocketAddr,
+    /// Its data hall.
+    pub data_hall: DataHallId,
+}
+
+/// One thing that the store says.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    /// The operator's configuration.
+    Configuration(RouteTable),
+    /// A roll-out was ordered.
+    RolloutOrdered(ServiceId, Order),
+    /// The order of a roll-out was removed.
+    RolloutOver(ServiceId),
+    /// How far a roll-out is.
+    RolloutStatus(ServiceId, Status),
+    /// An upstream is there, or its record changed.
+    Upstream(UpstreamEntry),
+    /// The record of an upstream is gone.
+    UpstreamGone(UpstreamId),
+    /// An entry VM is there.
+    Peer(String, PeerRecord),
+    /// The record of an entry VM is gone.
+    PeerGone(String),
+}
+
+/// A value as it lies in the store, for another VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MirroredItem {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The version of its last change.
+    pub version: u64,
+}
+
+#[derive(Debug, Default)]
+struct Mirror {
+    as_of: StoreVersion,
+    digest: u64,
+    items: BTreeMap<String, (Vec<u8>, StoreVersion)>,
+}
+
+/// A value that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// The key.
+    pub key: String,
+    /// Why.
+    pub reason: String,
+}
+
+/// What taking in items brought.
+#[derive(Debug, Default)]
+pub struct News {
+    /// What is new, in the order of the items.
+    pub facts: Vec<Fact>,
+    /// Values that could not be read; what was known before stays.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// What this VM knows.
+#[derive(Debug, Default)]
+pub struct Knowledge {
+    table: RwLock<Option<Arc<RouteTable>>>,
+    proven_at: Mutex<Option<Instant>>,
+    mirror: Mutex<Mirror>,
+}
+
+impl Knowledge {
+    /// The configuration in force, if one is known.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().expect("table lock").clone()
+    }
+
+    /// Puts a configuration in force if it is newer than the one held;
+    /// returns whether it did.
+    pub fn install(&self, table: RouteTable) -> bool {
+        let mut held = self.table.write().expect("table lock");
+        let is_newer =
+            held.as_ref().is_none_or(|held| table.version() > held.version());
+        if is_newer {
+            *held = Some(Arc::new(table));
+        }
+        is_newer
+    }
+
+    /// Notes that what is known was current at `at`.
+    pub fn prove(&self, at: Instant) {
+        let mut proven_at = self.proven_at.lock().expect("proof lock");
+        *proven_at = Some(proven_at.map_or(at, |held| held.max(at)));
+    }
+
+    /// How long ago what is known was last proven current.
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        let proven_at = *self.proven_at.lock().expect("proof lock");
+        proven_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// The version of the store up to which everything is known.
+    pub fn as_of(&self) -> StoreVersion {
+        self.mirror.lock().expect("mirror lock").as_of
+    }
+
+    /// A digest of everything known; two VMs with the same one know the
+    /// same.
+    pub fn digest(&self) -> u64 {
+        self.mirror.lock().expect("mirror lock").digest
+    }
+
+    /// Whether anything is known.
+    pub fn is_empty(&self) -> bool {
+        self.table.read().expect("table lock").is_none()
+    }
+
+    /// The version of a value, if its key is there.
+    pub fn version_of(&self, key: &str) -> Option<StoreVersion> {
+        let mirror = self.mirror.lock().expect("mirror lock");
+        mirror.items.get(key).map(|(_, version)| *version)
+    }
+
+    /// All values, for another VM.
+    pub fn mirrored(&self) -> (StoreVersion, Vec<MirroredItem>) {
+        let mirror = self.mirror.lock().expect("mirror lock");
+        let items = mirror.items.iter();
+        let items = items.map(|(key, (value, version))| MirroredItem {
+            key: key.clone(),
+            value: value.clone(),
+            version: version.0,
+        });
+        (mirror.as_of, items.collect())
+    }
+
+    /// Takes in changes that a watch brought.
+    pub fn take_changes(&self, changes: Items) -> News {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        let mut news = News::default();
+        for item in changes.items {
+            mirror.take(item, &mut news);
+        }
+        mirror.as_of = mirror.as_of.max(changes.as_of);
+        news
+    }
+
+    /// Takes in everything there is; what is not among it is gone.
+    ///
+    /// Nothing happens when it is older than what is known.
+    pub fn take_all(&self, all: Items) -> News {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        let mut news = News::default();
+        if all.as_of < mirror.as_of {
+            return news;
+        }
+        let there: BTreeSet<String> =
+            all.items.iter().map(|item| item.key.clone()).collect();
+        let gone: Vec<String> = mirror
+            .items
+            .keys()
+            .filter(|key| !there.contains(*key))
+            .cloned()
+            .collect();
+        for key in gone {
+            let version = all.as_of;
+            mirror.take(Item { key, value: None, version }, &mut news);
+        }
+        for item in all.items {
+            mirror.take(item, &mut news);
+        }
+        mirror.as_of = all.as_of;
+        news
+    }
+}
+
+impl Mirror {
+    fn take(&mut self, item: Item, news: &mut News) {
+        let held = self.items.get(&item.key).map(|(_, version)| *version);
+        if held.is_some_and(|held| item.version <= held) {
+            return;
+        }
+        if let Some(held) = held {
+            self.digest ^= digest(&item.key, held);
+        }
+        let Some(value) = item.value else {
+            if self.items.remove(&item.key).is_some() {
+                news.facts.extend(document::read_removal(&item.key));
+            }
+            return;
+        };
+        match document::read_fact(&item.key, &value) {
+            Ok(fact) => news.facts.extend(fact),
+            Err(error) => news.unreadable.push(Unreadable {
+                key: item.key.clone(),
+                reason: error.to_string(),
+            }),
+        }
+        self.digest ^= digest(&item.key, item.version);
+        self.items.insert(item.key, (value, item.version));
+    }
+}
+
+fn digest(key: &str, version: StoreVersion) -> u64 {
+    rendezvous::mix(rendezvous::short_hash(key.as_bytes()).into(), version.0)
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     error::{Error, ErrorKind},
+    log_queue::QueueAppender,
     settings::{LogFormat, LogSettings},
 };
 
@@ -54,6 +55,24 @@
     Ok(())
 }
 
+/// Sends the log to standard output, one JSON object a line, through a
+/// bounded queue.
+///
+/// # Errors
+///
+/// When the log cannot be started, or has been before.
+pub(crate) fn start_queue(level: log::LevelFilter) -> Result<(), Error> {
+    let appender = QueueAppender::start().map_err(failed)?;
+    let quiet = log::LevelFilter::Warn.min(level);
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        .logger(log4rs::config::Logger::builder().build("lupinseam", level))
+        .build(Root::builder().appender(APPENDER).build(quiet))
+        .map_err(failed)?;
+    log4rs::init_config(config).map_err(failed)?;
+    Ok(())
+}
+
 fn failed(error: impl std::fmt::Display) -> Error {
     Error::new(ErrorKind::InvalidInput)
         .context(error.to_string())
--- a/src/message.rs
+++ b/src/message.rs
@@ -14,6 +14,8 @@
     configuration::Change,
     decision::Decision,
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
+    knowledge::MirroredItem,
+    rollout::Evidence,
     tally::{Tally, TallyKey},
 };
 
@@ -124,6 +126,38 @@
     },
 }
 
+/// What a VM before a platform tells each other VM a few times a second.
+///
+/// It carries an echo of the receiver's last beat, so that the receiver knows
+/// that everything in it is younger than that beat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VmBeat {
+    /// The sender.
+    pub vm: String,
+    /// Its data hall.
+    pub data_hall: DataHallId,
+    /// Where it listens for other VMs.
+    pub peers: SocketAddr,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// A number that grows while it lives.
+    pub number: u32,
+    /// The number of the receiver's last beat that arrived, in which life.
+    pub echo: Option<(Incarnation, u32)>,
+    /// Whether it is in a planned stop.
+    pub leaving: bool,
+    /// The version of the platform's store up to which it knows all.
+    pub as_of: u64,
+    /// A digest of all that it knows.
+    pub digest: u64,
+    /// The age of the last proof that this is current.
+    pub proof_age_ms: Option<u32>,
+    /// Its own requests at each upstream that has any.
+    pub requests: Vec<(ShortHash, u16)>,
+    /// What it has seen of the roll-outs that are running.
+    pub evidence: Vec<Evidence>,
+}
+
 /// What one VM asks of another over a stream.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -161,6 +195,8 @@
     Bills(Vec<Bill>),
     /// Find a decision.
     Decision(RequestId),
+    /// Everything that is known from the platform's store.
+    Knowledge,
 }
 
 /// The reply to a [`PeerRequest`].
@@ -181,6 +217,15 @@
     },
     /// The decision, if it is known.
     Decision(Option<Box<Decision>>),
+    /// Everything that is known from the platform's store.
+    Knowledge {
+        /// The version of the store up to which it holds.
+        as_of: u64,
+        /// The values.
+        items: Vec<MirroredItem>,
+        /// The age of the proof that they are current.
+        proof_age_ms: u32,
+    },
     /// The receiver cannot or may not do it.
     Refused(String),
 }
--- /dev/null
+++ b/src/pool.rs
@@ -0,0 +1,448 @@
+//! The upstreams of every service, as this VM sees them, and the choice
+//! among them.
+//!
+//! An [`Upstream`] carries load and health; a [`Member`] adds what the
+//! platform's record says. The pool is replaced as a whole when a record
+//! changes, so that a choice looks at one state of things.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, RwLock,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use crate::{
+    health::Health,
+    id::{DataHallId, ServiceId, UpstreamId, VersionId},
+    message::ShortHash,
+    rendezvous,
+    upstream::{Serves, Upstream, UpstreamRecord},
+};
+
+/// Added to the fill of an upstream in another data hall: the way there
+/// costs a few milliseconds and bytes between halls.
+const OTHER_HALL_FILL: f64 = 0.05;
+
+/// How far the upstream that holds a prompt may be filled beyond the mean.
+const AFFINITY_BOUND: f64 = 1.3;
+
+/// Requests that an upstream may hold whatever the mean is, as a share of
+/// its slots; below that, running beside each other costs little.
+const AFFINITY_FREE_FILL: f64 = 0.15;
+
+/// Age at which what another VM told of its requests counts no more.
+const PEER_COUNT_LIFETIME: Duration = Duration::from_millis(2500);
+
+/// Time that an upstream whose record vanished while the store was away
+/// may still be used; a live one is back within about two seconds.
+const VANISHED_GRACE: Duration = Duration::from_millis(1500);
+
+/// Fill of every upstream from which a request is better refused.
+const FULL: f64 = 1.0;
+
+/// Whether an upstream takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It does.
+    Ready,
+    /// It is leaving, and gets none.
+    Leaving,
+}
+
+/// An upstream as the platform records it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// Its name, which no other upstream and no later life of it has.
+    pub id: UpstreamId,
+    /// The service it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub data_hall: DataHallId,
+    /// The version of its software.
+    pub software: VersionId,
+    /// Requests that it works on at once.
+    pub slots: u16,
+    /// Whether it takes new requests.
+    pub state: UpstreamState,
+    /// How much longer it is slow from its start.
+    pub warm_up_left: Duration,
+}
+
+/// The load that an upstream states in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can work on at once.
+    pub slots: u32,
+}
+
+/// Which versions of a service's software may answer a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum VersionRule {
+    /// Any.
+    #[default]
+    Any,
+    /// This one, or any other if it has no usable upstream.
+    Prefer(VersionId),
+    /// Any but this one, or this one if no other has a usable upstream.
+    Avoid(VersionId),
+    /// Any but this one.
+    Never(VersionId),
+}
+
+/// One upstream, with its record and what this VM has seen of it.
+#[derive(Debug)]
+pub struct Member {
+    /// Its record.
+    pub entry: UpstreamEntry,
+    /// Its load.
+    pub upstream: Arc<Upstream>,
+    /// How it has been answering.
+    pub health: Health,
+    others: AtomicU32,
+    counts: Mutex<HashMap<String, PeerCount>>,
+    vanished_at: Mutex<Option<Instant>>,
+    heard_at: Mutex<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerCount {
+    requests: u32,
+    at: Instant,
+}
+
+impl Member {
+    fn new(entry: UpstreamEntry, now: Instant) -> Member {
+        let record = UpstreamRecord {
+            id: entry.id.clone(),
+            data_hall: entry.data_hall.clone(),
+            address: entry.address,
+            serves: Serves::Service(entry.service.clone()),
+            slots: entry.slots,
+            checks_fence: false,
+        };
+        Member {
+            upstream: Arc::new(Upstream::new(record, false, now)),
+            health: Health::new(now),
+            others: AtomicU32::new(0),
+            counts: Mutex::default(),
+            vanished_at: Mutex::new(None),
+            heard_at: Mutex::new(now),
+            entry,
+        }
+    }
+
+    /// Whether new requests may go there.
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        let vanished = *self.vanished_at.lock().expect("vanished lock");
+        let is_there = vanished.is_none_or(|at| {
+            now.saturating_duration_since(at) < VANISHED_GRACE
+        });
+        is_there && !self.upstream.is_leaving()
+    }
+
+    /// Requests that it probably holds, of all VMs.
+    pub fn requests(&self) -> u32 {
+        self.upstream.in_flight() + self.others.load(Ordering::Relaxed)
+    }
+
+    /// How full it is: requests for each slot.
+    pub fn fill(&self) -> f64 {
+        f64::from(self.requests()) / f64::from(self.entry.slots.max(1))
+    }
+
+    /// Notes that something came from it.
+    pub fn note_heard(&self, now: Instant) {
+        *self.heard_at.lock().expect("heard lock") = now;
+    }
+
+    /// How long nothing has come from it.
+    pub fn silence(&self, now: Instant) -> Duration {
+        let heard_at = *self.heard_at.lock().expect("heard lock");
+        now.saturating_duration_since(heard_at)
+    }
+
+    /// Takes in how many requests another VM has there.
+    pub fn set_peer_count(&self, vm: &str, requests: u32, now: Instant) {
+        let mut counts = self.counts.lock().expect("counts lock");
+        if requests == 0 {
+            counts.remove(vm);
+        } else {
+            let count = PeerCount { requests, at: now };
+            counts.insert(vm.to_owned(), count);
+        }
+        counts.retain(|_, count| {
+            now.saturating_duration_since(count.at) < PEER_COUNT_LIFETIME
+        });
+        let sum = counts.values().map(|count| count.requests).sum();
+        self.others.store(sum, Ordering::Relaxed);
+    }
+}
+
+/// What a request asks of the choice.
+#[derive(Clone, Debug, Default)]
+pub struct Want<'a> {
+    /// Which software may answer it.
+    pub rule: VersionRule,
+    /// What it would like to find in an upstream's memory.
+    pub prompt: Option<u64>,
+    /// Upstreams that were asked already.
+    pub tried: &'a [UpstreamId],
+}
+
+/// Why there is no upstream for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoMember {
+    /// None is known that may take it.
+    Unknown,
+    /// All are full.
+    Full,
+}
+
+#[derive(Debug, Default)]
+struct Members {
+    by_id: HashMap<UpstreamId, Arc<Member>>,
+    by_service: HashMap<ServiceId, Vec<Arc<Member>>>,
+}
+
+/// The upstreams of all services.
+#[derive(Debug)]
+pub struct Pool {
+    data_hall: DataHallId,
+    members: RwLock<Arc<Members>>,
+}
+
+impl Pool {
+    /// Creates an empty pool for a VM in `data_hall`.
+    pub fn new(data_hall: DataHallId) -> Pool {
+        Pool { data_hall, members: RwLock::default() }
+    }
+
+    /// Takes in the record of an upstream, new or changed.
+    pub fn set(&self, entry: UpstreamEntry, now: Instant) {
+        let held = self.member(&entry.id);
+        match held {
+            Some(member) if member.entry.address == entry.address => {
+                *member.vanished_at.lock().expect("vanished lock") = None;
+                if entry.state == UpstreamState::Leaving {
+                    member.upstream.mark_leaving();
+                }
+            }
+            _ => {
+                let is_leaving = entry.state == UpstreamState::Leaving;
+                let member = Arc::new(Member::new(entry, now));
+                if is_leaving {
+                    member.upstream.mark_leaving();
+                }
+                self.change(|by_id| {
+                    by_id.insert(member.entry.id.clone(), member.clone());
+                });
+            }
+        }
+    }
+
+    /// Notes that an upstream's record is gone.
+    ///
+    /// `is_sure` says whether the store has been well for long enough that
+    /// this can only mean that the upstream leaves.
+    pub fn remove(&self, id: &UpstreamId, is_sure: bool, now: Instant) {
+        let Some(member) = self.member(id) else { return };
+        if is_sure {
+            member.upstream.mark_leaving();
+            self.change(|by_id| {
+                by_id.remove(id);
+            });
+            return;
+        }
+        let mut vanished = member.vanished_at.lock().expect("vanished lock");
+        vanished.get_or_insert(now);
+    }
+
+    /// Forgets upstreams that vanished and did not come back.
+    pub fn sweep(&self, now: Instant) -> Vec<UpstreamId> {
+        let gone: Vec<UpstreamId> = self
+            .all()
+            .iter()
+            .filter(|member| {
+                let at = *member.vanished_at.lock().expect("vanished lock");
+                at.is_some_and(|at| {
+                    now.saturating_duration_since(at) >= VANISHED_GRACE
+                })
+            })
+            .map(|member| member.entry.id.clone())
+            .collect();
+        for id in &gone {
+            self.remove(id, true, now);
+        }
+        gone
+    }
+
+    /// One upstream.
+    pub fn member(&self, id: &UpstreamId) -> Option<Arc<Member>> {
+        self.read().by_id.get(id).cloned()
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> Vec<Arc<Member>> {
+        self.read().by_id.values().cloned().collect()
+    }
+
+    /// The upstreams of a service.
+    pub fn of_service(&self, service: &ServiceId) -> Vec<Arc<Member>> {
+        self.read().by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Chooses the upstream for one attempt.
+    ///
+    /// # Errors
+    ///
+    /// A [`NoMember`] when none may take it.
+    pub fn pick(
+        &self,
+        service: &ServiceId,
+        want: &Want<'_>,
+        now: Instant,
+    ) -> Result<Arc<Member>, NoMember> {
+        let members = self.read();
+        let all = members.by_service.get(service);
+        let open: Vec<&Arc<Member>> = all
+            .into_iter()
+            .flatten()
+            .filter(|member| member.takes_requests(now))
+            .filter(|member| !want.tried.contains(&member.entry.id))
+            .collect();
+        let open = by_rule(open, &want.rule);
+        let sound: Vec<&Arc<Member>> = open
+            .iter()
+            .filter(|member| member.health.is_sound(now))
+            .copied()
+            .collect();
+        // When most look unsound, the fault is not theirs alone.
+        let open = match sound.len() * 2 >= open.len() {
+            true => sound,
+            false => open,
+        };
+        if open.is_empty() {
+            return Err(NoMember::Unknown);
+        }
+        if open.iter().all(|member| member.fill() >= FULL * 1.25) {
+            return Err(NoMember::Full);
+        }
+        let chosen = match want.prompt {
+            Some(prompt) => self.nearest(prompt, &open),
+            None => self.emptiest(&open),
+        };
+        Ok(chosen.clone())
+    }
+
+    /// The least full, another data hall counting as a little fuller.
+    fn emptiest<'a>(&self, open: &[&'a Arc<Member>]) -> &'a Arc<Member> {
+        let fill = |member: &Arc<Member>| {
+            let is_near = member.entry.data_hall == self.data_hall;
+            let way = if is_near { 0.0 } else { OTHER_HALL_FILL };
+            // Slightly shuffled, so that VMs that know the same do not all
+            // go to the same place.
+            member.fill() + way + rand::random::<f64>() * 0.02
+        };
+        let filled = open.iter().map(|member| (fill(member), *member));
+        let least = filled.min_by(|a, b| a.0.total_cmp(&b.0));
+        least.expect("there is an open upstream").1
+    }
+
+    /// The first in the prompt's own order that is not much fuller than the
+    /// mean; every VM finds the same order.
+    fn nearest<'a>(
+        &self,
+        prompt: u64,
+        open: &[&'a Arc<Member>],
+    ) -> &'a Arc<Member> {
+        let sum: f64 = open.iter().map(|member| member.fill()).sum();
+        let mean = sum / open.len() as f64;
+        let bound = (mean * AFFINITY_BOUND).max(AFFINITY_FREE_FILL);
+        let score = |member: &Arc<Member>| {
+            let id = u64::from(member.upstream.short.0);
+            rendezvous::mix(prompt, id)
+        };
+        open.iter()
+            .filter(|member| member.fill() <= bound)
+            .max_by_key(|member| score(member))
+            .copied()
+            .unwrap_or_else(|| self.emptiest(open))
+    }
+
+    /// This VM's requests at each upstream that has any.
+    pub fn own_requests(&self) -> Vec<(ShortHash, u16)> {
+        let members = self.read();
+        let counts = members.by_id.values().filter_map(|member| {
+            let requests = member.upstream.in_flight();
+            let requests = u16::try_from(requests).unwrap_or(u16::MAX);
+            (requests > 0).then_some((member.upstream.short, requests))
+        });
+        counts.collect()
+    }
+
+    /// Takes in how many requests another VM has at each upstream.
+    pub fn set_peer_requests(
+        &self,
+        vm: &str,
+        requests: &[(ShortHash, u16)],
+        now: Instant,
+    ) {
+        let counts: HashMap<ShortHash, u16> =
+            requests.iter().copied().collect();
+        for member in self.read().by_id.values() {
+            let count = counts.get(&member.upstream.short).copied();
+            let count = u32::from(count.unwrap_or(0));
+            member.set_peer_count(vm, count, now);
+        }
+    }
+
+    fn read(&self) -> Arc<Members> {
+        self.members.read().expect("members lock").clone()
+    }
+
+    fn change(
+        &self,
+        change: impl FnOnce(&mut HashMap<UpstreamId, Arc<Member>>),
+    ) {
+        let mut held = self.members.write().expect("members lock");
+        let mut by_id = held.by_id.clone();
+        change(&mut by_id);
+        let mut by_service: HashMap<ServiceId, Vec<Arc<Member>>> =
+            HashMap::new();
+        for member in by_id.values() {
+            let service = member.entry.service.clone();
+            by_service.entry(service).or_default().push(member.clone());
+        }
+        *held = Arc::new(Members { by_id, by_service });
+    }
+}
+
+/// Keeps the upstreams whose software may answer.
+fn by_rule<'a>(
+    open: Vec<&'a Arc<Member>>,
+    rule: &VersionRule,
+) -> Vec<&'a Arc<Member>> {
+    let with = |version: &VersionId, wanted: bool| {
+        let is_kept = |member: &&Arc<Member>| {
+            (member.entry.software == *version) == wanted
+        };
+        open.iter().copied().filter(is_kept).collect::<Vec<_>>()
+    };
+    let (kept, or_else_all) = match rule {
+        VersionRule::Any => return open,
+        VersionRule::Prefer(version) => (with(version, true), true),
+        VersionRule::Avoid(version) => (with(version, false), true),
+        VersionRule::Never(version) => (with(version, false), false),
+    };
+    if kept.is_empty() && or_else_all { open } else { kept }
+}
--- /dev/null
+++ b/src/relay_events.rs
@@ -0,0 +1,434 @@
+//! Relaying a stream of events, resumed at another upstream when it breaks.
+//!
+//! Only whole events go out, each once and in order. When an upstream breaks
+//! off or falls silent, the rest is asked for after the last event that went
+//! out; the caller sees one answer. If nobody can go on, the answer is cut
+//! so that it cannot be taken for whole.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
+
+use crate::{
+    forward::{Attempt, Fault, Job, Reply, ReplyBody},
+    health::Verdict,
+    http_client::Exchange,
+    platform::headers::{self, AnswerHead},
+    route::Repeat,
+    sse::Splitter,
+    task,
+    trace::{End, Trace},
+};
+
+/// Longest silence within a stream before another upstream is asked, as a
+/// part of the pause that is still in time.
+const PAUSE_PART: f64 = 0.8;
+
+/// The same where the route states no pause.
+const PAUSE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time between two looks at a silent upstream.
+const WATCH_PERIOD: Duration = Duration::from_millis(150);
+
+/// The stream broke off for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the stream broke off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// A stream from one upstream.
+struct Source {
+    attempt: Attempt,
+    exchange: Exchange,
+    events: Splitter,
+}
+
+/// A stream whose first events are here.
+pub(crate) struct Opened {
+    source: Source,
+    head: Reply,
+    first: Bytes,
+    last_event: Option<u64>,
+    ended: bool,
+}
+
+/// What a source brought.
+enum Brought {
+    Events(Bytes),
+    End,
+}
+
+/// Why a source brings nothing more.
+enum Stop {
+    Broken(String),
+    Silent,
+}
+
+impl Stop {
+    fn label(&self) -> &'static str {
+        match self {
+            Stop::Broken(_) => "broken",
+            Stop::Silent => "silent",
+        }
+    }
+
+    fn reason(self) -> String {
+        match self {
+            Stop::Broken(reason) => reason,
+            Stop::Silent => String::new(),
+        }
+    }
+}
+
+impl Source {
+    /// The next whole events after `last`, which is moved on.
+    async fn next(
+        &mut self,
+        job: &Job,
+        last: &mut Option<u64>,
+        limit: Duration,
+    ) -> Result<Brought, Stop> {
+        loop {
+            let ready = self.take_events(last)?;
+            if !ready.is_empty() {
+                return Ok(Brought::Events(ready));
+            }
+            let member = self.attempt.member.clone();
+            let read = async {
+                let chunk = self.exchange.next_chunk().await;
+                chunk.map_err(|error| Stop::Broken(error.to_string()))
+            };
+            let silent = async {
+                watch_silence(job, &member, limit).await;
+                Err(Stop::Silent)
+            };
+            match read.or(silent).await? {
+                Some(chunk) => {
+                    self.events.push(&chunk);
+                    member.note_heard(job.gateway.clock.now());
+                }
+                None if self.events.is_empty() => return Ok(Brought::End),
+                None => {
+                    return Err(Stop::Broken("within an event".into()));
+                }
+            }
+        }
+    }
+
+    fn take_events(&mut self, last: &mut Option<u64>) -> Result<Bytes, Stop> {
+        let mut ready = BytesMut::new();
+        loop {
+            let next = self.events.next();
+            let event = match next {
+                Ok(Some(event)) => event,
+                Ok(None) => return Ok(ready.freeze()),
+                Err(_) => return Err(Stop::Broken("event too large".into())),
+            };
+            if let Some(id) = event.id {
+                if last.is_some_and(|last| id <= last) {
+                    continue;
+                }
+                *last = Some(id);
+            }
+            ready.extend_from_slice(&event.raw);
+        }
+    }
+}
+
+/// Returns when the request's time is over, or nothing came from the
+/// upstream for too long.
+async fn watch_silence(
+    job: &Job,
+    member: &crate::pool::Member,
+    limit: Duration,
+) {
+    let clock = &job.gateway.clock;
+    let began_at = clock.now();
+    loop {
+        let now = clock.now();
+        if now >= job.deadline {
+            return;
+        }
+        let waited = now.saturating_duration_since(began_at);
+        if waited >= limit && member.silence(now) >= limit {
+            return;
+        }
+        task::sleep(job.left(now).min(WATCH_PERIOD)).await;
+    }
+}
+
+impl Job {
+    /// Asks one upstream for a stream, up to its first events.
+    pub(crate) async fn ask_stream(
+        &mut self,
+        attempt: Attempt,
+        trace: &mut Trace,
+    ) -> Result<Opened, Fault> {
+        let left = self.left(attempt.began_at);
+        let (exchange, head) = match self.send(&attempt, None, left).await {
+            Ok(sent) => sent,
+            Err(fault) => {
+                if matches!(fault, Fault::Unknown(..)) {
+                    self.judge(&attempt, Verdict::Bad, None);
+                }
+                return Err(fault);
+            }
+        };
+        if let Some(confidence) = head.confidence {
+            trace.note_confidence(confidence.value());
+        }
+        self.open(attempt, exchange, trace).await
+    }
+
+    async fn open(
+        &mut self,
+        attempt: Attempt,
+        mut exchange: Exchange,
+        trace: &mut Trace,
+    ) -> Result<Opened, Fault> {
+        exchange.allow_end_at_close();
+        let status = exchange.status;
+        let headers = headers::answer_headers(&exchange.headers);
+        if status != 200 {
+            return Err(self.failed(attempt, exchange, headers).await);
+        }
+        let mut last_event = self.inbound.last_event;
+        let mut source =
+            Source { attempt, exchange, events: Splitter::default() };
+        let limit = self.first_limit();
+        let brought = source.next(self, &mut last_event, limit).await;
+        let (first, ended) = match brought {
+            Ok(Brought::Events(first)) => (first, false),
+            Ok(Brought::End) => (Bytes::new(), true),
+            Err(stop) => {
+                self.judge(&source.attempt, Verdict::Bad, None);
+                return Err(Fault::Unknown(stop.label(), stop.reason()));
+            }
+        };
+        let now = self.gateway.clock.now();
+        let waited = now.saturating_duration_since(source.attempt.began_at);
+        self.judge(&source.attempt, Verdict::Good, Some(waited));
+        trace.first_part();
+        let head = Reply {
+            status: hyper::StatusCode::OK,
+            headers,
+            body: ReplyBody::Whole(Bytes::new()),
+        };
+        Ok(Opened { source, head, first, last_event, ended })
+    }
+
+    /// Reads the answer of an upstream that did not open a stream.
+    async fn failed(
+        &mut self,
+        attempt: Attempt,
+        exchange: Exchange,
+        headers: hyper::HeaderMap,
+    ) -> Fault {
+        const LIMIT_BYTES: u64 = 1 << 20;
+        let status = exchange.status;
+        let left = self.left(self.gateway.clock.now());
+        let read = exchange.read_whole(LIMIT_BYTES);
+        let Some(Ok(answer)) = task::within(left, read).await else {
+            self.judge(&attempt, Verdict::Bad, None);
+            return Fault::Unknown("broken", format!("status {status}"));
+        };
+        if status >= 500 {
+            self.judge(&attempt, Verdict::Bad, None);
+        }
+        let status = hyper::StatusCode::from_u16(status)
+            .unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+        let body = ReplyBody::Whole(answer.body);
+        Fault::Failed(Box::new(Reply { status, headers, body }))
+    }
+
+    fn first_limit(&self) -> Duration {
+        self.pause_limit().max(self.route.aim)
+    }
+
+    fn pause_limit(&self) -> Duration {
+        let aim = self.route.pause_aim;
+        aim.map_or(PAUSE_LIMIT, |pause| pause.mul_f64(PAUSE_PART))
+    }
+}
+
+impl Opened {
+    /// The answer that goes on as its events come.
+    pub(crate) fn into_reply(self, job: Job, trace: Trace) -> Reply {
+        let relay = EventRelay {
+            job,
+            trace: Some(trace),
+            source: Some(self.source),
+            first: Some(self.first),
+            last_event: self.last_event,
+            ended: self.ended,
+        };
+        Reply { body: ReplyBody::Events(Box::new(relay)), ..self.head }
+    }
+}
+
+/// A stream on its way to its caller.
+pub(crate) struct EventRelay {
+    job: Job,
+    trace: Option<Trace>,
+    source: Option<Source>,
+    first: Option<Bytes>,
+    last_event: Option<u64>,
+    ended: bool,
+}
+
+impl EventRelay {
+    /// The next events, or `None` after the last.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        if let Some(first) = self.first.take()
+            && !first.is_empty()
+        {
+            return Ok(Some(first));
+        }
+        loop {
+            if self.ended {
+                self.finish();
+                return Ok(None);
+            }
+            let limit = self.job.pause_limit();
+            let Some(source) = &mut self.source else {
+                return Err(BrokenOff);
+            };
+            let last = &mut self.last_event;
+            match source.next(&self.job, last, limit).await {
+                Ok(Brought::Events(events)) => return Ok(Some(events)),
+                Ok(Brought::End) => self.ended = true,
+                Err(stop) => self.resume(stop).await?,
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(source) = self.source.take() {
+            source.exchange.finish();
+        }
+        if let Some(mut trace) = self.trace.take() {
+            trace.end_attempt("answered", "");
+            trace.end(End::Answered(200));
+        }
+    }
+
+    /// Asks another upstream for the rest.
+    async fn resume(&mut self, stop: Stop) -> Result<(), BrokenOff> {
+        let budget = self.job.gateway.retry_budget(&self.job.service);
+        let Some(source) = self.source.take() else {
+            return Err(BrokenOff);
+        };
+        let mut reason = stop_text(&stop);
+        self.job.judge(&source.attempt, Verdict::Bad, None);
+        self.note_end(stop.label(), &reason);
+        // The upstream that is given up must stop before another goes on.
+        let model = source.attempt.model.clone();
+        drop(source);
+        loop {
+            let now = self.job.gateway.clock.now();
+            let can_resume = self.job.route.repeat == Repeat::Any
+                && self.job.sent < self.job.route.attempts
+                && now < self.job.deadline
+                && budget.try_retry();
+            if !can_resume {
+                return self.break_off(reason);
+            }
+            match self.try_resume(model.clone(), now).await {
+                Ok(source) => {
+                    self.source = Some(source);
+                    return Ok(());
+                }
+                Err(failure) => reason = failure,
+            }
+        }
+    }
+
+    async fn try_resume(
+        &mut self,
+        model: Option<crate::id::ModelId>,
+        now: Instant,
+    ) -> Result<Source, String> {
+        let Some(trace) = &mut self.trace else {
+            return Err("ended".to_owned());
+        };
+        let mut attempt =
+            self.job.begin(trace, now).map_err(|error| error.to_string())?;
+        attempt.model = model;
+        let left = self.job.left(now);
+        let last = self.last_event;
+        let sent = self.job.send(&attempt, last, left).await;
+        let failed = |relay: &mut EventRelay, label, reason: String| {
+            relay.note_end(label, &reason);
+            Err(reason)
+        };
+        match sent {
+            Ok((mut exchange, AnswerHead { .. }))
+                if exchange.status == 200 =>
+            {
+                exchange.allow_end_at_close();
+                let events = Splitter::default();
+                Ok(Source { attempt, exchange, events })
+            }
+            Ok((exchange, _)) => {
+                self.job.judge(&attempt, Verdict::Bad, None);
+                let reason = format!("status {}", exchange.status);
+                failed(self, "failed", reason)
+            }
+            Err(Fault::NotRun(label, reason)) => failed(self, label, reason),
+            Err(Fault::Unknown(label, reason)) => {
+                self.job.judge(&attempt, Verdict::Bad, None);
+                failed(self, label, reason)
+            }
+            Err(Fault::Failed(reply)) => {
+                failed(self, "failed", format!("status {}", reply.status))
+            }
+        }
+    }
+
+    fn note_end(&mut self, label: &str, reason: &str) {
+        if let Some(trace) = &mut self.trace {
+            trace.end_attempt(label, reason);
+        }
+    }
+
+    fn break_off(&mut self, reason: String) -> Result<(), BrokenOff> {
+        if let Some(trace) = self.trace.take() {
+            trace.end(End::Broken(reason));
+        }
+        Err(BrokenOff)
+    }
+}
+
+fn stop_text(stop: &Stop) -> String {
+    match stop {
+        Stop::Broken(reason) => reason.clone(),
+        Stop::Silent => "silent".to_owned(),
+    }
+}
+
+/// The relay as a body of an HTTP answer.
+pub(crate) fn into_body(
+    relay: Box<EventRelay>,
+    held: crate::gateway::Held,
+) -> impl futures_lite::Stream<Item = Result<hyper::body::Frame<Bytes>, BrokenOff>>
++ Send {
+    let state = Some((relay, held));
+    futures_lite::stream::unfold(state, |state| async move {
+        let (mut relay, held) = state?;
+        match relay.next().await {
+            Ok(Some(events)) => {
+                let frame = hyper::body::Frame::data(events);
+                Some((Ok(frame), Some((relay, held))))
+            }
+            Ok(None) => None,
+            Err(broken) => Some((Err(broken), None)),
+        }
+    })
+}
--- a/src/rendezvous.rs
+++ b/src/rendezvous.rs
@@ -36,6 +36,17 @@
     u64::from_le_bytes(bytes)
 }
 
+/// Mixes a subject and a member, both hashed already, into a score.
+///
+/// This is the finaliser of MurmurHash3, which spreads every bit; it costs
+/// a few nanoseconds where [`score`] costs a few hundred.
+pub(crate) fn mix(subject: u64, member: u64) -> u64 {
+    let mut mixed = subject ^ member.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    mixed ^ (mixed >> 33)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/rollout.rs
@@ -0,0 +1,570 @@
+//! Roll-outs of a service's software: which requests a new version gets, and
+//! whether it is kept.
+//!
+//! An operator orders a version and allows a time for it. In the first part
+//! of that time a small share of the requests goes to it, and none of a
+//! session that began on the old one. If its answers are as good as the old
+//! version's, all requests go to it, and the roll-out is completed once the
+//! old version has nothing left to do. If they are worse, it gets nothing
+//! more and the roll-out is reverted.
+//!
+//! Every VM judges by the evidence of all VMs and stops by itself; the share
+//! is bounded on each VM, so the bound holds however many are alive or can
+//! hear each other.
+
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    health::Verdict,
+    id::{ServiceId, VersionId},
+    message::ShortHash,
+    pool::VersionRule,
+    rendezvous,
+};
+
+/// Share of the requests that a new version gets on trial; the platform
+/// allows `canary_share`, and repeated requests need room below it.
+const TRIAL_SHARE: f64 = 0.08;
+
+/// Part of the allowed time until which the trial lasts; sessions may change
+/// version only in the second half.
+const TRIAL_END: f64 = 0.52;
+
+/// Part of the allowed time until which a part of the requests goes to the
+/// new version, before all do.
+const PART_END: f64 = 0.58;
+
+/// The share of the requests in that part.
+const PART_SHARE: f64 = 0.4;
+
+/// Part of the allowed time after which a roll-out is completed although
+/// the old version still works on something.
+const COMPLETE_ANYWAY: f64 = 0.93;
+
+/// Bad answers on one route that are enough to judge a version by.
+const BAD_ANSWERS: u32 = 4;
+
+/// How much larger than the old version's a new version's share of bad
+/// answers may be.
+const SHARE_MARGIN: f64 = 0.2;
+
+/// Answers of the old version from which its share is known.
+const KNOWN_ANSWERS: u32 = 10;
+
+/// Time without requests after which a session is over.
+const SESSION_LIFETIME: Duration = Duration::from_secs(6);
+
+/// Sessions remembered, with a version each; older ones are dropped first.
+const SESSIONS_MOST: usize = 20_000;
+
+/// How many times the usual a first part of an answer may take before the
+/// answer counts as bad.
+const SLOW_FACTOR: f64 = 4.0;
+
+/// Weight of one more time in the mean of a route's times.
+const MEAN_WEIGHT: f64 = 0.1;
+
+/// An operator's order to roll a version out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The version.
+    pub target: VersionId,
+    /// The time within which it is to be done.
+    pub time_allowed: Duration,
+}
+
+/// How far a roll-out is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Under way.
+    Running,
+    /// The new version has everything.
+    Completed,
+    /// The old version has everything again.
+    Reverted,
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Progress::Running => "running",
+            Progress::Completed => "completed",
+            Progress::Reverted => "reverted",
+        })
+    }
+}
+
+/// The state of a roll-out as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// The version.
+    pub target: VersionId,
+    /// How far it is.
+    pub progress: Progress,
+}
+
+/// How answers were, of one version on one route.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+pub struct Answers {
+    /// All of them.
+    pub all: u32,
+    /// Those that failed, broke off or came much too late.
+    pub bad: u32,
+}
+
+impl Answers {
+    fn share(self) -> f64 {
+        f64::from(self.bad) / f64::from(self.all.max(1))
+    }
+
+    fn add(&mut self, other: Answers) {
+        self.all += other.all;
+        self.bad += other.bad;
+    }
+}
+
+/// What one VM knows of a roll-out, told to the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The service.
+    pub service: ShortHash,
+    /// The new version.
+    pub target: ShortHash,
+    /// How long the roll-out has been running.
+    pub running_ms: u32,
+    /// Whether this VM has stopped the new version.
+    pub stopped: bool,
+    /// Requests that it still has at the old version.
+    pub old_in_flight: u16,
+    /// Answers by route, of the old and the new version.
+    pub answers: Vec<(ShortHash, Answers, Answers)>,
+}
+
+#[derive(Debug)]
+struct Rollout {
+    order: Order,
+    started_at: Instant,
+    progress: Option<Progress>,
+    stopped: bool,
+    own: HashMap<ShortHash, [Answers; 2]>,
+    first_part_s: HashMap<ShortHash, f64>,
+    others: HashMap<String, (Instant, Evidence)>,
+    sessions: HashMap<String, (VersionSide, Instant)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum VersionSide {
+    Old = 0,
+    New = 1,
+}
+
+/// A step that a roll-out is due for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// The service.
+    pub service: ServiceId,
+    /// What is to be recorded.
+    pub status: Status,
+}
+
+/// All roll-outs that this VM knows of.
+#[derive(Debug, Default)]
+pub struct Rollouts(Mutex<HashMap<ServiceId, Rollout>>);
+
+impl Rollouts {
+    /// Takes in an order; returns whether it is a new one.
+    pub fn order(
+        &self,
+        service: ServiceId,
+        order: Order,
+        now: Instant,
+    ) -> bool {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let held = rollouts.get(&service);
+        if held.is_some_and(|held| held.order == order) {
+            return false;
+        }
+        rollouts.insert(service, Rollout::new(order, now));
+        true
+    }
+
+    /// Takes in the state that stands in the store.
+    pub fn set_status(&self, service: &ServiceId, status: &Status) {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let Some(rollout) = rollouts.get_mut(service) else { return };
+        if rollout.order.target == status.target {
+            rollout.progress = Some(status.progress);
+        }
+    }
+
+    /// Forgets a roll-out whose order is gone.
+    pub fn forget(&self, service: &ServiceId) {
+        self.0.lock().expect("rollouts lock").remove(service);
+    }
+
+    /// Which version may answer a request.
+    pub fn rule(
+        &self,
+        service: &ServiceId,
+        session: Option<&str>,
+        request_id: &str,
+        now: Instant,
+    ) -> VersionRule {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let Some(rollout) = rollouts.get_mut(service) else {
+            return VersionRule::Any;
+        };
+        rollout.rule(session, request_id, now)
+    }
+
+    /// Notes which version a session's request went to.
+    pub fn note_session(
+        &self,
+        service: &ServiceId,
+        session: &str,
+        software: &VersionId,
+        now: Instant,
+    ) {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        if let Some(rollout) = rollouts.get_mut(service) {
+            rollout.note_session(session, software, now);
+        }
+    }
+
+    /// Takes in how an answer of a version on a route was.
+    pub fn record(
+        &self,
+        service: &ServiceId,
+        software: &VersionId,
+        route: &str,
+        verdict: Verdict,
+        first_part: Option<Duration>,
+    ) {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        if let Some(rollout) = rollouts.get_mut(service) {
+            rollout.record(software, route, verdict, first_part);
+        }
+    }
+
+    /// What this VM has to tell of the roll-outs that are running.
+    pub fn evidence(
+        &self,
+        old_in_flight: impl Fn(&ServiceId, &VersionId) -> u32,
+        now: Instant,
+    ) -> Vec<Evidence> {
+        let rollouts = self.0.lock().expect("rollouts lock");
+        let running =
+            rollouts.iter().filter(|(_, rollout)| rollout.is_running());
+        running
+            .map(|(service, rollout)| {
+                let old = old_in_flight(service, &rollout.order.target);
+                rollout.evidence(service, old, now)
+            })
+            .collect()
+    }
+
+    /// Takes in what another VM tells.
+    pub fn hear(&self, vm: &str, told: &[Evidence], now: Instant) {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        for (service, rollout) in rollouts.iter_mut() {
+            let service = ShortHash::of(service.as_str());
+            let target = ShortHash::of(rollout.order.target.as_str());
+            let is_it = |told: &&Evidence| {
+                told.service == service && told.target == target
+            };
+            if let Some(told) = told.iter().find(is_it) {
+                rollout.hear(vm, told.clone(), now);
+            }
+        }
+    }
+
+    /// Judges the running roll-outs; returns those that were stopped just
+    /// now, with the reason.
+    pub fn judge(&self) -> Vec<(ServiceId, String)> {
+        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut stopped = Vec::new();
+        for (service, rollout) in rollouts.iter_mut() {
+            if let Some(reason) = rollout.judge() {
+                stopped.push((service.clone(), reason));
+            }
+        }
+        stopped
+    }
+
+    /// What is to be recorded in the store about the roll-outs.
+    ///
+    /// `is_steward` says whether this VM keeps the records; a VM that has
+    /// stopped a version records that itself.
+    pub fn due(
+        &self,
+        is_steward: bool,
+        old_in_flight: impl Fn(&ServiceId, &VersionId) -> u32,
+        now: Instant,
+    ) -> Vec<Due> {
+        let rollouts = self.0.lock().expect("rollouts lock");
+        let mut due = Vec::new();
+        for (service, rollout) in rollouts.iter() {
+            let old = old_in_flight(service, &rollout.order.target);
+            if let Some(progress) = rollout.due(is_steward, old, now) {
+                let target = rollout.order.target.clone();
+                let status = Status { target, progress };
+                due.push(Due { service: service.clone(), status });
+            }
+        }
+        due
+    }
+
+    /// Whether any roll-out is running.
+    pub fn any_running(&self) -> bool {
+        let rollouts = self.0.lock().expect("rollouts lock");
+        rollouts.values().any(Rollout::is_running)
+    }
+}
+
+impl Rollout {
+    fn new(order: Order, now: Instant) -> Rollout {
+        Rollout {
+            order,
+            started_at: now,
+            progress: None,
+            stopped: false,
+            own: HashMap::new(),
+            first_part_s: HashMap::new(),
+            others: HashMap::new(),
+            sessions: HashMap::new(),
+        }
+    }
+
+    fn is_running(&self) -> bool {
+        matches!(self.progress, None | Some(Progress::Running))
+    }
+
+    /// Part of the allowed time that has passed.
+    fn passed(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.started_at);
+        let allowed = self.order.time_allowed.as_secs_f64().max(0.001);
+        passed.as_secs_f64() / allowed
+    }
+
+    /// The share of the requests that the new version gets.
+    fn share(&self, now: Instant) -> f64 {
+        match self.passed(now) {
+            passed if passed < TRIAL_END => TRIAL_SHARE,
+            passed if passed < PART_END => PART_SHARE,
+            _ => 1.0,
+        }
+    }
+
+    fn rule(
+        &mut self,
+        session: Option<&str>,
+        request_id: &str,
+        now: Instant,
+    ) -> VersionRule {
+        let target = self.order.target.clone();
+        if self.stopped || self.progress == Some(Progress::Reverted) {
+            return VersionRule::Never(target);
+        }
+        if self.progress == Some(Progress::Completed) {
+            return VersionRule::Prefer(target);
+        }
+        let subject = session.unwrap_or(request_id);
+        let drawn = f64::from(ShortHash::of(subject).0 ^ self.salt())
+            / f64::from(u32::MAX);
+        let side = match drawn < self.share(now) {
+            true => VersionSide::New,
+            false => VersionSide::Old,
+        };
+        let is_trial = self.passed(now) < TRIAL_END;
+        let held = session.and_then(|session| self.session(session, now));
+        let side = match held {
+            Some(VersionSide::New) => VersionSide::New,
+            Some(VersionSide::Old) if is_trial => VersionSide::Old,
+            _ => side,
+        };
+        match side {
+            VersionSide::New => VersionRule::Prefer(target),
+            VersionSide::Old => VersionRule::Avoid(target),
+        }
+    }
+
+    /// Makes the draw of a subject differ from one roll-out to the next.
+    fn salt(&self) -> u32 {
+        let target = ShortHash::of(self.order.target.as_str());
+        rendezvous::mix(u64::from(target.0), 1) as u32
+    }
+
+    fn session(&self, session: &str, now: Instant) -> Option<VersionSide> {
+        let (side, at) = self.sessions.get(session)?;
+        let rested = now.saturating_duration_since(*at);
+        (rested < SESSION_LIFETIME).then_some(*side)
+    }
+
+    fn note_session(
+        &mut self,
+        session: &str,
+        software: &VersionId,
+        now: Instant,
+    ) {
+        if self.sessions.len() >= SESSIONS_MOST {
+            self.sessions.retain(|_, (_, at)| {
+                now.saturating_duration_since(*at) < SESSION_LIFETIME
+            });
+        }
+        let side = self.side(software);
+        self.sessions.insert(session.to_owned(), (side, now));
+    }
+
+    fn side(&self, software: &VersionId) -> VersionSide {
+        match *software == self.order.target {
+            true => VersionSide::New,
+            false => VersionSide::Old,
+        }
+    }
+
+    fn record(
+        &mut self,
+        software: &VersionId,
+        route: &str,
+        verdict: Verdict,
+        first_part: Option<Duration>,
+    ) {
+        let side = self.side(software);
+        let route = ShortHash::of(route);
+        let mut is_bad = verdict == Verdict::Bad;
+        if let Some(first_part) = first_part {
+            is_bad |= self.is_slow(route, side, first_part.as_secs_f64());
+        }
+        let answers = &mut self.own.entry(route).or_default()[side as usize];
+        answers.all += 1;
+        answers.bad += u32::from(is_bad);
+    }
+
+    /// Whether a first part came much later than the old version's do, whose
+    /// times it takes in.
+    fn is_slow(
+        &mut self,
+        route: ShortHash,
+        side: VersionSide,
+        first_part_s: f64,
+    ) -> bool {
+        let usual = self.first_part_s.get_mut(&route);
+        match (side, usual) {
+            (VersionSide::Old, None) => {
+                self.first_part_s.insert(route, first_part_s);
+                false
+            }
+            (VersionSide::Old, Some(usual)) => {
+                *usual += (first_part_s - *usual) * MEAN_WEIGHT;
+                false
+            }
+            (VersionSide::New, None) => false,
+            (VersionSide::New, Some(usual)) => {
+                first_part_s > *usual * SLOW_FACTOR
+            }
+        }
+    }
+
+    fn evidence(
+        &self,
+        service: &ServiceId,
+        old_in_flight: u32,
+        now: Instant,
+    ) -> Evidence {
+        let running = now.saturating_duration_since(self.started_at);
+        Evidence {
+            service: ShortHash::of(service.as_str()),
+            target: ShortHash::of(self.order.target.as_str()),
+            running_ms: running.as_millis() as u32,
+            stopped: self.stopped,
+            old_in_flight: old_in_flight.min(u32::from(u16::MAX)) as u16,
+            answers: self
+                .own
+                .iter()
+                .map(|(route, [old, new])| (*route, *old, *new))
+                .collect(),
+        }
+    }
+
+    fn hear(&mut self, vm: &str, told: Evidence, now: Instant) {
+        // The VM that has known of the order longest knows best when it was
+        // given; one that was restarted learns it so.
+        let running = Duration::from_millis(u64::from(told.running_ms));
+        if let Some(started_at) = now.checked_sub(running) {
+            self.started_at = self.started_at.min(started_at);
+        }
+        self.stopped |= told.stopped;
+        self.others.insert(vm.to_owned(), (now, told));
+    }
+
+    /// Stops the version if its answers are worse than the old one's.
+    fn judge(&mut self) -> Option<String> {
+        if self.stopped || !self.is_running() {
+            return None;
+        }
+        let mut pooled = self.own.clone();
+        for (_, told) in self.others.values() {
+            for (route, old, new) in &told.answers {
+                let held = pooled.entry(*route).or_default();
+                held[VersionSide::Old as usize].add(*old);
+                held[VersionSide::New as usize].add(*new);
+            }
+        }
+        let worse = pooled.values().find(|[old, new]| is_worse(*old, *new))?;
+        let [old, new] = worse;
+        self.stopped = true;
+        Some(format!(
+            "{} of {} answers bad on one route, {} of {} of the old version",
+            new.bad, new.all, old.bad, old.all
+        ))
+    }
+
+    fn due(
+        &self,
+        is_steward: bool,
+        old_in_flight: u32,
+        now: Instant,
+    ) -> Option<Progress> {
+        match self.progress {
+            None if self.stopped => return Some(Progress::Reverted),
+            Some(Progress::Running) if self.stopped => {
+                return Some(Progress::Reverted);
+            }
+            Some(Progress::Completed | Progress::Reverted) => return None,
+            _ if !is_steward => return None,
+            None => return Some(Progress::Running),
+            Some(Progress::Running) => {}
+        }
+        let passed = self.passed(now);
+        let others: u32 = self
+            .others
+            .values()
+            .filter(|(at, _)| {
+                now.saturating_duration_since(*at) < SESSION_LIFETIME
+            })
+            .map(|(_, told)| u32::from(told.old_in_flight))
+            .sum();
+        // What others told is half a second old, so the old version's last
+        // requests are waited for a little beyond the move.
+        let is_moved = passed > PART_END + 0.06;
+        let is_done = is_moved && old_in_flight + others == 0;
+        (is_done || passed > COMPLETE_ANYWAY).then_some(Progress::Completed)
+    }
+}
+
+fn is_worse(old: Answers, new: Answers) -> bool {
+    let usual = match old.all >= KNOWN_ANSWERS {
+        true => old.share(),
+        false => 0.0,
+    };
+    new.bad >= BAD_ANSWERS && new.share() > usual + SHARE_MARGIN
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -342,14 +342,7 @@
     ///
     /// Every fault of the file, in the order of the file's keys.
     pub fn from_file(path: &Path) -> Result<Settings, Vec<Fault>> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            vec![Fault {
-                section: String::new(),
-                key: String::new(),
-                reason: format!("cannot read {}: {error}", path.display()),
-            }]
-        })?;
-        Settings::from_ini(&text)
+        Settings::from_ini(&read_file(path)?)
     }
 
     /// Checks the text of a settings file.
@@ -358,36 +351,57 @@
     ///
     /// Every fault of the text.
     pub fn from_ini(text: &str) -> Result<Settings, Vec<Fault>> {
-        let ini = Ini::load_from_str_noescape(text).map_err(|error| {
-            vec![Fault {
-                section: String::new(),
-                key: String::new(),
-                reason: format!("not an INI file: {error}"),
-            }]
-        })?;
-        let mut reader = Reader::new(&ini);
-        let settings = read_settings(&mut reader);
-        match settings {
-            Some(settings) if reader.faults.is_empty() => Ok(settings),
-            _ => Err(reader.faults),
-        }
+        read_ini(text, KEYS, read_settings)
+    }
+}
+
+/// Reads a settings file as text.
+pub(crate) fn read_file(path: &Path) -> Result<String, Vec<Fault>> {
+    std::fs::read_to_string(path).map_err(|error| {
+        vec![Fault {
+            section: String::new(),
+            key: String::new(),
+            reason: format!("cannot read {}: {error}", path.display()),
+        }]
+    })
+}
+
+/// Reads settings whose keys stand in `keys`, and reports every fault.
+pub(crate) fn read_ini<T>(
+    text: &str,
+    keys: &'static [Key],
+    read: impl FnOnce(&mut Reader<'_>) -> Option<T>,
+) -> Result<T, Vec<Fault>> {
+    let ini = Ini::load_from_str_noescape(text).map_err(|error| {
+        vec![Fault {
+            section: String::new(),
+            key: String::new(),
+            reason: format!("not an INI file: {error}"),
+        }]
+    })?;
+    let mut reader = Reader::new(&ini, keys);
+    let settings = read(&mut reader);
+    match settings {
+        Some(settings) if reader.faults.is_empty() => Ok(settings),
+        _ => Err(reader.faults),
     }
 }
 
 /// Reads keys one by one and collects what is wrong with them.
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     ini: &'a Ini,
+    keys: &'static [Key],
     faults: Vec<Fault>,
 }
 
 impl<'a> Reader<'a> {
-    fn new(ini: &'a Ini) -> Reader<'a> {
-        let mut reader = Reader { ini, faults: Vec::new() };
+    fn new(ini: &'a Ini, keys: &'static [Key]) -> Reader<'a> {
+        let mut reader = Reader { ini, keys, faults: Vec::new() };
         reader.find_unknown();
         reader
     }
 
-    fn fault(&mut self, section: &str, key: &str, reason: String) {
+    pub(crate) fn fault(&mut self, section: &str, key: &str, reason: String) {
         self.faults.push(Fault {
             section: section.to_owned(),
             key: key.to_owned(),
@@ -399,7 +413,8 @@
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or("");
             for (name, _) in properties.iter() {
-                let known = KEYS
+                let known = self
+                    .keys
                     .iter()
                     .any(|key| key.section == section && key.name == name);
                 if !known {
@@ -411,11 +426,16 @@
         }
     }
 
-    fn text(&mut self, section: &str, name: &str) -> Option<String> {
-        let key = KEYS
+    pub(crate) fn text(
+        &mut self,
+        section: &str,
+        name: &str,
+    ) -> Option<String> {
+        let key = self
+            .keys
             .iter()
             .find(|key| key.section == section && key.name == name)
-            .expect("every key that is read stands in KEYS");
+            .expect("every key that is read stands in its table");
         let given = self.ini.get_from(Some(section), name);
         match given.or(key.default) {
             Some(text) => Some(text.trim().to_owned()),
@@ -426,7 +446,7 @@
         }
     }
 
-    fn value<T>(&mut self, section: &str, name: &str) -> Option<T>
+    pub(crate) fn value<T>(&mut self, section: &str, name: &str) -> Option<T>
     where
         T: FromStr,
         T::Err: fmt::Display,
@@ -441,7 +461,7 @@
         }
     }
 
-    fn number<T>(
+    pub(crate) fn number<T>(
         &mut self,
         section: &str,
         name: &str,
@@ -461,12 +481,20 @@
         None
     }
 
-    fn millis(&mut self, section: &str, name: &str) -> Option<Duration> {
+    pub(crate) fn millis(
+        &mut self,
+        section: &str,
+        name: &str,
+    ) -> Option<Duration> {
         let value = self.number(section, name, 1_u64, 3_600_000)?;
         Some(Duration::from_millis(value))
     }
 
-    fn seconds(&mut self, section: &str, name: &str) -> Option<Duration> {
+    pub(crate) fn seconds(
+        &mut self,
+        section: &str,
+        name: &str,
+    ) -> Option<Duration> {
         let value = self.number(section, name, 0_u64, 30 * 86_400)?;
         Some(Duration::from_secs(value))
     }
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -61,6 +61,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Whether every byte taken in belongs to an event given out.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// The next whole event.
     pub(crate) fn next(&mut self) -> Result<Option<Event>, EventTooLarge> {
         match event_end(&self.buffer) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -46,7 +46,9 @@
 const LIMIT_PATIENCE: u32 = 4;
 
 /// The version that the service gives a value; it grows with each write.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize,
+)]
 #[serde(transparent)]
 pub struct StoreVersion(pub u64);
 
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,245 @@
+//! The record of one request: what decided it, and how it ended.
+//!
+//! A trace writes one line when its request ends, with every attempt. If it
+//! is dropped before, the caller has left, and the line says so.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Map, Value, json};
+
+use crate::{
+    clock::SharedClock,
+    event::Event,
+    id::{ModelId, OrganisationId},
+    metrics::{Metrics, OTHER},
+    pool::Member,
+    route::{Route, TableVersion},
+};
+
+/// One attempt at an upstream.
+#[derive(Debug)]
+struct AttemptTrace {
+    upstream: String,
+    software: String,
+    model: Option<ModelId>,
+    requests_there: u32,
+    began_ms: u64,
+    ended_ms: Option<u64>,
+    end: String,
+    confidence: Option<u8>,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub(crate) enum End {
+    /// With an upstream's answer, of this status.
+    Answered(u16),
+    /// With an answer of the router, of this status and code.
+    Refused(u16, &'static str, String),
+    /// Its answer broke off.
+    Broken(String),
+    /// Its caller left.
+    Left,
+}
+
+/// The record of one request.
+pub(crate) struct Trace {
+    clock: SharedClock,
+    metrics: Arc<Metrics>,
+    id: String,
+    started_at: Instant,
+    route: Option<Arc<Route>>,
+    organisation: Option<OrganisationId>,
+    table: Option<TableVersion>,
+    proof_age: Option<Duration>,
+    first_part_ms: Option<u64>,
+    attempts: Vec<AttemptTrace>,
+    is_ended: bool,
+}
+
+impl Trace {
+    /// Begins the record of the request with this id.
+    pub(crate) fn new(
+        id: &str,
+        clock: SharedClock,
+        metrics: Arc<Metrics>,
+    ) -> Trace {
+        Trace {
+            id: id.to_owned(),
+            started_at: clock.now(),
+            clock,
+            metrics,
+            route: None,
+            organisation: None,
+            table: None,
+            proof_age: None,
+            first_part_ms: None,
+            attempts: Vec::new(),
+            is_ended: false,
+        }
+    }
+
+    /// Notes by which configuration it is judged.
+    pub(crate) fn judged_by(
+        &mut self,
+        table: TableVersion,
+        proof_age: Option<Duration>,
+    ) {
+        self.table = Some(table);
+        self.proof_age = proof_age;
+    }
+
+    /// Notes its route.
+    pub(crate) fn on_route(&mut self, route: Arc<Route>) {
+        self.route = Some(route);
+    }
+
+    /// Notes who is asking.
+    pub(crate) fn asked_by(&mut self, organisation: OrganisationId) {
+        self.organisation = Some(organisation);
+    }
+
+    /// Notes that an attempt begins.
+    pub(crate) fn begin(&mut self, member: &Member, model: Option<ModelId>) {
+        self.attempts.push(AttemptTrace {
+            upstream: member.entry.id.to_string(),
+            software: member.entry.software.to_string(),
+            model,
+            requests_there: member.requests(),
+            began_ms: self.passed_ms(),
+            ended_ms: None,
+            end: "running".to_owned(),
+            confidence: None,
+        });
+    }
+
+    /// Notes what the model thinks of its answer.
+    pub(crate) fn note_confidence(&mut self, confidence: u8) {
+        if let Some(last) = self.attempts.last_mut() {
+            last.confidence = Some(confidence);
+        }
+    }
+
+    /// Notes how the last attempt ended.
+    pub(crate) fn end_attempt(&mut self, label: &str, detail: &str) {
+        let passed_ms = self.passed_ms();
+        self.metrics.attempts.with_label_values(&[label]).inc();
+        if let Some(last) = self.attempts.last_mut() {
+            last.ended_ms = Some(passed_ms);
+            last.end = match detail.is_empty() {
+                true => label.to_owned(),
+                false => format!("{label}: {detail}"),
+            };
+        }
+    }
+
+    /// Notes that the first part of the answer goes out.
+    pub(crate) fn first_part(&mut self) {
+        let passed_ms = self.passed_ms();
+        self.first_part_ms.get_or_insert(passed_ms);
+    }
+
+    /// Ends the record.
+    pub(crate) fn end(mut self, end: End) {
+        self.write(end);
+    }
+
+    fn passed_ms(&self) -> u64 {
+        let now = self.clock.now();
+        now.saturating_duration_since(self.started_at).as_millis() as u64
+    }
+
+    fn write(&mut self, end: End) {
+        self.is_ended = true;
+        self.count(&end);
+        let mut fields = Map::new();
+        fields.insert("id".into(), self.id.as_str().into());
+        let mut put = |name: &str, value: Value| {
+            if !value.is_null() {
+                fields.insert(name.into(), value);
+            }
+        };
+        let route = self.route.as_ref();
+        put("route", json!(route.map(|route| &route.name)));
+        put("organisation", json!(self.organisation));
+        put("table", json!(self.table.map(|table| table.0)));
+        let proof_age = self.proof_age.map(|age| age.as_millis() as u64);
+        put("proof_age_ms", json!(proof_age));
+        put("passed_ms", json!(self.passed_ms()));
+        put("first_part_ms", json!(self.first_part_ms));
+        let attempts = self.attempts.iter().map(AttemptTrace::to_json);
+        put("attempts", attempts.collect());
+        match &end {
+            End::Answered(status) => put("status", json!(status)),
+            End::Refused(status, code, reason) => {
+                put("status", json!(status));
+                put("code", json!(code));
+                put("reason", json!(reason));
+            }
+            End::Broken(reason) => {
+                put("code", json!("broken_off"));
+                put("reason", json!(reason));
+            }
+            End::Left => put("code", json!("caller_left")),
+        }
+        let event = match end {
+            End::Answered(_) => Event::RequestEnded,
+            _ => Event::RequestFailed,
+        };
+        event.record(fields);
+    }
+
+    fn count(&self, end: &End) {
+        let code = match end {
+            End::Answered(_) => "answered",
+            End::Refused(_, code, _) => code,
+            End::Broken(_) => "broken_off",
+            End::Left => "caller_left",
+        };
+        let organisation = self.organisation.as_ref();
+        let organisation = organisation.map_or(OTHER, |o| o.as_str());
+        let class = self.route.as_ref().map_or(OTHER, |route| route.class());
+        let labels = &[organisation, class];
+        let metrics = &self.metrics;
+        metrics.requests.with_label_values(&[organisation, class, code]).inc();
+        let passed_s = self.passed_ms() as f64 / 1000.0;
+        metrics.latency_s.with_label_values(labels).observe(passed_s);
+        if let Some(first_part_ms) = self.first_part_ms {
+            let first_part_s = first_part_ms as f64 / 1000.0;
+            let metric = metrics.first_token_s.with_label_values(labels);
+            metric.observe(first_part_s);
+        }
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.write(End::Left);
+        }
+    }
+}
+
+impl AttemptTrace {
+    fn to_json(&self) -> Value {
+        let mut fields = Map::new();
+        fields.insert("upstream".into(), self.upstream.as_str().into());
+        fields.insert("software".into(), self.software.as_str().into());
+        if let Some(model) = &self.model {
+            fields.insert("model".into(), model.as_str().into());
+        }
+        fields.insert("requests_there".into(), self.requests_there.into());
+        fields.insert("began_ms".into(), self.began_ms.into());
+        if let Some(ended_ms) = self.ended_ms {
+            fields.insert("ended_ms".into(), ended_ms.into());
+        }
+        if let Some(confidence) = self.confidence {
+            fields.insert("confidence".into(), confidence.into());
+        }
+        fields.insert("end".into(), self.end.as_str().into());
+        Value::Object(fields)
+    }
+}
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -116,6 +116,48 @@
     }
 }
 
+/// A whole number of hundredths, 0 to 100.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Percent(u8);
+
+impl Percent {
+    /// Creates one.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidInput`] above 100.
+    pub fn new(value: u8) -> Result<Percent, Error> {
+        if value <= 100 {
+            return Ok(Percent(value));
+        }
+        let reason = format!("{value} is more than 100");
+        Err(Error::new(ErrorKind::InvalidInput).context(reason))
+    }
+
+    /// The number, 0 to 100.
+    pub fn value(self) -> u8 {
+        self.0
+    }
+}
+
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Percent {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let number = text.trim().parse().map_err(|_| {
+            Error::new(ErrorKind::InvalidInput)
+                .context(format!("`{text}` is not a whole number to 100"))
+        })?;
+        Percent::new(number)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -413,6 +413,9 @@
             PeerRequest::Decision(id) => {
                 PeerReply::Decision(self.decisions.get(&id).map(Box::new))
             }
+            PeerRequest::Knowledge => {
+                refused("this VM follows no platform's store")
+            }
         }
     }
 }
