--- a/src/forward.rs
+++ b/src/forward.rs
@@ -20,9 +20,9 @@
     health::Verdict,
     http_client::{Call, Exchange, Reuse, SendError},
     id::{ModelId, ServiceId, UpstreamId},
-    inbound::{AttemptHead, Inbound, ModelWish},
+    inbound::{AttemptHead, Inbound},
     platform::headers::{self, AnswerHead},
-    pool::{Member, NoMember, VersionRule, Want},
+    pool::{Member, NoMember, Reading, SharedPrompt, VersionRule, Want},
     relay_events::EventRelay,
     route::{Organisation, Repeat, Route},
     task,
@@ -60,6 +60,9 @@
     pub(crate) body: Bytes,
     /// When the caller, or the operator's limit, gives up.
     pub(crate) deadline: Instant,
+    pub(crate) started_at: Instant,
+    /// The model to ask, where the caller leaves the choice.
+    pub(crate) model: Option<ModelId>,
     /// Upstreams that were asked.
     pub(crate) tried: Vec<UpstreamId>,
     /// Upstreams that the request was sent to, of those.
@@ -88,6 +91,12 @@
     pub(crate) member: Arc<Member>,
     pub(crate) model: Option<ModelId>,
     pub(crate) began_at: Instant,
+    /// What was being read there before.
+    pub(crate) read_before: Duration,
+    /// Tokens that it probably has to read.
+    pub(crate) tokens: u64,
+    /// Held until the first event is here.
+    pub(crate) reading: Option<Reading>,
     _in_flight: InFlight,
 }
 
@@ -99,6 +108,8 @@
     Unknown(&'static str, String),
     /// It ran and failed; this is the upstream's own answer.
     Failed(Box<Reply>),
+    /// A larger model is to be asked.
+    Poor(ModelId),
 }
 
 impl Job {
@@ -156,11 +167,8 @@
         trace: &mut Trace,
         now: Instant,
     ) -> Result<Attempt, Error> {
-        let want = Want {
-            rule: self.rule(now),
-            prompt: self.prompt_subject(),
-            tried: &self.tried,
-        };
+        let prompt = self.shared_prompt();
+        let want = Want { rule: self.rule(now), prompt, tried: &self.tried };
         let picked = self.gateway.pool.pick(&self.service, &want, now);
         let member = picked.map_err(|no_member| match no_member {
             NoMember::Unknown => Error::new(ErrorKind::NoUpstream)
@@ -169,7 +177,7 @@
                 .context(format!("{} is full", self.service))
                 .with_retry_after(RETRY_AFTER_FULL),
         })?;
-        let model = self.model();
+        let model = self.model.clone();
         trace.begin(&member, model.clone());
         self.tried.push(member.entry.id.clone());
         if let Some(session) = &self.inbound.session {
@@ -177,26 +185,32 @@
             let rollouts = &self.gateway.rollouts;
             rollouts.note_session(&self.service, session, software, now);
         }
+        let tokens = self.inbound.tokens.map_or(0, |tokens| tokens.prompt);
+        let read_before = member.reading();
+        let reading = (tokens > 0).then(|| {
+            let times = &self.gateway.read_times;
+            member.read(times.expected(model.as_ref(), tokens))
+        });
         Ok(Attempt {
             _in_flight: member.upstream.begin(),
             member,
             model,
             began_at: now,
+            read_before,
+            tokens,
+            reading,
         })
     }
 
     /// The part of the prompt that is shared with most later requests.
-    fn prompt_subject(&self) -> Option<u64> {
+    fn shared_prompt(&self) -> Option<SharedPrompt> {
         let parts = &self.inbound.prompt;
-        let shared = parts.len().checked_sub(2)?;
-        Some(parts[shared].id)
-    }
-
-    fn model(&self) -> Option<ModelId> {
-        match self.inbound.model {
-            Some(ModelWish::Any) => self.route.sizes.last().cloned(),
-            _ => None,
-        }
+        let (_, shared) = parts.split_last()?;
+        let subject = shared.last()?.id;
+        let tokens = shared.iter().map(|part| part.tokens).sum();
+        let times = &self.gateway.read_times;
+        let saved = times.expected(self.model.as_ref(), tokens);
+        Some(SharedPrompt { subject, saved })
     }
 
     fn urgency(&self) -> u8 {
@@ -388,6 +402,12 @@
                 trace.end_attempt(label, &reason);
                 (self.route.repeat == Repeat::Any, Outcome::Unknown(reason))
             }
+            Fault::Poor(model) => {
+                trace.end_attempt("poor", "");
+                self.model = Some(model);
+                self.tried.pop();
+                return Ok(());
+            }
             Fault::Failed(reply) => {
                 let status = reply.status.as_u16();
                 trace.end_attempt("failed", &status.to_string());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 use serde_json::{Map, Value, json};
 
 use crate::{
+    cascade::ReadTimes,
     clock::SharedClock,
     event::Event,
     health::{HealthChange, Verdict},
@@ -92,6 +93,7 @@
     pub(crate) knowledge: Knowledge,
     pub(crate) pool: Pool,
     pub(crate) rollouts: Rollouts,
+    pub(crate) read_times: ReadTimes,
     pub(crate) peers: Peers,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) in_flight: InFlightCount,
@@ -115,6 +117,7 @@
             knowledge: Knowledge::default(),
             pool: Pool::new(settings.data_hall.clone()),
             rollouts: Rollouts::default(),
+            read_times: ReadTimes::default(),
             peers: Peers::new(&settings),
             metrics: Arc::new(Metrics::new()),
             in_flight: InFlightCount::default(),
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -23,6 +23,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
+    cascade::first_model,
     error::{Error, ErrorKind},
     forward::{Job, Reply, ReplyBody, refuse},
     gateway::Gateway,
@@ -169,6 +170,7 @@
     };
     let route = admitted.route;
     let time = inbound.time_left.unwrap_or(USUAL_TIME).min(route.time_limit);
+    let model = first_model(&inbound, &route);
     let job = Job {
         gateway: gateway.clone(),
         service: route.target(rand::random()).clone(),
@@ -177,6 +179,8 @@
         inbound,
         body,
         deadline: started_at + time,
+        started_at,
+        model,
         tried: Vec::new(),
         sent: 0,
         may_have_run: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod bill;
 mod bucket;
 mod callers;
+mod cascade;
 pub mod chain;
 mod chat;
 pub mod choose;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -238,7 +238,7 @@
         as_of: gateway.knowledge.as_of().0,
         digest: gateway.knowledge.digest(),
         proof_age_ms: age.map(|age| age.as_millis() as u32),
-        requests: gateway.pool.own_requests(),
+        work: gateway.pool.own_work(),
         evidence: gateway.rollouts.evidence(old, now),
     };
     for (address, echo) in peers.receivers() {
@@ -276,7 +276,7 @@
     }
     let now = gateway.clock.now();
     let knows_more = gateway.peers.hear(gateway, beat);
-    gateway.pool.set_peer_requests(&beat.vm, &beat.requests, now);
+    gateway.pool.set_peer_work(&beat.vm, &beat.work, now);
     gateway.rollouts.hear(&beat.vm, &beat.evidence, now);
     let age = gateway.knowledge.proof_age(now);
     if knows_more && age.is_none_or(|age| age > BEHIND_AFTER) {
--- a/src/message.rs
+++ b/src/message.rs
@@ -15,6 +15,7 @@
     decision::Decision,
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
     knowledge::MirroredItem,
+    pool::Work,
     rollout::Evidence,
     tally::{Tally, TallyKey},
 };
@@ -152,8 +153,8 @@
     pub digest: u64,
     /// The age of the last proof that this is current.
     pub proof_age_ms: Option<u32>,
-    /// Its own requests at each upstream that has any.
-    pub requests: Vec<(ShortHash, u16)>,
+    /// What it has at each upstream that has any of it.
+    pub work: Vec<(ShortHash, Work)>,
     /// What it has seen of the roll-outs that are running.
     pub evidence: Vec<Evidence>,
 }
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -15,6 +15,8 @@
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     health::Health,
     id::{DataHallId, ServiceId, UpstreamId, VersionId},
@@ -27,12 +29,13 @@
 /// costs a few milliseconds and bytes between halls.
 const OTHER_HALL_FILL: f64 = 0.05;
 
-/// How far the upstream that holds a prompt may be filled beyond the mean.
-const AFFINITY_BOUND: f64 = 1.3;
+/// Time that a running request adds to the reading of a prompt beside it,
+/// for each millisecond of reading.
+const RUNNING_SLOWS: Duration = Duration::from_micros(600);
 
-/// Requests that an upstream may hold whatever the mean is, as a share of
-/// its slots; below that, running beside each other costs little.
-const AFFINITY_FREE_FILL: f64 = 0.15;
+/// Part of the saved reading that counts for the second upstream in a
+/// prompt's order, which gets it when the first is busy.
+const SECOND_HOME_PART: f64 = 0.5;
 
 /// Age at which what another VM told of its requests counts no more.
 const PEER_COUNT_LIFETIME: Duration = Duration::from_millis(2500);
@@ -108,7 +111,9 @@
     pub upstream: Arc<Upstream>,
     /// How it has been answering.
     pub health: Health,
+    reading_ms: AtomicU32,
     others: AtomicU32,
+    others_reading_ms: AtomicU32,
     counts: Mutex<HashMap<String, PeerCount>>,
     vanished_at: Mutex<Option<Instant>>,
     heard_at: Mutex<Instant>,
@@ -116,7 +121,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PeerCount {
-    requests: u32,
+    work: Work,
     at: Instant,
 }
 
@@ -133,7 +138,9 @@
         Member {
             upstream: Arc::new(Upstream::new(record, false, now)),
             health: Health::new(now),
+            reading_ms: AtomicU32::new(0),
             others: AtomicU32::new(0),
+            others_reading_ms: AtomicU32::new(0),
             counts: Mutex::default(),
             vanished_at: Mutex::new(None),
             heard_at: Mutex::new(now),
@@ -171,30 +178,78 @@
         now.saturating_duration_since(heard_at)
     }
 
-    /// Takes in how many requests another VM has there.
-    pub fn set_peer_count(&self, vm: &str, requests: u32, now: Instant) {
+    /// Time that the prompts take which are being read there, or wait to be.
+    pub fn reading(&self) -> Duration {
+        let own = self.reading_ms.load(Ordering::Relaxed);
+        let others = self.others_reading_ms.load(Ordering::Relaxed);
+        Duration::from_millis(u64::from(own) + u64::from(others))
+    }
+
+    /// Counts a prompt as being read there while the guard lives.
+    pub fn read(self: &Arc<Self>, expected: Duration) -> Reading {
+        let ms = u32::try_from(expected.as_millis()).unwrap_or(u32::MAX);
+        self.reading_ms.fetch_add(ms, Ordering::Relaxed);
+        Reading { member: self.clone(), ms }
+    }
+
+    /// Takes in what another VM has there.
+    pub fn set_peer_work(&self, vm: &str, work: Work, now: Instant) {
         let mut counts = self.counts.lock().expect("counts lock");
-        if requests == 0 {
+        if work == Work::default() {
             counts.remove(vm);
         } else {
-            let count = PeerCount { requests, at: now };
-            counts.insert(vm.to_owned(), count);
+            counts.insert(vm.to_owned(), PeerCount { work, at: now });
         }
         counts.retain(|_, count| {
             now.saturating_duration_since(count.at) < PEER_COUNT_LIFETIME
         });
-        let sum = counts.values().map(|count| count.requests).sum();
-        self.others.store(sum, Ordering::Relaxed);
+        let requests = counts.values().map(|c| u32::from(c.work.requests));
+        self.others.store(requests.sum(), Ordering::Relaxed);
+        let reading = counts.values().map(|c| u32::from(c.work.reading_ms));
+        self.others_reading_ms.store(reading.sum(), Ordering::Relaxed);
     }
 }
 
+/// What one VM has at an upstream.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+pub struct Work {
+    /// Requests.
+    pub requests: u16,
+    /// Time that the prompts take which are being read, in milliseconds.
+    pub reading_ms: u16,
+}
+
+/// Counts a prompt as being read while it lives.
+#[derive(Debug)]
+pub struct Reading {
+    member: Arc<Member>,
+    ms: u32,
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.member.reading_ms.fetch_sub(self.ms, Ordering::Relaxed);
+    }
+}
+
+/// A prompt that an upstream may have in its memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// What identifies the longest part shared with other requests.
+    pub subject: u64,
+    /// The time that is saved where it need not be read.
+    pub saved: Duration,
+}
+
 /// What a request asks of the choice.
 #[derive(Clone, Debug, Default)]
 pub struct Want<'a> {
     /// Which software may answer it.
     pub rule: VersionRule,
     /// What it would like to find in an upstream's memory.
-    pub prompt: Option<u64>,
+    pub prompt: Option<SharedPrompt>,
     /// Upstreams that were asked already.
     pub tried: &'a [UpstreamId],
 }
@@ -338,7 +393,7 @@
             return Err(NoMember::Full);
         }
         let chosen = match want.prompt {
-            Some(prompt) => self.nearest(prompt, &open),
+            Some(prompt) => self.soonest(prompt, &open),
             None => self.emptiest(&open),
         };
         Ok(chosen.clone())
@@ -358,51 +413,65 @@
         least.expect("there is an open upstream").1
     }
 
-    /// The first in the prompt's own order that is not much fuller than the
-    /// mean; every VM finds the same order.
-    fn nearest<'a>(
+    /// The one that can begin with the prompt first: what others have it
+    /// read, and the prompt itself where it is not in memory.
+    ///
+    /// Every VM finds the same order of upstreams for a prompt, so the first
+    /// of them is likely to have it.
+    fn soonest<'a>(
         &self,
-        prompt: u64,
+        prompt: SharedPrompt,
         open: &[&'a Arc<Member>],
     ) -> &'a Arc<Member> {
-        let sum: f64 = open.iter().map(|member| member.fill()).sum();
-        let mean = sum / open.len() as f64;
-        let bound = (mean * AFFINITY_BOUND).max(AFFINITY_FREE_FILL);
-        let score = |member: &Arc<Member>| {
+        let mut order: Vec<&'a Arc<Member>> = open.to_vec();
+        order.sort_by_cached_key(|member| {
             let id = u64::from(member.upstream.short.0);
-            rendezvous::mix(prompt, id)
+            std::cmp::Reverse(rendezvous::mix(prompt.subject, id))
+        });
+        let wait = |place: usize, member: &Arc<Member>| {
+            let read = match place {
+                0 => Duration::ZERO,
+                1 => prompt.saved.mul_f64(SECOND_HOME_PART),
+                _ => prompt.saved,
+            };
+            let running = RUNNING_SLOWS * member.requests();
+            member.reading() + running + read
         };
-        open.iter()
-            .filter(|member| member.fill() <= bound)
-            .max_by_key(|member| score(member))
-            .copied()
-            .unwrap_or_else(|| self.emptiest(open))
+        let waits = order
+            .iter()
+            .enumerate()
+            .map(|(place, member)| (wait(place, member), *member));
+        let least = waits.min_by_key(|(wait, _)| *wait);
+        least.expect("there is an open upstream").1
     }
 
-    /// This VM's requests at each upstream that has any.
-    pub fn own_requests(&self) -> Vec<(ShortHash, u16)> {
+    /// What this VM has at each upstream that has any of it.
+    pub fn own_work(&self) -> Vec<(ShortHash, Work)> {
         let members = self.read();
-        let counts = members.by_id.values().filter_map(|member| {
-            let requests = member.upstream.in_flight();
-            let requests = u16::try_from(requests).unwrap_or(u16::MAX);
-            (requests > 0).then_some((member.upstream.short, requests))
+        let bounded = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+        let work = members.by_id.values().filter_map(|member| {
+            let reading_ms = member.reading_ms.load(Ordering::Relaxed);
+            let work = Work {
+                requests: bounded(member.upstream.in_flight()),
+                reading_ms: bounded(reading_ms),
+            };
+            let has_any = work != Work::default();
+            has_any.then_some((member.upstream.short, work))
         });
-        counts.collect()
+        work.collect()
     }
 
-    /// Takes in how many requests another VM has at each upstream.
-    pub fn set_peer_requests(
+    /// Takes in what another VM has at each upstream.
+    pub fn set_peer_work(
         &self,
         vm: &str,
-        requests: &[(ShortHash, u16)],
+        work: &[(ShortHash, Work)],
         now: Instant,
     ) {
-        let counts: HashMap<ShortHash, u16> =
-            requests.iter().copied().collect();
+        let work: HashMap<ShortHash, Work> = work.iter().copied().collect();
         for member in self.read().by_id.values() {
-            let count = counts.get(&member.upstream.short).copied();
-            let count = u32::from(count.unwrap_or(0));
-            member.set_peer_count(vm, count, now);
+            let there = work.get(&member.upstream.short).copied();
+            member.set_peer_work(vm, there.unwrap_or_default(), now);
         }
     }
 
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -11,14 +11,17 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    cascade::{Doubt, larger_model},
     forward::{Attempt, Fault, Job, Reply, ReplyBody},
     health::Verdict,
     http_client::Exchange,
+    id::ModelId,
     platform::headers::{self, AnswerHead},
     route::Repeat,
     sse::Splitter,
     task,
     trace::{End, Trace},
+    unit::Percent,
 };
 
 /// Longest silence within a stream before another upstream is asked, as a
@@ -28,6 +31,10 @@
 /// The same where the route states no pause.
 const PAUSE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Reading that may be under way at an upstream while the time of another
+/// prompt is still worth learning from.
+const FREE_READING: Duration = Duration::from_millis(20);
+
 /// Time between two looks at a silent upstream.
 const WATCH_PERIOD: Duration = Duration::from_millis(150);
 
@@ -183,10 +190,34 @@
         };
         if let Some(confidence) = head.confidence {
             trace.note_confidence(confidence.value());
+            if let Some(model) = self.larger(&attempt, confidence) {
+                return Err(Fault::Poor(model));
+            }
         }
         self.open(attempt, exchange, trace).await
     }
 
+    /// The larger model to ask instead of the one that has answered.
+    fn larger(
+        &self,
+        attempt: &Attempt,
+        confidence: Percent,
+    ) -> Option<ModelId> {
+        if self.sent >= self.route.attempts {
+            return None;
+        }
+        let doubt = Doubt {
+            route: &self.route,
+            model: attempt.model.as_ref()?,
+            confidence,
+            started_at: self.started_at,
+            tokens: attempt.tokens,
+        };
+        let waiting = |_: &ModelId| attempt.member.reading();
+        let now = self.gateway.clock.now();
+        larger_model(&doubt, &self.gateway.read_times, waiting, now)
+    }
+
     async fn open(
         &mut self,
         attempt: Attempt,
@@ -214,6 +245,8 @@
         };
         let now = self.gateway.clock.now();
         let waited = now.saturating_duration_since(source.attempt.began_at);
+        source.attempt.reading = None;
+        self.learn_read_time(&source.attempt, waited);
         self.judge(&source.attempt, Verdict::Good, Some(waited));
         trace.first_part();
         let head = Reply {
@@ -248,6 +281,14 @@
         Fault::Failed(Box::new(Reply { status, headers, body }))
     }
 
+    fn learn_read_time(&self, attempt: &Attempt, waited: Duration) {
+        let was_free = attempt.read_before < FREE_READING;
+        if let (true, Some(model)) = (was_free, &attempt.model) {
+            let times = &self.gateway.read_times;
+            times.learn(model, attempt.tokens, waited);
+        }
+    }
+
     fn first_limit(&self) -> Duration {
         self.pause_limit().max(self.route.aim)
     }
@@ -352,7 +393,7 @@
 
     async fn try_resume(
         &mut self,
-        model: Option<crate::id::ModelId>,
+        model: Option<ModelId>,
         now: Instant,
     ) -> Result<Source, String> {
         let Some(trace) = &mut self.trace else {
@@ -386,6 +427,7 @@
                 self.job.judge(&attempt, Verdict::Bad, None);
                 failed(self, label, reason)
             }
+            Err(Fault::Poor(_)) => failed(self, "poor", String::new()),
             Err(Fault::Failed(reply)) => {
                 failed(self, "failed", format!("status {}", reply.status))
             }
