--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -25,7 +25,7 @@
     gateway::{Gateway, fields, settings::GatewaySettings, steward, watch},
     ingress, logging, mesh,
     platform::headers::READY_PATH,
-    task,
+    task::{self, Task},
 };
 
 /// Time after a planned stop begins for which connections stay open: the
@@ -71,15 +71,16 @@
         task::spawn(mesh::serve(gateway.clone(), streams)),
         task::spawn(serve_plain(gateway.clone(), readiness)),
         task::spawn(serve_plain(gateway.clone(), metrics)),
-        task::spawn(ingress::serve(gateway.clone(), callers, closing)),
     ];
+    let callers =
+        task::spawn(ingress::serve(gateway.clone(), callers, closing));
     while let Some(signal) = signals.next().await {
         match signal? {
             Signal::Hup => reload(&gateway, &path),
             _ => break,
         }
     }
-    stop(&gateway, close).await;
+    stop(&gateway, callers, close).await;
     drop(tasks);
     Ok(())
 }
@@ -109,13 +110,21 @@
 }
 
 /// Ends what is in flight, then returns.
-async fn stop(gateway: &Gateway, close: smol::channel::Sender<()>) {
+async fn stop(
+    gateway: &Gateway,
+    callers: Task<()>,
+    close: smol::channel::Sender<()>,
+) {
     let began_at = gateway.clock.now();
     let ends_at = began_at + gateway.settings.grace.saturating_sub(END_TIME);
     gateway.begin_stop();
     let in_flight = gateway.in_flight.count();
     Event::Stopping.record(fields(json!({ "in_flight": in_flight })));
     task::sleep(LEAVE_TIME).await;
+    // Nothing is taken any more: a request that came now might not end
+    // before the process must. A caller that is refused the connection tries
+    // another VM.
+    callers.cancel().await;
     close.close();
     while gateway.in_flight.count() > 0 && gateway.clock.now() < ends_at {
         task::sleep(LOOK_PERIOD).await;
