Ask the largest model by the time left, and share proofs of the configuration

Proofs aged by the watch's own wait, so an outage left 1.5 s of refusals that are owed. Ruled out: too few upstreams in use (all were), stale peer counts.

--- a/src/cascade.rs
+++ b/src/cascade.rs
@@ -26,16 +26,18 @@
 /// largest model's price is worth.
 const ENOUGH_CONFIDENCE: u8 = 65;
 
-/// Part of the aim that may be used up by the expected time to the first
-/// event of the largest model.
-const AIM_PART: f64 = 0.9;
+/// Part of the aim up to which the expected time to the largest model's first
+/// event does not matter. From there on, the less time is left, the more
+/// doubtful an answer must be for the largest model to be asked: it may come
+/// late, and holds up others when upstreams are busy.
+const EASY_PART: f64 = 0.5;
 
 /// Milliseconds that a token of a prompt takes to be read until something
 /// has been learned.
 const USUAL_READ_MS: f64 = 0.02;
 
-/// Weight of one more measured time in the mean.
-const MEAN_WEIGHT: f64 = 0.1;
+/// What a measured time still counts when one more has come.
+const FADE: f64 = 0.97;
 
 /// Prompts shorter than this say little about the time for a token.
 const LEAST_TOKENS: u64 = 300;
@@ -45,7 +47,15 @@
 
 /// What is known of the models' speeds, learned from answers.
 #[derive(Debug, Default)]
-pub(crate) struct ReadTimes(Mutex<HashMap<ModelId, f64>>);
+pub(crate) struct ReadTimes(Mutex<HashMap<ModelId, Read>>);
+
+/// What was read, and how long it took. Sums rather than a mean of ratios, so
+/// that a short prompt that had to wait says little.
+#[derive(Clone, Copy, Debug, Default)]
+struct Read {
+    ms: f64,
+    tokens: f64,
+}
 
 impl ReadTimes {
     /// The time that a model takes to read so many tokens.
@@ -56,7 +66,8 @@
     ) -> Duration {
         let times = self.0.lock().expect("times lock");
         let known = model.and_then(|model| times.get(model));
-        let ms = known.copied().unwrap_or(USUAL_READ_MS) * tokens as f64;
+        let token_ms = known.map_or(USUAL_READ_MS, |r| r.ms / r.tokens);
+        let ms = token_ms * tokens as f64;
         FIRST_EVENT + Duration::from_secs_f64(ms / 1000.0)
     }
 
@@ -72,10 +83,10 @@
             return;
         }
         let reading = first_event.saturating_sub(FIRST_EVENT);
-        let ms = reading.as_secs_f64() * 1000.0 / tokens as f64;
         let mut times = self.0.lock().expect("times lock");
-        let known = times.entry(model.clone()).or_insert(ms);
-        *known += (ms - *known) * MEAN_WEIGHT;
+        let known = times.entry(model.clone()).or_default();
+        known.ms = known.ms * FADE + reading.as_secs_f64() * 1000.0;
+        known.tokens = known.tokens * FADE + tokens as f64;
     }
 }
 
@@ -100,25 +111,67 @@
     pub(crate) confidence: Percent,
     /// When the request came.
     pub(crate) started_at: Instant,
+    /// Whether another attempt may be made.
+    pub(crate) has_attempt: bool,
     /// Tokens of the prompt that the larger model would have to read.
     pub(crate) tokens: u64,
 }
 
-/// The larger model to ask instead, if one is worth it.
+/// Why an answer is passed on rather than a larger model asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kept {
+    /// No larger model is left.
+    Largest,
+    /// The model is sure enough.
+    Sure,
+    /// The larger model would come too late.
+    NoTime,
+    /// No attempt is left.
+    NoAttempt,
+}
+
+impl Kept {
+    /// The word in the log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Kept::Largest => "largest",
+            Kept::Sure => "sure",
+            Kept::NoTime => "no_time",
+            Kept::NoAttempt => "no_attempt",
+        }
+    }
+}
+
+/// The larger model to ask instead.
+///
+/// # Errors
+///
+/// Why the answer at hand is passed on.
 pub(crate) fn larger_model(
     doubt: &Doubt<'_>,
     times: &ReadTimes,
-    waiting: impl Fn(&ModelId) -> Duration,
+    waiting: Duration,
     now: Instant,
-) -> Option<ModelId> {
-    let largest = doubt.route.sizes.last()?;
-    if doubt.model == largest || doubt.confidence.value() >= ENOUGH_CONFIDENCE
-    {
-        return None;
+) -> Result<ModelId, Kept> {
+    let largest = doubt.route.sizes.last().ok_or(Kept::Largest)?;
+    if doubt.model == largest {
+        return Err(Kept::Largest);
+    }
+    let confidence = f64::from(doubt.confidence.value());
+    let enough = f64::from(ENOUGH_CONFIDENCE);
+    if confidence >= enough {
+        return Err(Kept::Sure);
+    }
+    if !doubt.has_attempt {
+        return Err(Kept::NoAttempt);
     }
     let passed = now.saturating_duration_since(doubt.started_at);
     let reading = times.expected(Some(largest), doubt.tokens);
-    let expected = passed + waiting(largest) + reading;
-    let is_in_time = expected <= doubt.route.aim.mul_f64(AIM_PART);
-    is_in_time.then(|| largest.clone())
+    let expected = passed + waiting + reading;
+    let used = expected.as_secs_f64() / doubt.route.aim.as_secs_f64();
+    let ease = ((1.0 - used) / (1.0 - EASY_PART)).clamp(0.0, 1.0);
+    if confidence >= enough * ease {
+        return Err(Kept::NoTime);
+    }
+    Ok(largest.clone())
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -39,10 +39,14 @@
 /// Part of its aim after which a short repeatable request is tried elsewhere.
 const RETRY_AFTER_AIM: f64 = 0.6;
 
-/// Time for which an upstream may give no sign of life while it has work, and
-/// what each token of a prompt adds, since reading a long one takes a while.
+/// Time for which an upstream may give no sign of life while it has work.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
-const SILENCE_PER_TOKEN: Duration = Duration::from_micros(200);
+
+/// Part of the time expected for the prompts it reads that is added to that.
+const READING_PART: f64 = 1.5;
+
+/// The most that is added; an upstream that died seems to read for ever.
+const READING_PATIENCE_MOST: Duration = Duration::from_millis(2500);
 
 /// Time between two looks at a silent upstream.
 const WATCH_PERIOD: Duration = Duration::from_millis(150);
@@ -137,7 +141,7 @@
                         return reply;
                     }
                     Err(fault) => {
-                        if !matches!(fault, Fault::NotRun("declined", _)) {
+                        if !matches!(fault, Fault::NotRun(..)) {
                             self.judge(&attempt, Verdict::Bad, None);
                         }
                         fault
@@ -271,6 +275,8 @@
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(Some(SendError::NotSent(reason))) => {
+                let member = &attempt.member;
+                self.gateway.judge_upstream(member, Verdict::Unreachable);
                 return Err(Fault::NotRun("unreachable", reason));
             }
             Err(Some(error)) => {
@@ -309,10 +315,8 @@
     /// repeated, when its upstream seems dead.
     async fn silence(&self, attempt: &Attempt, limit: Duration) {
         let clock = &self.gateway.clock;
-        let tokens = self.inbound.tokens.map_or(0, |tokens| tokens.prompt);
-        let reading = SILENCE_PER_TOKEN * u32::try_from(tokens).unwrap_or(0);
-        let patience = SILENCE_LIMIT + reading;
         loop {
+            let patience = patience(&attempt.member, SILENCE_LIMIT);
             let now = clock.now();
             let waited = now.saturating_duration_since(attempt.began_at);
             if waited >= limit {
@@ -454,6 +458,13 @@
     }
 }
 
+/// How long an upstream may give no sign of life: longer while it reads long
+/// prompts, since nothing else comes meanwhile.
+pub(crate) fn patience(member: &Member, least: Duration) -> Duration {
+    let reading = member.reading().mul_f64(READING_PART);
+    least + reading.min(READING_PATIENCE_MOST)
+}
+
 /// How a request ends when no attempt brought an answer.
 enum Outcome {
     NotRun(String),
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -64,6 +64,7 @@
     let (close, closing) = smol::channel::bounded::<()>(1);
     let tasks = [
         task::spawn(watch::run(gateway.clone())),
+        task::spawn(watch::prove_loop(gateway.clone())),
         task::spawn(watch::record_vm(gateway.clone())),
         task::spawn(steward::run(gateway.clone())),
         task::spawn(mesh::beat_loop(gateway.clone(), datagrams.clone())),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -55,9 +55,9 @@
     key(
         "platform",
         "watch_ms",
-        Some("1200"),
-        "Longest wait of one watch; each answer proves the configuration \
-         current, so it bounds the age of that proof.",
+        Some("3000"),
+        "Longest wait of one watch; a store that fell silent is noticed \
+         after it.",
     ),
     key(
         "peers",
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -23,6 +23,17 @@
 /// within a part of the time in which a configuration must be in force.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
+/// Pause between two watches. Records of upstreams often change together, and
+/// each call has its price; what changes meanwhile comes with the next watch.
+const GATHER_TIME: Duration = Duration::from_millis(200);
+
+/// Age of the proof of the configuration from which a VM asks for a new one.
+/// The first VM to ask tells the others, so one does it for all.
+const PROVE_AFTER: Duration = Duration::from_millis(1000);
+
+/// Added to that, drawn anew each time, so that VMs rarely ask together.
+const PROVE_SPREAD: Duration = Duration::from_millis(800);
+
 /// Lifetime of the lease of this VM's own record, the longest there is: it
 /// only keeps the list from growing, and liveness is told by beats.
 const RECORD_LIFETIME: Duration = Duration::from_secs(600);
@@ -78,6 +89,7 @@
                     gateway.take_news(news);
                     gateway.knowledge.prove(asked_at);
                     self.answered();
+                    task::sleep(GATHER_TIME).await;
                 }
                 Ok(Watched::HistoryLost) => {
                     gateway.note_store_ill();
@@ -105,6 +117,41 @@
     }
 }
 
+/// Proves the configuration current for as long as it is polled.
+///
+/// A watch proves it only when it ends; meanwhile a single read does.
+pub(crate) async fn prove_loop(gateway: Arc<Gateway>) {
+    loop {
+        let spread = PROVE_SPREAD.mul_f64(rand::random());
+        let patience = PROVE_AFTER + spread;
+        let now = gateway.clock.now();
+        let age = gateway.knowledge.proof_age(now);
+        match age {
+            // The first proof comes with the first read of everything.
+            None => task::sleep(PROVE_AFTER).await,
+            Some(age) if age < patience => task::sleep(patience - age).await,
+            Some(_) => prove(&gateway).await,
+        }
+    }
+}
+
+async fn prove(gateway: &Gateway) {
+    let asked_at = gateway.clock.now();
+    match gateway.store.read(document::CONFIGURATION_KEY).await {
+        Ok(Some(item)) => {
+            let news = gateway.knowledge.take_item(item);
+            gateway.take_news(news);
+            gateway.knowledge.prove(asked_at);
+        }
+        Ok(None) => task::sleep(RETRY_MOST).await,
+        Err(_) => {
+            // The watch reports that the store is lost.
+            gateway.note_store_ill();
+            task::sleep(RETRY_LEAST * 3).await;
+        }
+    }
+}
+
 /// Records this VM in the store, so that the others find it.
 pub(crate) async fn record_vm(gateway: Arc<Gateway>) {
     let mut backoff = Backoff::new(RETRY_LEAST, Duration::from_secs(5));
--- a/src/health.rs
+++ b/src/health.rs
@@ -31,6 +31,8 @@
     Good,
     /// It failed, broke off or stayed silent.
     Bad,
+    /// No connection to it could be opened.
+    Unreachable,
 }
 
 #[derive(Debug)]
@@ -86,6 +88,12 @@
         match verdict {
             Verdict::Good => state.record_good(now),
             Verdict::Bad => state.record_bad(now),
+            Verdict::Unreachable => {
+                // One such failure says enough: the next request would wait
+                // for it as well.
+                state.in_a_row = UNFIT_IN_A_ROW;
+                state.record_bad(now)
+            }
         }
     }
 }
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -26,7 +26,7 @@
     pool::UpstreamEntry,
     rendezvous,
     rollout::{Order, Status},
-    route::RouteTable,
+    route::{RouteTable, TableVersion},
     store::StoreVersion,
 };
 
@@ -110,6 +110,12 @@
         self.table.read().expect("table lock").clone()
     }
 
+    /// The version of the configuration in force.
+    pub fn table_version(&self) -> Option<TableVersion> {
+        let table = self.table.read().expect("table lock");
+        table.as_ref().map(|table| table.version())
+    }
+
     /// Puts a configuration in force if it is newer than the one held;
     /// returns whether it did.
     pub fn install(&self, table: RouteTable) -> bool {
@@ -168,6 +174,14 @@
         (mirror.as_of, items.collect())
     }
 
+    /// Takes in one value that was read.
+    pub fn take_item(&self, item: Item) -> News {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        let mut news = News::default();
+        mirror.take(item, &mut news);
+        news
+    }
+
     /// Takes in changes that a watch brought.
     pub fn take_changes(&self, changes: Items) -> News {
         let mut mirror = self.mirror.lock().expect("mirror lock");
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -25,11 +25,12 @@
     gateway::{Gateway, fields, settings::GatewaySettings},
     id::Incarnation,
     knowledge::PeerRecord,
-    message::{PeerReply, PeerRequest, VmBeat},
+    message::{Echo, PeerReply, PeerRequest, VmBeat},
     metrics::Metrics,
     peer::{PeerClient, PeerService},
     platform::store::{Item, Items},
     rendezvous,
+    route::TableVersion,
     store::StoreVersion,
     task,
 };
@@ -67,6 +68,17 @@
     proven_at: Option<Instant>,
 }
 
+impl Heard {
+    fn echo(&self, now: Instant) -> Echo {
+        let held = now.saturating_duration_since(self.at);
+        Echo {
+            incarnation: self.incarnation,
+            number: self.number,
+            held_ms: held.as_millis() as u32,
+        }
+    }
+}
+
 /// The other VMs that this one knows of.
 pub(crate) struct Peers {
     vm: String,
@@ -150,17 +162,7 @@
             return false;
         }
         peer.address = beat.peers;
-        // The proof is at least as recent as the echoed beat is old plus
-        // the age that the sender states.
-        let asked_at = beat
-            .echo
-            .filter(|(life, _)| *life == gateway.incarnation)
-            .and_then(|(_, number)| self.sent_at(number));
-        let age = beat.proof_age_ms.map(|ms| Duration::from_millis(ms.into()));
-        let proven_at = match (asked_at, age) {
-            (Some(asked_at), Some(age)) => asked_at.checked_sub(age),
-            _ => None,
-        };
+        let proven_at = self.proven_at(gateway, beat);
         peer.heard = Some(Heard {
             at: now,
             incarnation: beat.incarnation,
@@ -168,13 +170,28 @@
             proven_at,
         });
         drop(known);
-        if beat.digest != gateway.knowledge.digest() {
-            return beat.as_of > gateway.knowledge.as_of().0;
+        let knowledge = &gateway.knowledge;
+        if let Some(proven_at) = proven_at
+            && knowledge.table_version() == Some(TableVersion(beat.table))
+        {
+            knowledge.prove(proven_at);
         }
-        if let Some(proven_at) = proven_at {
-            gateway.knowledge.prove(proven_at);
+        beat.digest != knowledge.digest() && beat.as_of > knowledge.as_of().0
+    }
+
+    /// When what the sender knows was current, by this VM's clock.
+    ///
+    /// The beat was made once the echoed one had been there for as long as it
+    /// says, and the echoed one arrived after it was sent from here.
+    fn proven_at(&self, gateway: &Gateway, beat: &VmBeat) -> Option<Instant> {
+        let echo = beat.echo?;
+        if echo.incarnation != gateway.incarnation {
+            return None;
         }
-        false
+        let sent_at = self.sent_at(echo.number)?;
+        let held = Duration::from_millis(echo.held_ms.into());
+        let age = Duration::from_millis(beat.proof_age_ms?.into());
+        (sent_at + held).checked_sub(age)
     }
 
     fn sent_at(&self, number: u32) -> Option<Instant> {
@@ -191,14 +208,13 @@
     }
 
     /// Whom to send a beat to, each with the echo of its own last one.
-    fn receivers(&self) -> Vec<(SocketAddr, Option<(Incarnation, u32)>)> {
+    fn receivers(&self, now: Instant) -> Vec<(SocketAddr, Option<Echo>)> {
         let known = self.known.lock().expect("peers lock");
         let mut receivers: Vec<_> = known
             .values()
             .map(|peer| {
                 let heard = peer.heard.as_ref();
-                let echo = heard.map(|h| (h.incarnation, h.number));
-                (peer.address, echo)
+                (peer.address, heard.map(|heard| heard.echo(now)))
             })
             .collect();
         for seed in &self.seeds {
@@ -237,11 +253,13 @@
         leaving: gateway.is_stopping(),
         as_of: gateway.knowledge.as_of().0,
         digest: gateway.knowledge.digest(),
-        proof_age_ms: age.map(|age| age.as_millis() as u32),
+        table: gateway.knowledge.table_version().unwrap_or_default().0,
+        // Rounded up, so that a proof never seems younger than it is.
+        proof_age_ms: age.map(|age| age.as_millis() as u32 + 1),
         work: gateway.pool.own_work(),
         evidence: gateway.rollouts.evidence(old, now),
     };
-    for (address, echo) in peers.receivers() {
+    for (address, echo) in peers.receivers(now) {
         beat.echo = echo;
         let frame = peers.codec.seal(&beat);
         let counter = gateway.metrics.peer_bytes.with_label_values(&["udp"]);
@@ -331,7 +349,7 @@
                 PeerReply::Knowledge {
                     as_of: as_of.0,
                     items,
-                    proof_age_ms: age.as_millis() as u32,
+                    proof_age_ms: age.as_millis() as u32 + 1,
                 }
             }
             _ => PeerReply::Refused("not a request for this VM".into()),
--- a/src/message.rs
+++ b/src/message.rs
@@ -127,6 +127,17 @@
     },
 }
 
+/// The last beat that a VM has had from another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The other VM's life.
+    pub incarnation: Incarnation,
+    /// The number of the beat.
+    pub number: u32,
+    /// How long it has been here.
+    pub held_ms: u32,
+}
+
 /// What a VM before a platform tells each other VM a few times a second.
 ///
 /// It carries an echo of the receiver's last beat, so that the receiver knows
@@ -143,15 +154,17 @@
     pub incarnation: Incarnation,
     /// A number that grows while it lives.
     pub number: u32,
-    /// The number of the receiver's last beat that arrived, in which life.
-    pub echo: Option<(Incarnation, u32)>,
+    /// The receiver's last beat that arrived.
+    pub echo: Option<Echo>,
     /// Whether it is in a planned stop.
     pub leaving: bool,
     /// The version of the platform's store up to which it knows all.
     pub as_of: u64,
     /// A digest of all that it knows.
     pub digest: u64,
-    /// The age of the last proof that this is current.
+    /// The version of the configuration in force there.
+    pub table: u64,
+    /// The age of the last proof that this configuration is current.
     pub proof_age_ms: Option<u32>,
     /// What it has at each upstream that has any of it.
     pub work: Vec<(ShortHash, Work)>,
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -11,8 +11,8 @@
 use futures_lite::FutureExt;
 
 use crate::{
-    cascade::{Doubt, larger_model},
-    forward::{Attempt, Fault, Job, Reply, ReplyBody},
+    cascade::{Doubt, Kept, larger_model},
+    forward::{Attempt, Fault, Job, Reply, ReplyBody, patience},
     health::Verdict,
     http_client::Exchange,
     id::ModelId,
@@ -164,7 +164,8 @@
             return;
         }
         let waited = now.saturating_duration_since(began_at);
-        if waited >= limit && member.silence(now) >= limit {
+        let patience = patience(member, limit);
+        if waited >= patience && member.silence(now) >= patience {
             return;
         }
         task::sleep(job.left(now).min(WATCH_PERIOD)).await;
@@ -188,9 +189,12 @@
                 return Err(fault);
             }
         };
-        if let Some(confidence) = head.confidence {
-            trace.note_confidence(confidence.value());
-            if let Some(model) = self.larger(&attempt, confidence) {
+        if let (Some(confidence), Some(model)) =
+            (head.confidence, &attempt.model)
+        {
+            let larger = self.larger(&attempt, model, confidence);
+            trace.note_confidence(confidence, larger.as_ref().err().copied());
+            if let Ok(model) = larger {
                 return Err(Fault::Poor(model));
             }
         }
@@ -201,21 +205,20 @@
     fn larger(
         &self,
         attempt: &Attempt,
+        model: &ModelId,
         confidence: Percent,
-    ) -> Option<ModelId> {
-        if self.sent >= self.route.attempts {
-            return None;
-        }
+    ) -> Result<ModelId, Kept> {
         let doubt = Doubt {
             route: &self.route,
-            model: attempt.model.as_ref()?,
+            model,
             confidence,
             started_at: self.started_at,
+            has_attempt: self.sent < self.route.attempts,
             tokens: attempt.tokens,
         };
-        let waiting = |_: &ModelId| attempt.member.reading();
+        let times = &self.gateway.read_times;
         let now = self.gateway.clock.now();
-        larger_model(&doubt, &self.gateway.read_times, waiting, now)
+        larger_model(&doubt, times, attempt.read_before, now)
     }
 
     async fn open(
@@ -414,6 +417,7 @@
                 if exchange.status == 200 =>
             {
                 exchange.allow_end_at_close();
+                attempt.reading = None;
                 let events = Splitter::default();
                 Ok(Source { attempt, exchange, events })
             }
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -11,12 +11,14 @@
 use serde_json::{Map, Value, json};
 
 use crate::{
+    cascade::Kept,
     clock::SharedClock,
     event::Event,
     id::{ModelId, OrganisationId},
     metrics::{Metrics, OTHER},
     pool::Member,
     route::{Route, TableVersion},
+    unit::Percent,
 };
 
 /// One attempt at an upstream.
@@ -26,10 +28,12 @@
     software: String,
     model: Option<ModelId>,
     requests_there: u32,
+    reading_there_ms: u64,
     began_ms: u64,
     ended_ms: Option<u64>,
     end: String,
     confidence: Option<u8>,
+    kept: Option<Kept>,
 }
 
 /// How a request ended.
@@ -55,6 +59,7 @@
     organisation: Option<OrganisationId>,
     table: Option<TableVersion>,
     proof_age: Option<Duration>,
+    prompt_tokens: Option<u64>,
     first_part_ms: Option<u64>,
     attempts: Vec<AttemptTrace>,
     is_ended: bool,
@@ -76,6 +81,7 @@
             organisation: None,
             table: None,
             proof_age: None,
+            prompt_tokens: None,
             first_part_ms: None,
             attempts: Vec::new(),
             is_ended: false,
@@ -97,6 +103,11 @@
         self.route = Some(route);
     }
 
+    /// Notes how long its prompt is.
+    pub(crate) fn of_size(&mut self, prompt_tokens: Option<u64>) {
+        self.prompt_tokens = prompt_tokens;
+    }
+
     /// Notes who is asking.
     pub(crate) fn asked_by(&mut self, organisation: OrganisationId) {
         self.organisation = Some(organisation);
@@ -109,17 +120,25 @@
             software: member.entry.software.to_string(),
             model,
             requests_there: member.requests(),
+            reading_there_ms: member.reading().as_millis() as u64,
             began_ms: self.passed_ms(),
             ended_ms: None,
             end: "running".to_owned(),
             confidence: None,
+            kept: None,
         });
     }
 
-    /// Notes what the model thinks of its answer.
-    pub(crate) fn note_confidence(&mut self, confidence: u8) {
+    /// Notes what the model thinks of its answer, and why it is passed on if
+    /// it is.
+    pub(crate) fn note_confidence(
+        &mut self,
+        confidence: Percent,
+        kept: Option<Kept>,
+    ) {
         if let Some(last) = self.attempts.last_mut() {
-            last.confidence = Some(confidence);
+            last.confidence = Some(confidence.value());
+            last.kept = kept;
         }
     }
 
@@ -168,6 +187,7 @@
         put("table", json!(self.table.map(|table| table.0)));
         let proof_age = self.proof_age.map(|age| age.as_millis() as u64);
         put("proof_age_ms", json!(proof_age));
+        put("prompt_tokens", json!(self.prompt_tokens));
         put("passed_ms", json!(self.passed_ms()));
         put("first_part_ms", json!(self.first_part_ms));
         let attempts = self.attempts.iter().map(AttemptTrace::to_json);
@@ -232,6 +252,8 @@
             fields.insert("model".into(), model.as_str().into());
         }
         fields.insert("requests_there".into(), self.requests_there.into());
+        let reading_ms = self.reading_there_ms;
+        fields.insert("reading_there_ms".into(), reading_ms.into());
         fields.insert("began_ms".into(), self.began_ms.into());
         if let Some(ended_ms) = self.ended_ms {
             fields.insert("ended_ms".into(), ended_ms.into());
@@ -239,6 +261,9 @@
         if let Some(confidence) = self.confidence {
             fields.insert("confidence".into(), confidence.into());
         }
+        if let Some(kept) = self.kept {
+            fields.insert("kept".into(), kept.as_str().into());
+        }
         fields.insert("end".into(), self.end.as_str().into());
         Value::Object(fields)
     }
