--- a/src/cascade.rs
+++ b/src/cascade.rs
@@ -24,7 +24,7 @@
 ///
 /// Measured in `docs/ROUNDS.md`: below it, more answers are poor than the
 /// largest model's price is worth.
-const ENOUGH_CONFIDENCE: u8 = 65;
+const ENOUGH_CONFIDENCE: u8 = 57;
 
 /// Part of the aim up to which the expected time to the largest model's first
 /// event does not matter. From there on, the less time is left, the more
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -42,6 +42,12 @@
 /// Time for which an upstream may give no sign of life while it has work.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
+/// Time for which the head of a stream is waited for whatever is expected.
+const HEAD_LEAST: Duration = Duration::from_millis(500);
+
+/// How many times the expected time the head of a stream may take.
+const HEAD_FACTOR: f64 = 2.5;
+
 /// Part of the time expected for the prompts it reads that is added to that.
 const READING_PART: f64 = 1.5;
 
@@ -97,8 +103,10 @@
     pub(crate) began_at: Instant,
     /// What was being read there before.
     pub(crate) read_before: Duration,
-    /// Tokens that it probably has to read.
+    /// Tokens of the prompt.
     pub(crate) tokens: u64,
+    /// The time expected until they are read.
+    pub(crate) expected: Duration,
     /// Held until the first event is here.
     pub(crate) reading: Option<Reading>,
     _in_flight: InFlight,
@@ -191,10 +199,9 @@
         }
         let tokens = self.inbound.tokens.map_or(0, |tokens| tokens.prompt);
         let read_before = member.reading();
-        let reading = (tokens > 0).then(|| {
-            let times = &self.gateway.read_times;
-            member.read(times.expected(model.as_ref(), tokens))
-        });
+        let times = &self.gateway.read_times;
+        let expected = times.expected(model.as_ref(), tokens);
+        let reading = (tokens > 0).then(|| member.read(expected));
         Ok(Attempt {
             _in_flight: member.upstream.begin(),
             member,
@@ -202,6 +209,7 @@
             began_at: now,
             read_before,
             tokens,
+            expected,
             reading,
         })
     }
@@ -367,7 +375,8 @@
         Ok(reply)
     }
 
-    fn can_try_again(&self) -> bool {
+    /// Whether another attempt could be made if the one under way failed.
+    pub(crate) fn can_try_again(&self) -> bool {
         self.route.repeat == Repeat::Any && self.sent + 1 < self.route.attempts
     }
 
@@ -458,6 +467,14 @@
     }
 }
 
+impl Attempt {
+    /// How long the head of a stream is waited for before another upstream is
+    /// asked: an answer can get lost although its upstream is well.
+    pub(crate) fn head_limit(&self) -> Duration {
+        HEAD_LEAST + (self.read_before + self.expected).mul_f64(HEAD_FACTOR)
+    }
+}
+
 /// How long an upstream may give no sign of life: longer while it reads long
 /// prompts, since nothing else comes meanwhile.
 pub(crate) fn patience(member: &Member, least: Duration) -> Duration {
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -35,6 +35,10 @@
 /// prompt is still worth learning from.
 const FREE_READING: Duration = Duration::from_millis(20);
 
+/// Silence after which the rest of a stream counts as lost although its
+/// upstream is well.
+const LOST_AFTER: Duration = Duration::from_millis(2500);
+
 /// Time between two looks at a silent upstream.
 const WATCH_PERIOD: Duration = Duration::from_millis(150);
 
@@ -165,7 +169,8 @@
         }
         let waited = now.saturating_duration_since(began_at);
         let patience = patience(member, limit);
-        if waited >= patience && member.silence(now) >= patience {
+        let is_dead = member.silence(now) >= patience;
+        if waited >= patience && (is_dead || waited >= LOST_AFTER) {
             return;
         }
         task::sleep(job.left(now).min(WATCH_PERIOD)).await;
@@ -180,7 +185,11 @@
         trace: &mut Trace,
     ) -> Result<Opened, Fault> {
         let left = self.left(attempt.began_at);
-        let (exchange, head) = match self.send(&attempt, None, left).await {
+        let limit = match self.can_try_again() {
+            true => attempt.head_limit().min(left),
+            false => left,
+        };
+        let (exchange, head) = match self.send(&attempt, None, limit).await {
             Ok(sent) => sent,
             Err(fault) => {
                 if matches!(fault, Fault::Unknown(..)) {
@@ -406,8 +415,12 @@
             self.job.begin(trace, now).map_err(|error| error.to_string())?;
         attempt.model = model;
         let left = self.job.left(now);
+        let limit = match self.job.can_try_again() {
+            true => attempt.head_limit().min(left),
+            false => left,
+        };
         let last = self.last_event;
-        let sent = self.job.send(&attempt, last, left).await;
+        let sent = self.job.send(&attempt, last, limit).await;
         let failed = |relay: &mut EventRelay, label, reason: String| {
             relay.note_end(label, &reason);
             Err(reason)
