--- a/src/forward.rs
+++ b/src/forward.rs
@@ -42,6 +42,9 @@
 /// Time for which an upstream may give no sign of life while it has work.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
+/// Upstreams that a request may fail to reach beyond its attempts.
+const UNREACHED: usize = 4;
+
 /// Time for which the head of a stream is waited for whatever is expected.
 const HEAD_LEAST: Duration = Duration::from_millis(500);
 
@@ -127,8 +130,7 @@
 impl Job {
     /// Carries the request out.
     pub(crate) async fn run(mut self, mut trace: Trace) -> Reply {
-        let budget = self.gateway.retry_budget(&self.service);
-        budget.count_request();
+        self.gateway.count_request(&self.service);
         loop {
             let now = self.gateway.clock.now();
             if self.left(now) < LEAST_LEFT {
@@ -156,7 +158,7 @@
                     }
                 },
             };
-            if let Err(reply) = self.go_on(fault, &mut trace, &budget) {
+            if let Err(reply) = self.go_on(fault, &mut trace) {
                 return self.end_with(reply, trace);
             }
         }
@@ -369,7 +371,7 @@
         if status.is_server_error() {
             return Err(Fault::Failed(Box::new(reply)));
         }
-        trace.first_part();
+        trace.part();
         trace.end_attempt("answered", "");
         self.judge(attempt, Verdict::Good, Some(waited));
         Ok(reply)
@@ -404,7 +406,6 @@
         &mut self,
         fault: Fault,
         trace: &mut Trace,
-        budget: &crate::retry::RetryBudget,
     ) -> Result<(), Outcome> {
         let (is_repeatable, outcome) = match fault {
             Fault::NotRun(label, reason) => {
@@ -427,10 +428,11 @@
                 (self.route.repeat == Repeat::Any, Outcome::Failed(reply))
             }
         };
+        // What reached no upstream is no load on them, and costs no retry.
         let may_go_on = is_repeatable
             && self.sent < self.route.attempts
-            && self.tried.len() < self.route.attempts as usize + 2
-            && budget.try_retry();
+            && self.tried.len() < self.route.attempts as usize + UNREACHED
+            && (self.sent == 0 || self.gateway.try_retry(&self.service));
         if may_go_on { Ok(()) } else { Err(outcome) }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,7 +28,7 @@
     metrics::Metrics,
     platform::store::PlatformStore,
     pool::{Member, Pool, UpstreamState},
-    retry::RetryBudget,
+    retry_window::RetryWindow,
     rollout::Rollouts,
 };
 
@@ -41,8 +41,8 @@
 use settings::GatewaySettings;
 
 /// Longest time to open a connection to an upstream, which is at most a few
-/// milliseconds away.
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// milliseconds away; nothing was sent yet, so trying another costs nothing.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 
 /// Part of the time after which a key that was taken away must be refused,
 /// up to which knowledge is recent enough to accept keys by. The rest covers
@@ -53,10 +53,6 @@
 /// means that its upstream leaves; a live one is back within two seconds.
 const STORE_WELL: Duration = Duration::from_millis(2500);
 
-/// Requests that a retry budget holds in reserve; the platform allows some
-/// tens over all VMs.
-const RETRY_RESERVE: f64 = 4.0;
-
 /// Counts the requests that this VM is working on.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InFlightCount(Arc<AtomicUsize>);
@@ -98,7 +94,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) in_flight: InFlightCount,
     pub(crate) incarnation: Incarnation,
-    retries: Mutex<HashMap<ServiceId, Arc<RetryBudget>>>,
+    retries: Mutex<HashMap<ServiceId, Arc<RetryWindow>>>,
     store_ill_at: Mutex<Option<Instant>>,
     is_stopping: AtomicBool,
     was_fresh: AtomicBool,
@@ -172,18 +168,31 @@
     }
 
     /// The retry budget of a service.
-    pub(crate) fn retry_budget(
-        &self,
-        service: &ServiceId,
-    ) -> Arc<RetryBudget> {
+    fn retries(&self, service: &ServiceId) -> Arc<RetryWindow> {
+        let now = self.clock.now();
+        let bound = self.settings.retries;
         let mut retries = self.retries.lock().expect("retries lock");
-        let share = self.settings.retry_share;
-        retries
+        let window = retries
             .entry(service.clone())
-            .or_insert_with(|| {
-                Arc::new(RetryBudget::with_reserve(share, RETRY_RESERVE))
-            })
-            .clone()
+            .or_insert_with(|| Arc::new(RetryWindow::new(bound, now)));
+        window.clone()
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        self.retries(service).count_request(self.clock.now());
+    }
+
+    /// Whether a further attempt may be sent to a service.
+    pub(crate) fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        self.retries(service).has_one(self.peers.fleet_size(), now)
+    }
+
+    /// Takes a further attempt at a service, if one is left.
+    pub(crate) fn try_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        self.retries(service).try_retry(self.peers.fleet_size(), now)
     }
 
     /// Notes that the store does not answer as it should.
@@ -267,7 +276,9 @@
 
     /// Takes in how an attempt at an upstream ended.
     pub(crate) fn judge_upstream(&self, member: &Member, verdict: Verdict) {
-        let change = member.health.record(verdict, self.clock.now());
+        let now = self.clock.now();
+        self.pool.note_way(member, verdict != Verdict::Unreachable, now);
+        let change = member.health.record(verdict, now);
         let event = match change {
             None => return,
             Some(HealthChange::Unfit) => Event::UpstreamUnfit,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     id::{DataHallId, VmId},
+    retry_window::RetryBound,
     secret::ClusterKey,
     settings::{Fault, Key, Reader, read_file, read_ini},
 };
@@ -74,11 +75,19 @@
         "Time after which a key that was taken away must be refused.",
     ),
     key(
-        "requests",
-        "retry_share",
-        Some("0.5"),
-        "Attempts beyond the first, as a share of a service's requests.",
+        "retries",
+        "share",
+        None,
+        "Attempts beyond the first that all VMs may send a service, as a \
+         share of its requests.",
+    ),
+    key(
+        "retries",
+        "extra",
+        None,
+        "Attempts that all VMs may send a service besides.",
     ),
+    key("retries", "window_s", None, "Time over which both are counted."),
     key("stop", "grace_s", None, "Longest planned stop."),
     key("log", "level", Some("info"), "Least severe level written."),
 ];
@@ -110,8 +119,8 @@
     pub beat: Duration,
     /// Time after which a key that was taken away must be refused.
     pub revoke: Duration,
-    /// Attempts beyond the first, as a share of a service's requests.
-    pub retry_share: f64,
+    /// How many attempts beyond the first are allowed.
+    pub retries: RetryBound,
     /// Longest planned stop.
     pub grace: Duration,
     /// The least severe level that is logged.
@@ -153,7 +162,7 @@
     let seeds = read_seeds(r, peers);
     let beat = r.millis("peers", "beat_ms");
     let revoke = r.millis("keys", "revoke_ms");
-    let retry_share = r.number("requests", "retry_share", 0.0, 1.0);
+    let retries = read_retries(r);
     let grace = r.seconds("stop", "grace_s");
     let log_level = r.value("log", "level");
     Some(GatewaySettings {
@@ -169,12 +178,23 @@
         seeds: seeds?,
         beat: beat?,
         revoke: revoke?,
-        retry_share: retry_share?,
+        retries: retries?,
         grace: grace?,
         log_level: log_level?,
     })
 }
 
+fn read_retries(r: &mut Reader<'_>) -> Option<RetryBound> {
+    let share = r.number("retries", "share", 0.0, 10.0);
+    let extra = r.number("retries", "extra", 0.0, 100_000.0);
+    let window_s = r.number("retries", "window_s", 0.1, 3600.0);
+    Some(RetryBound {
+        share: share?,
+        extra: extra?,
+        window: Duration::from_secs_f64(window_s?),
+    })
+}
+
 fn read_seeds(
     r: &mut Reader<'_>,
     peers: Option<SocketAddr>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 mod rendezvous;
 mod request;
 mod retry;
+pub mod retry_window;
 pub mod rollout;
 pub mod route;
 pub mod secret;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -115,6 +115,11 @@
             record.peers;
     }
 
+    /// How many VMs there are, with this one.
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.known.lock().expect("peers lock").len() + 1
+    }
+
     /// Takes a VM off the list.
     pub(crate) fn forget(&self, vm: &str) {
         self.known.lock().expect("peers lock").remove(vm);
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -44,6 +44,18 @@
 /// may still be used; a live one is back within about two seconds.
 const VANISHED_GRACE: Duration = Duration::from_millis(1500);
 
+/// Upstreams of a data hall that cannot be reached, one after the other and
+/// without a sign of life from any other there, before the hall counts as cut
+/// off.
+const CUT_FAILURES: u32 = 2;
+
+/// Time for which a data hall that is cut off is left alone.
+const CUT_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Silence of an upstream in a data hall that is cut off after which its
+/// streams are given up.
+const CUT_SILENCE: Duration = Duration::from_millis(250);
+
 /// Fill of every upstream from which a request is better refused.
 const FULL: f64 = 1.0;
 
@@ -274,12 +286,20 @@
 pub struct Pool {
     data_hall: DataHallId,
     members: RwLock<Arc<Members>>,
+    ways: Mutex<HashMap<DataHallId, Way>>,
+}
+
+/// How the way to a data hall has been.
+#[derive(Clone, Copy, Debug, Default)]
+struct Way {
+    failures: u32,
+    cut_until: Option<Instant>,
 }
 
 impl Pool {
     /// Creates an empty pool for a VM in `data_hall`.
     pub fn new(data_hall: DataHallId) -> Pool {
-        Pool { data_hall, members: RwLock::default() }
+        Pool { data_hall, members: RwLock::default(), ways: Mutex::default() }
     }
 
     /// Takes in the record of an upstream, new or changed.
@@ -341,6 +361,46 @@
         gone
     }
 
+    /// Takes in whether an upstream could be reached.
+    pub fn note_way(&self, member: &Member, is_open: bool, now: Instant) {
+        let hall = &member.entry.data_hall;
+        let mut ways = self.ways.lock().expect("ways lock");
+        let way = ways.entry(hall.clone()).or_default();
+        if is_open {
+            *way = Way::default();
+            return;
+        }
+        way.failures += 1;
+        if way.failures >= CUT_FAILURES {
+            way.cut_until = Some(now + CUT_PAUSE);
+        }
+    }
+
+    /// Whether the data hall of an upstream seems cut off.
+    fn is_cut_off(&self, member: &Member, now: Instant) -> bool {
+        let ways = self.ways.lock().expect("ways lock");
+        let way = ways.get(&member.entry.data_hall);
+        way.and_then(|way| way.cut_until).is_some_and(|until| now < until)
+    }
+
+    /// Whether an upstream, of which something has been awaited for `waited`,
+    /// has been silent for too long to expect more from it; `limit` holds
+    /// while the way to its data hall is open.
+    pub fn seems_dead(
+        &self,
+        member: &Member,
+        waited: Duration,
+        limit: Duration,
+        now: Instant,
+    ) -> bool {
+        let limit = match self.is_cut_off(member, now) {
+            true => limit.min(CUT_SILENCE),
+            false => limit,
+        };
+        // One that nothing was asked of has a right to be silent.
+        member.silence(now).min(waited) >= limit
+    }
+
     /// One upstream.
     pub fn member(&self, id: &UpstreamId) -> Option<Arc<Member>> {
         self.read().by_id.get(id).cloned()
@@ -379,13 +439,10 @@
         let sound: Vec<&Arc<Member>> = open
             .iter()
             .filter(|member| member.health.is_sound(now))
+            .filter(|member| !self.is_cut_off(member, now))
             .copied()
             .collect();
-        // When most look unsound, the fault is not theirs alone.
-        let open = match sound.len() * 2 >= open.len() {
-            true => sound,
-            false => open,
-        };
+        let open = if sound.is_empty() { open } else { sound };
         if open.is_empty() {
             return Err(NoMember::Unknown);
         }
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -26,7 +26,7 @@
 
 /// Longest silence within a stream before another upstream is asked, as a
 /// part of the pause that is still in time.
-const PAUSE_PART: f64 = 0.8;
+const PAUSE_PART: f64 = 0.45;
 
 /// The same where the route states no pause.
 const PAUSE_LIMIT: Duration = Duration::from_secs(2);
@@ -169,8 +169,9 @@
         }
         let waited = now.saturating_duration_since(began_at);
         let patience = patience(member, limit);
-        let is_dead = member.silence(now) >= patience;
-        if waited >= patience && (is_dead || waited >= LOST_AFTER) {
+        let pool = &job.gateway.pool;
+        let is_dead = pool.seems_dead(member, waited, patience, now);
+        if is_dead || waited >= LOST_AFTER {
             return;
         }
         task::sleep(job.left(now).min(WATCH_PERIOD)).await;
@@ -203,7 +204,9 @@
         {
             let larger = self.larger(&attempt, model, confidence);
             trace.note_confidence(confidence, larger.as_ref().err().copied());
-            if let Ok(model) = larger {
+            if let Ok(model) = larger
+                && self.gateway.try_retry(&self.service)
+            {
                 return Err(Fault::Poor(model));
             }
         }
@@ -222,7 +225,8 @@
             model,
             confidence,
             started_at: self.started_at,
-            has_attempt: self.sent < self.route.attempts,
+            has_attempt: self.sent < self.route.attempts
+                && self.gateway.has_retry(&self.service),
             tokens: attempt.tokens,
         };
         let times = &self.gateway.read_times;
@@ -260,7 +264,7 @@
         source.attempt.reading = None;
         self.learn_read_time(&source.attempt, waited);
         self.judge(&source.attempt, Verdict::Good, Some(waited));
-        trace.first_part();
+        trace.part();
         let head = Reply {
             status: hyper::StatusCode::OK,
             headers,
@@ -355,7 +359,12 @@
             };
             let last = &mut self.last_event;
             match source.next(&self.job, last, limit).await {
-                Ok(Brought::Events(events)) => return Ok(Some(events)),
+                Ok(Brought::Events(events)) => {
+                    if let Some(trace) = &mut self.trace {
+                        trace.part();
+                    }
+                    return Ok(Some(events));
+                }
                 Ok(Brought::End) => self.ended = true,
                 Err(stop) => self.resume(stop).await?,
             }
@@ -374,7 +383,6 @@
 
     /// Asks another upstream for the rest.
     async fn resume(&mut self, stop: Stop) -> Result<(), BrokenOff> {
-        let budget = self.job.gateway.retry_budget(&self.job.service);
         let Some(source) = self.source.take() else {
             return Err(BrokenOff);
         };
@@ -389,7 +397,7 @@
             let can_resume = self.job.route.repeat == Repeat::Any
                 && self.job.sent < self.job.route.attempts
                 && now < self.job.deadline
-                && budget.try_retry();
+                && self.job.gateway.try_retry(&self.job.service);
             if !can_resume {
                 return self.break_off(reason);
             }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -12,30 +12,19 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     share: f64,
-    saved_most: f64,
     saved: Mutex<f64>,
 }
 
 impl RetryBudget {
     /// Creates a budget of `share` retries for each request.
     pub fn new(share: f64) -> RetryBudget {
-        RetryBudget {
-            share,
-            saved_most: SAVED_MOST,
-            saved: Mutex::new(SAVED_AT_START),
-        }
-    }
-
-    /// Creates a budget that saves up at most `reserve` retries, and has
-    /// them at the start.
-    pub fn with_reserve(share: f64, reserve: f64) -> RetryBudget {
-        RetryBudget { share, saved_most: reserve, saved: Mutex::new(reserve) }
+        RetryBudget { share, saved: Mutex::new(SAVED_AT_START) }
     }
 
     /// Counts a request.
     pub fn count_request(&self) {
         let mut saved = self.saved.lock().expect("retry lock");
-        *saved = (*saved + self.share).min(self.saved_most);
+        *saved = (*saved + self.share).min(SAVED_MOST);
     }
 
     /// Takes one retry, if the budget allows it.
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -61,6 +61,8 @@
     proof_age: Option<Duration>,
     prompt_tokens: Option<u64>,
     first_part_ms: Option<u64>,
+    last_part_ms: Option<u64>,
+    longest_pause_ms: u64,
     attempts: Vec<AttemptTrace>,
     is_ended: bool,
 }
@@ -83,6 +85,8 @@
             proof_age: None,
             prompt_tokens: None,
             first_part_ms: None,
+            last_part_ms: None,
+            longest_pause_ms: 0,
             attempts: Vec::new(),
             is_ended: false,
         }
@@ -155,10 +159,15 @@
         }
     }
 
-    /// Notes that the first part of the answer goes out.
-    pub(crate) fn first_part(&mut self) {
+    /// Notes that a part of the answer goes out.
+    pub(crate) fn part(&mut self) {
         let passed_ms = self.passed_ms();
         self.first_part_ms.get_or_insert(passed_ms);
+        if let Some(last_part_ms) = self.last_part_ms {
+            let pause_ms = passed_ms - last_part_ms;
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        self.last_part_ms = Some(passed_ms);
     }
 
     /// Ends the record.
@@ -190,6 +199,8 @@
         put("prompt_tokens", json!(self.prompt_tokens));
         put("passed_ms", json!(self.passed_ms()));
         put("first_part_ms", json!(self.first_part_ms));
+        let pause_ms = Some(self.longest_pause_ms).filter(|ms| *ms > 0);
+        put("longest_pause_ms", json!(pause_ms));
         let attempts = self.attempts.iter().map(AttemptTrace::to_json);
         put("attempts", attempts.collect());
         match &end {
