Prove the platform path with real processes against scripted upstreams

24 tests of the whole path before the platform: what goes on and what does not, at most once, promises, foreign and surplus answers, cut and unframed bodies, resumed and broken streams, the cascade, callers that leave, bad and hidden input, keys taken away, a store that is silent, resets, refuses, loses answers or history, leaving upstreams, planned stops, roll-outs, log lines. Found by them: proofs were asked for after a fixed second, too late for a short bound on keys; now after a part of that bound.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -27,12 +27,13 @@
 /// each call has its price; what changes meanwhile comes with the next watch.
 const GATHER_TIME: Duration = Duration::from_millis(200);
 
-/// Age of the proof of the configuration from which a VM asks for a new one.
+/// Age of the proof of the configuration from which a VM asks for a new one,
+/// as a part of the time in which a key that was taken away must be refused.
 /// The first VM to ask tells the others, so one does it for all.
-const PROVE_AFTER: Duration = Duration::from_millis(1000);
+const PROVE_PART: f64 = 0.2;
 
 /// Added to that, drawn anew each time, so that VMs rarely ask together.
-const PROVE_SPREAD: Duration = Duration::from_millis(800);
+const PROVE_SPREAD: f64 = 0.16;
 
 /// Lifetime of the lease of this VM's own record, the longest there is: it
 /// only keeps the list from growing, and liveness is told by beats.
@@ -122,13 +123,13 @@
 /// A watch proves it only when it ends; meanwhile a single read does.
 pub(crate) async fn prove_loop(gateway: Arc<Gateway>) {
     loop {
-        let spread = PROVE_SPREAD.mul_f64(rand::random());
-        let patience = PROVE_AFTER + spread;
+        let part = PROVE_PART + PROVE_SPREAD * rand::random::<f64>();
+        let patience = gateway.settings.revoke.mul_f64(part);
         let now = gateway.clock.now();
         let age = gateway.knowledge.proof_age(now);
         match age {
             // The first proof comes with the first read of everything.
-            None => task::sleep(PROVE_AFTER).await,
+            None => task::sleep(patience).await,
             Some(age) if age < patience => task::sleep(patience - age).await,
             Some(_) => prove(&gateway).await,
         }
--- /dev/null
+++ b/standins/src/platform_store.rs
@@ -0,0 +1,300 @@
+//! The platform's key-value store, as far as a VM uses it, with its faults.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufReader, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use data_encoding::BASE64;
+use serde_json::{Value, json};
+
+use crate::http_raw::{RawRequest, answer, read_request};
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// As it should.
+    #[default]
+    Well,
+    /// Every connection is closed without an answer.
+    Resetting,
+    /// Every call gets 503.
+    Busy,
+    /// Calls are never answered.
+    Silent,
+    /// Writes are done and not answered.
+    LosingAnswers,
+    /// Watches are told that history is gone.
+    Forgetful,
+}
+
+#[derive(Default)]
+struct Content {
+    items: BTreeMap<String, (String, u64)>,
+    events: Vec<(String, Option<String>, u64)>,
+    version: u64,
+    mood: Mood,
+    calls: Vec<String>,
+}
+
+/// A running store.
+#[derive(Clone)]
+pub struct PlatformStore {
+    /// Where it listens.
+    pub address: SocketAddr,
+    content: Arc<(Mutex<Content>, Condvar)>,
+    refuses: Arc<AtomicBool>,
+}
+
+impl PlatformStore {
+    /// Starts an empty store on a port that the kernel chooses.
+    ///
+    /// # Panics
+    ///
+    /// When no port can be bound.
+    pub fn start() -> PlatformStore {
+        PlatformStore::open(Arc::default())
+    }
+
+    /// Opens another address of the same store.
+    ///
+    /// # Panics
+    ///
+    /// When no port can be bound.
+    pub fn another_door(&self) -> PlatformStore {
+        PlatformStore::open(self.content.clone())
+    }
+
+    fn open(content: Arc<(Mutex<Content>, Condvar)>) -> PlatformStore {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("a bound port");
+        let refuses = Arc::default();
+        let store = PlatformStore { address, content, refuses };
+        let served = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || served.serve(&stream));
+            }
+        });
+        store
+    }
+
+    /// Writes a document, as the operator or an upstream does.
+    pub fn put(&self, key: &str, document: &Value) {
+        let mut content = self.content.0.lock().unwrap();
+        content.write(key, Some(document.to_string()));
+        self.content.1.notify_all();
+    }
+
+    /// Removes a document.
+    pub fn remove(&self, key: &str) {
+        let mut content = self.content.0.lock().unwrap();
+        content.write(key, None);
+        self.content.1.notify_all();
+    }
+
+    /// What lies under a key.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        let content = self.content.0.lock().unwrap();
+        let (text, _) = content.items.get(key)?;
+        serde_json::from_str(text).ok()
+    }
+
+    /// Changes how it treats calls.
+    pub fn set_mood(&self, mood: Mood) {
+        self.content.0.lock().unwrap().mood = mood;
+        self.content.1.notify_all();
+    }
+
+    /// Refuses every call that comes by this door, or no longer does.
+    pub fn refuse(&self, refuses: bool) {
+        self.refuses.store(refuses, Ordering::Relaxed);
+        self.content.1.notify_all();
+    }
+
+    /// The paths that were called.
+    pub fn calls(&self) -> Vec<String> {
+        self.content.0.lock().unwrap().calls.clone()
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let Ok(reading) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(reading);
+        let mut writer = stream;
+        while let Ok(Some(request)) = read_request(&mut reader) {
+            let answered = match self.refuses.load(Ordering::Relaxed) {
+                true => Some(answer(503, &[], "")),
+                false => self.treat(&request),
+            };
+            let Some(bytes) = answered else {
+                // A peer that is gone already needs no farewell.
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            };
+            if writer.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn treat(&self, request: &RawRequest) -> Option<Vec<u8>> {
+        let mood = {
+            let mut content = self.content.0.lock().unwrap();
+            content.calls.push(request.path.clone());
+            content.mood
+        };
+        match mood {
+            Mood::Resetting => return None,
+            Mood::Busy => return Some(answer(503, &[], "")),
+            Mood::Silent => {
+                thread::sleep(Duration::from_secs(60));
+                return None;
+            }
+            _ => {}
+        }
+        let path = request.path.split('?').next().unwrap_or("");
+        let (status, body) = match path {
+            "/lupinseam/kv-key" => self.key(request),
+            "/lupinseam/kv-range" => self.range(request),
+            "/lupinseam/kv-watch" => self.watch(request),
+            "/lupinseam/kv-txn" => self.transact(request),
+            "/lupinseam/kv-lease" => {
+                (200, json!({"lease_id": 7, "ttl_ms": 600_000}))
+            }
+            _ => (404, json!({})),
+        };
+        let is_write = path == "/lupinseam/kv-txn";
+        if mood == Mood::LosingAnswers && is_write {
+            return None;
+        }
+        let kind = [("content-type", "application/json")];
+        Some(answer(status, &kind, &body.to_string()))
+    }
+
+    fn key(&self, request: &RawRequest) -> (u16, Value) {
+        let content = self.content.0.lock().unwrap();
+        let key = request.parameter("key_file");
+        match content.items.get(key) {
+            None => (404, json!({"timestamp": content.version})),
+            Some((text, version)) => {
+                let mut item = item(key, Some(text), *version);
+                item["timestamp"] = content.version.into();
+                (200, item)
+            }
+        }
+    }
+
+    fn range(&self, request: &RawRequest) -> (u16, Value) {
+        // Small pages, so that reading the next one is tried.
+        const PAGE: usize = 3;
+        let content = self.content.0.lock().unwrap();
+        let prefix = request.parameter("path_prefix");
+        let after = request.parameter("since_revision");
+        let matching: Vec<_> = content
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .collect();
+        let entries: Vec<Value> = matching
+            .iter()
+            .take(PAGE)
+            .map(|(key, (text, version))| item(key, Some(text), *version))
+            .collect();
+        let body = json!({
+            "entries": entries,
+            "has_more": matching.len() > PAGE,
+            "timestamp": content.version,
+        });
+        (200, body)
+    }
+
+    fn watch(&self, request: &RawRequest) -> (u16, Value) {
+        let since: u64 =
+            request.parameter("since_revision").parse().unwrap_or(0);
+        let wait_ms = request.parameter("wait_ms").parse().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let mut content = self.content.0.lock().unwrap();
+        loop {
+            if content.mood == Mood::Forgetful {
+                return (410, json!({}));
+            }
+            let events: Vec<Value> = content
+                .events
+                .iter()
+                .filter(|(_, _, version)| *version > since)
+                .map(|(key, text, at)| item(key, text.as_ref(), *at))
+                .collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let body =
+                    json!({"events": events, "timestamp": content.version});
+                return (200, body);
+            }
+            content = self.content.1.wait_timeout(content, left).unwrap().0;
+        }
+    }
+
+    fn transact(&self, request: &RawRequest) -> (u16, Value) {
+        let body: Value =
+            serde_json::from_slice(&request.body).unwrap_or_default();
+        let mut content = self.content.0.lock().unwrap();
+        let rows =
+            |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let holds = rows("expected_revision").iter().all(|row| {
+            let key = row["key_file"].as_str().unwrap_or("");
+            let held = content.items.get(key).map_or(0, |(_, v)| *v);
+            row["revision"] == held
+        });
+        if !holds {
+            return (412, json!({"entries": []}));
+        }
+        for row in rows("write") {
+            let key = row["key_file"].as_str().unwrap_or("").to_owned();
+            let value = row["value"].as_str().unwrap_or("");
+            let bytes = BASE64.decode(value.as_bytes()).unwrap_or_default();
+            let text = String::from_utf8(bytes).unwrap_or_default();
+            content.write(&key, Some(text));
+        }
+        self.content.1.notify_all();
+        (200, json!({"revision": content.version}))
+    }
+}
+
+impl Content {
+    fn write(&mut self, key: &str, text: Option<String>) {
+        self.version += 1;
+        let version = self.version;
+        match &text {
+            Some(text) => {
+                let value = (text.clone(), version);
+                self.items.insert(key.to_owned(), value);
+            }
+            None => {
+                self.items.remove(key);
+            }
+        }
+        self.events.push((key.to_owned(), text, version));
+    }
+}
+
+fn item(key: &str, text: Option<&String>, version: u64) -> Value {
+    match text {
+        Some(text) => json!({
+            "key_file": key,
+            "value": BASE64.encode(text.as_bytes()),
+            "revision": version,
+            "created": version,
+            "lease_id": 0,
+        }),
+        None => json!({"key_file": key, "revision": version, "deleted": true}),
+    }
+}
--- /dev/null
+++ b/standins/tests/platform.rs
@@ -0,0 +1,535 @@
+//! A VM before the platform, as a real process, against the stand-ins.
+
+use std::{
+    path::PathBuf,
+    sync::{Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use serde_json::json;
+use standins::{
+    gateway_site::{
+        KEY, MODELS, PLAIN, Site, configuration, request, stream_request,
+        wait_until,
+    },
+    http_raw::answer,
+    platform_store::Mood,
+    scripted::{
+        Act, Script, Streamed, Upstream, answers, declines, stamped, streams,
+    },
+};
+
+/// Long enough that no test but those about it meets the bound.
+const REVOKE_MS: u64 = 8_000;
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// The VMs of a site have fixed addresses, so one site runs at a time.
+fn alone() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(|failed| failed.into_inner())
+}
+
+fn site(revoke_ms: u64) -> Site {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+    Site::new(program, &["vm"], revoke_ms)
+}
+
+fn site_with(upstreams: &[(&Upstream, &str)]) -> Site {
+    let mut site = site(REVOKE_MS);
+    for (upstream, service) in upstreams {
+        site.list(upstream, service, "v1");
+    }
+    site.start_vm();
+    // Records may come a moment after the configuration.
+    thread::sleep(Duration::from_millis(400));
+    site
+}
+
+fn closes() -> Script {
+    Box::new(|_| vec![Act::Close])
+}
+
+fn with_id(upstreams: &[&Upstream], id: &str) -> usize {
+    let received = upstreams.iter().flat_map(|u| u.received());
+    received.filter(|r| r.header("lupinseam-attempt-id") == id).count()
+}
+
+#[test]
+fn a_request_goes_on_with_what_the_router_states() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let forged = "Lupinseam-Tenant: other\r\nLupinseam-Hold: h\r\n\
+                  Kv-From: 127.0.0.1:1/x\r\nX-Kept: yes\r\n";
+    let got = site.vms[0].ask(&request("GET", "/read/a?b=c", "r-1", forged));
+    assert_eq!((got.status, got.body.as_str()), (200, "hello"), "{got:?}");
+    assert_eq!(got.header("lupinseam-response-seal"), "s");
+    let received = upstream.received().remove(0);
+    assert_eq!(received.path, "/read/a?b=c");
+    assert_eq!(received.header("host"), "site.example");
+    assert_eq!(received.header("lupinseam-attempt-id"), "r-1");
+    assert_eq!(received.header("lupinseam-tenant"), "village");
+    assert_eq!(received.header("lupinseam-expected-instance"), "i-1");
+    assert_eq!(received.header("x-kept"), "yes");
+    for withheld in ["api-key", "lupinseam-hold", "kv-from"] {
+        assert_eq!(received.header(withheld), "", "{withheld} went on");
+    }
+    let left: u64 = received.header("lupinseam-deadline-ms").parse().unwrap();
+    assert!((1..=1000).contains(&left), "{left} ms of the route's 1000");
+}
+
+#[test]
+fn what_may_not_be_repeated_is_sent_once() {
+    let _alone = alone();
+    let one = Upstream::start("i-1", closes());
+    let two = Upstream::start("i-2", closes());
+    let site = site_with(&[(&one, PLAIN), (&two, PLAIN)]);
+    let got = site.vms[0].ask(&request("POST", "/once/x", "r-1", ""));
+    assert_eq!(got.status, 502, "{got:?}");
+    assert_eq!(with_id(&[&one, &two], "r-1"), 1);
+    let got = site.vms[0].ask(&request("GET", "/read/x", "r-2", ""));
+    assert_eq!(got.status, 502, "{got:?}");
+    assert_eq!(with_id(&[&one, &two], "r-2"), 2, "read is tried twice");
+}
+
+#[test]
+fn a_refusal_is_a_promise_and_says_when_to_come_back() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", declines());
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let got = site.vms[0].ask(&request("POST", "/once/x", "r-1", ""));
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    let answered: Script =
+        Box::new(|r| vec![Act::Send(answer(500, &stamped(r, &[]), "no"))]);
+    upstream.set_script(answered);
+    let got = site.vms[0].ask(&request("POST", "/once/x", "r-2", ""));
+    assert_eq!((got.status, got.body.as_str()), (500, "no"), "{got:?}");
+    assert_eq!(got.header("lupinseam-response-seal"), "s");
+}
+
+#[test]
+fn an_upstream_that_cannot_be_reached_costs_no_attempt() {
+    let _alone = alone();
+    let good = Upstream::start("i-1", answers(200, "hello"));
+    let site = site_with(&[(&good, PLAIN)]);
+    for number in 2..5 {
+        let record = json!({
+            "service": PLAIN, "address": "127.0.0.1:9", "zone": "hall-a",
+            "version": "v1", "capacity": 8, "state": "ready",
+        });
+        site.store.put(&format!("servers/i-{number}"), &record);
+    }
+    thread::sleep(Duration::from_millis(600));
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let got = site.vms[0].ask(&request("POST", "/once/x", &id, ""));
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
+
+#[test]
+fn an_answer_to_another_request_is_not_passed_on() {
+    let _alone = alone();
+    let foreign: Script = Box::new(|_| {
+        let headers = [("Lupinseam-Attempt-Id", "someone-else")];
+        vec![Act::Send(answer(200, &headers, "not yours"))]
+    });
+    let upstream = Upstream::start("i-1", foreign);
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let got = site.vms[0].ask(&request("POST", "/once/x", "r-1", ""));
+    assert_eq!(got.status, 502, "{got:?}");
+    assert!(!got.body.contains("not yours"));
+}
+
+#[test]
+fn bytes_after_an_answer_belong_to_no_request() {
+    let _alone = alone();
+    let twice: Script = Box::new(|request| {
+        let one = answer(200, &stamped(request, &[]), "mine");
+        let other = [("Lupinseam-Attempt-Id", "r-0")];
+        vec![Act::Send([one, answer(200, &other, "late")].concat())]
+    });
+    let upstream = Upstream::start("i-1", twice);
+    let site = site_with(&[(&upstream, PLAIN)]);
+    for number in 1..10 {
+        let id = format!("r-{number}");
+        let got = site.vms[0].ask(&request("GET", "/read/x", &id, ""));
+        assert_eq!((got.status, got.body.as_str()), (200, "mine"), "{got:?}");
+    }
+}
+
+#[test]
+fn an_answer_cut_short_never_looks_whole() {
+    let _alone = alone();
+    let short: Script = Box::new(|request| {
+        let mut bytes = answer(200, &stamped(request, &[]), "0123456789");
+        bytes.truncate(bytes.len() - 3);
+        vec![Act::Send(bytes), Act::Close]
+    });
+    let upstream = Upstream::start("i-1", short);
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let got = site.vms[0].ask(&request("POST", "/once/x", "r-1", ""));
+    assert_eq!(got.status, 502, "{got:?}");
+}
+
+#[test]
+fn an_answer_may_end_with_its_connection() {
+    let _alone = alone();
+    let unframed: Script = Box::new(|request| {
+        let mut text = "HTTP/1.1 200 OK\r\n".to_owned();
+        for (name, value) in stamped(request, &[]) {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\nall of it");
+        vec![Act::Send(text.into_bytes()), Act::Close]
+    });
+    let upstream = Upstream::start("i-1", unframed);
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let got = site.vms[0].ask(&request("POST", "/once/x", "r-1", ""));
+    assert_eq!((got.status, got.body.as_str()), (200, "all of it"), "{got:?}");
+}
+
+fn events(from: u64, to: u64) -> String {
+    (from..=to).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect()
+}
+
+#[test]
+fn a_stream_that_breaks_is_resumed_inside_one_answer() {
+    let _alone = alone();
+    let plan = |request: &standins::http_raw::RawRequest| Streamed {
+        last: 8,
+        breaks_after: request.header("last-event-id").is_empty().then_some(3),
+        ..Streamed::default()
+    };
+    let one = Upstream::start("i-1", streams(plan));
+    let two = Upstream::start("i-2", streams(plan));
+    let site = site_with(&[(&one, MODELS), (&two, MODELS)]);
+    let got = site.vms[0].ask(&stream_request("/write/x", "r-1"));
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(got.body, events(1, 8));
+    assert!(got.whole);
+    assert_eq!(with_id(&[&one, &two], "r-1"), 2);
+    let resumed = [&one, &two].iter().flat_map(|u| u.received()).any(|r| {
+        r.header("last-event-id") == "3"
+            && r.header("lupinseam-model") == "small"
+    });
+    assert!(resumed, "it goes on after event 3, with the same model");
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_ends_visibly_broken() {
+    let _alone = alone();
+    let plan = |_: &_| Streamed {
+        last: 8,
+        breaks_after: Some(3),
+        ..Streamed::default()
+    };
+    let one = Upstream::start("i-1", streams(plan));
+    let two = Upstream::start("i-2", streams(plan));
+    let site = site_with(&[(&one, MODELS), (&two, MODELS)]);
+    let got = site.vms[0].ask(&stream_request("/tell/x", "r-1"));
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(got.body, events(1, 3), "no part of an event goes out");
+    assert!(!got.whole);
+    assert_eq!(with_id(&[&one, &two], "r-1"), 1);
+}
+
+#[test]
+fn a_doubtful_answer_is_dropped_for_the_larger_model() {
+    let _alone = alone();
+    let upstream = Upstream::start(
+        "i-1",
+        streams(|request| Streamed {
+            confidence: match request.header("lupinseam-model") {
+                "small" if request.path.ends_with("hard") => 10,
+                _ => 95,
+            },
+            ..Streamed::default()
+        }),
+    );
+    let site = site_with(&[(&upstream, MODELS)]);
+    let models = |id: &str| -> Vec<String> {
+        let received = upstream.received().into_iter();
+        let own = received.filter(|r| r.header("lupinseam-attempt-id") == id);
+        own.map(|r| r.header("lupinseam-model").to_owned()).collect()
+    };
+    let got = site.vms[0].ask(&stream_request("/write/easy", "r-1"));
+    assert_eq!(got.body, events(1, 5));
+    assert_eq!(models("r-1"), ["small"]);
+    let got = site.vms[0].ask(&stream_request("/write/hard", "r-2"));
+    assert_eq!(got.body, events(1, 5), "{got:?}");
+    assert!(got.whole);
+    assert_eq!(models("r-2"), ["small", "large"]);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work() {
+    let _alone = alone();
+    let slow = |_: &_| Streamed {
+        last: 400,
+        pause: Duration::from_millis(20),
+        ..Streamed::default()
+    };
+    let upstream = Upstream::start("i-1", streams(slow));
+    let site = site_with(&[(&upstream, MODELS)]);
+    let text = stream_request("/write/x", "r-1");
+    let mut stream =
+        std::net::TcpStream::connect(site.vms[0].callers).unwrap();
+    std::io::Write::write_all(&mut stream, text.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(300));
+    drop(stream);
+    wait_until("the upstream is left", || {
+        upstream.abandoned() == ["r-1".to_owned()]
+    });
+}
+
+#[test]
+fn bad_input_gets_a_clear_answer_and_reaches_nobody() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let vm = &site.vms[0];
+    let twice = "Lupinseam-Attempt-Id: r-2\r\n";
+    assert_eq!(vm.ask(&request("GET", "/read/x", "r-1", twice)).status, 400);
+    let nameless = "GET /read/x HTTP/1.1\r\nHost: site.example\r\n\r\n";
+    assert_eq!(vm.ask(nameless).status, 400);
+    assert_eq!(vm.ask("GARBAGE\r\n\r\n").status, 400);
+    let large = "Content-Length: 70000\r\n";
+    assert_eq!(vm.ask(&request("POST", "/once/x", "r-3", large)).status, 413);
+    let long = format!("X-Long: {}\r\n", "x".repeat(40_000));
+    assert_eq!(vm.ask(&request("GET", "/read/x", "r-4", &long)).status, 431);
+    assert_eq!(vm.ask(&request("GET", "/none/x", "r-5", "")).status, 404);
+    let unknown =
+        request("GET", "/read/x", "r-6", "").replace(KEY, "key-unknown");
+    assert_eq!(vm.ask(&unknown).status, 401);
+    assert_eq!(upstream.received(), []);
+}
+
+#[test]
+fn a_request_hidden_behind_two_lengths_is_not_run() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let hidden = request("GET", "/read/hidden", "r-2", "");
+    for lengths in [
+        "Transfer-Encoding: chunked\r\nContent-Length: 400\r\n",
+        "Content-Length: 400\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let outer = request("POST", "/once/x", "r-1", lengths)
+            .replace("Connection: close\r\n", "");
+        let got = site.vms[0].ask(&format!("{outer}0\r\n\r\n{hidden}"));
+        assert!(matches!(got.status, 0 | 200 | 400), "{got:?}");
+    }
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(with_id(&[&upstream], "r-2"), 0);
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_refused_at_once() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let ask = || site.vms[0].ask(&request("GET", "/read/x", "r-1", ""));
+    assert_eq!(ask().status, 200);
+    let mut without = configuration(2);
+    without["tenants"][0]["api_keys"] = json!(["key-2"]);
+    site.store.put("op/config", &without);
+    wait_until("the key is refused", || ask().status == 401);
+    // An older configuration does not bring it back.
+    site.store.put("op/config", &configuration(1));
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(ask().status, 401);
+}
+
+#[test]
+fn a_vm_that_cannot_know_of_a_lost_key_runs_nothing() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    for mood in [Mood::Silent, Mood::Resetting, Mood::Busy] {
+        let mut site = site(2_000);
+        site.list(&upstream, PLAIN, "v1");
+        site.start_vm();
+        thread::sleep(Duration::from_millis(400));
+        site.store.set_mood(mood);
+        let lost_at = Instant::now();
+        let ask = || site.vms[0].ask(&request("GET", "/read/x", "r", ""));
+        assert_eq!(ask().status, 200, "what is known is recent enough");
+        wait_until("requests are refused", || ask().status == 503);
+        assert!(lost_at.elapsed() < Duration::from_millis(2_000));
+        assert!(!site.vms[0].is_ready());
+        // Neither a key nor a route that is not known may be denied for good.
+        let unknown = request("GET", "/none/x", "r", "").replace(KEY, "key-9");
+        assert_eq!(site.vms[0].ask(&unknown).status, 503);
+        site.store.set_mood(Mood::Well);
+        wait_until("requests are taken again", || ask().status == 200);
+    }
+}
+
+#[test]
+fn history_that_is_lost_is_read_again() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let site = site_with(&[(&upstream, PLAIN)]);
+    site.store.set_mood(Mood::Forgetful);
+    let mut more = configuration(2);
+    more["routes"][0]["path_prefix"] = json!("/moved/");
+    site.store.put("op/config", &more);
+    wait_until("the new route is in force", || {
+        site.vms[0].ask(&request("GET", "/moved/x", "r", "")).status == 200
+    });
+    assert_eq!(
+        site.vms[0].ask(&request("GET", "/read/x", "r", "")).status,
+        404
+    );
+}
+
+#[test]
+fn an_upstream_that_leaves_gets_nothing_new() {
+    let _alone = alone();
+    let one = Upstream::start("i-1", answers(200, "hello"));
+    let two = Upstream::start("i-2", answers(200, "hello"));
+    let site = site_with(&[(&one, PLAIN), (&two, PLAIN)]);
+    site.list_as(&one, PLAIN, "v1", "draining");
+    thread::sleep(Duration::from_millis(600));
+    let before = one.received().len();
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let got = site.vms[0].ask(&request("GET", "/read/x", &id, ""));
+        assert_eq!(got.status, 200);
+    }
+    assert_eq!(one.received().len(), before);
+    assert_eq!(two.received().len(), 20);
+}
+
+#[test]
+fn a_planned_stop_ends_what_was_begun() {
+    let _alone = alone();
+    let slow = |_: &_| Streamed {
+        last: 60,
+        pause: Duration::from_millis(50),
+        ..Streamed::default()
+    };
+    let upstream = Upstream::start("i-1", streams(slow));
+    let mut site = site_with(&[(&upstream, MODELS)]);
+    let callers = site.vms[0].callers;
+    let asked = thread::spawn(move || {
+        let text = stream_request("/write/x", "r-1");
+        standins::gateway_site::exchange(callers, text.as_bytes())
+    });
+    thread::sleep(Duration::from_millis(500));
+    site.vms[0].signal(Signal::TERM);
+    wait_until("it is not ready", || !site.vms[0].is_ready());
+    let got = asked.join().unwrap();
+    assert!(got.whole, "{got:?}");
+    assert_eq!(got.body, events(1, 60));
+    assert!(site.vms[0].has_ended_well());
+    assert_eq!(site.vms[0].lines("E004").len(), 1, "it says that it stopped");
+}
+
+/// Asks for streams until a roll-out has ended, and says how.
+fn roll_out(site: &Site) -> String {
+    let order = json!({
+        "service": MODELS, "target_version": "v2", "duration_s": 4,
+    });
+    site.store.put(&format!("op/rollout/{MODELS}"), &order);
+    let key = format!("status/rollout/{MODELS}");
+    let mut number = 0;
+    let mut state = String::new();
+    wait_until("the roll-out has ended", || {
+        number += 1;
+        let id = format!("r-{number}");
+        site.vms[0].ask(&stream_request("/write/x", &id));
+        let status = site.store.get(&key).unwrap_or_default();
+        assert!(status["target_version"] == "v2" || status.is_null());
+        state = status["state"].as_str().unwrap_or("").to_owned();
+        state == "completed" || state == "reverted"
+    });
+    state
+}
+
+#[test]
+fn a_good_version_is_rolled_out() {
+    let _alone = alone();
+    let good = || streams(|_| Streamed::default());
+    let old = Upstream::start("i-1", good());
+    let new = Upstream::start("i-2", good());
+    let site = site_with(&[(&old, MODELS)]);
+    site.list(&new, MODELS, "v2");
+    assert_eq!(roll_out(&site), "completed");
+    let (old_had, new_had) = (old.received().len(), new.received().len());
+    for number in 0..10 {
+        site.vms[0].ask(&stream_request("/write/x", &format!("s-{number}")));
+    }
+    assert_eq!(old.received().len(), old_had);
+    assert!(new.received().len() > new_had);
+}
+
+#[test]
+fn a_bad_version_is_taken_back() {
+    let _alone = alone();
+    let old = Upstream::start("i-1", streams(|_| Streamed::default()));
+    let bad: Script =
+        Box::new(|r| vec![Act::Send(answer(500, &stamped(r, &[]), "no"))]);
+    let new = Upstream::start("i-2", bad);
+    let site = site_with(&[(&old, MODELS)]);
+    site.list(&new, MODELS, "v2");
+    assert_eq!(roll_out(&site), "reverted");
+    let all = old.received().len() + new.received().len();
+    let share = new.received().len() as f64 / all as f64;
+    assert!(share < 0.15, "{share} of the requests went to it");
+}
+
+#[test]
+fn a_store_that_loses_answers_still_learns_the_outcome() {
+    let _alone = alone();
+    let old = Upstream::start("i-1", streams(|_| Streamed::default()));
+    let new = Upstream::start("i-2", streams(|_| Streamed::default()));
+    let site = site_with(&[(&old, MODELS)]);
+    site.list(&new, MODELS, "v2");
+    site.store.set_mood(Mood::LosingAnswers);
+    assert_eq!(roll_out(&site), "completed");
+}
+
+#[test]
+fn a_vm_that_the_store_turns_away_lives_by_what_others_prove() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let mut site = site(2_000);
+    site.list(&upstream, PLAIN, "v1");
+    site.start_vm();
+    site.start_vm();
+    thread::sleep(Duration::from_millis(800));
+    site.vms[1].store.refuse(true);
+    // Longer than a VM on its own could go on.
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        let got = site.vms[1].ask(&request("GET", "/read/x", "r", ""));
+        assert_eq!(got.status, 200, "{got:?}");
+        thread::sleep(Duration::from_millis(100));
+    }
+    let mut without = configuration(2);
+    without["tenants"][0]["api_keys"] = json!(["key-2"]);
+    site.store.put("op/config", &without);
+    wait_until("the key is refused there too", || {
+        site.vms[1].ask(&request("GET", "/read/x", "r", "")).status == 401
+    });
+}
+
+#[test]
+fn a_failed_request_is_explained_by_its_line() {
+    let _alone = alone();
+    let one = Upstream::start("i-1", closes());
+    let site = site_with(&[(&one, PLAIN)]);
+    site.vms[0].ask(&request("POST", "/once/x", "r-lost", ""));
+    wait_until("the line is there", || !site.vms[0].lines("E101").is_empty());
+    let line = site.vms[0].lines("E101").remove(0);
+    assert_eq!(line["id"], "r-lost");
+    assert_eq!(line["code"], "upstream_failed");
+    assert_eq!(line["route"], "once");
+    assert_eq!(line["organisation"], "village");
+    assert_eq!(line["table"], 1);
+    assert_eq!(line["attempts"][0]["upstream"], "i-1");
+}
