--- a/src/cascade.rs
+++ b/src/cascade.rs
@@ -175,3 +175,6 @@
     }
     Ok(largest.clone())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/cascade/tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+use crate::route::{Repeat, Target};
+
+fn route() -> Route {
+    Route {
+        name: "write".to_owned(),
+        host: "site.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        repeat: Repeat::Any,
+        is_stream: true,
+        time_limit: Duration::from_secs(20),
+        aim: Duration::from_secs(2),
+        pause_aim: None,
+        priority: 0,
+        attempts: 3,
+        targets: vec![Target { service: "w".parse().unwrap(), weight: 1 }],
+        sizes: ["small", "middle", "large"]
+            .iter()
+            .map(|name| name.parse().unwrap())
+            .collect(),
+        is_public: true,
+    }
+}
+
+/// What is done about an answer of the smallest model.
+fn decide(
+    confidence: u8,
+    waiting: Duration,
+    has_attempt: bool,
+) -> Result<ModelId, Kept> {
+    let now = Instant::now();
+    let doubt = Doubt {
+        route: &route(),
+        model: &"small".parse().unwrap(),
+        confidence: Percent::new(confidence).unwrap(),
+        started_at: now,
+        has_attempt,
+        tokens: 1000,
+    };
+    larger_model(&doubt, &ReadTimes::default(), waiting, now)
+}
+
+#[test]
+fn only_a_doubtful_answer_is_asked_again() {
+    let large = "large".parse().unwrap();
+    assert_eq!(decide(10, Duration::ZERO, true), Ok(large));
+    assert_eq!(decide(90, Duration::ZERO, true), Err(Kept::Sure));
+    assert_eq!(decide(10, Duration::ZERO, false), Err(Kept::NoAttempt));
+}
+
+#[test]
+fn the_less_time_is_left_the_more_doubtful_it_must_be() {
+    let near = Duration::from_millis(1500);
+    assert_eq!(decide(50, near, true), Err(Kept::NoTime));
+    assert!(decide(5, near, true).is_ok());
+    let gone = Duration::from_secs(2);
+    assert_eq!(decide(0, gone, true), Err(Kept::NoTime));
+}
+
+#[test]
+fn the_largest_model_has_the_last_word() {
+    let now = Instant::now();
+    let doubt = Doubt {
+        route: &route(),
+        model: &"large".parse().unwrap(),
+        confidence: Percent::new(0).unwrap(),
+        started_at: now,
+        has_attempt: true,
+        tokens: 1000,
+    };
+    let times = ReadTimes::default();
+    let kept = larger_model(&doubt, &times, Duration::ZERO, now);
+    assert_eq!(kept, Err(Kept::Largest));
+}
+
+#[test]
+fn reading_times_are_learned_and_short_prompts_say_little() {
+    let times = ReadTimes::default();
+    let model = "large".parse().unwrap();
+    for _ in 0..50 {
+        times.learn(&model, 10_000, Duration::from_millis(610));
+        times.learn(&model, 300, Duration::from_millis(300));
+    }
+    let expected = times.expected(Some(&model), 10_000).as_millis();
+    assert!((600..1000).contains(&expected), "{expected} ms");
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -107,6 +107,7 @@
         clock: SharedClock,
     ) -> Arc<Gateway> {
         let started_us = clock.unix_ms() * 1000;
+        let metrics = Arc::new(Metrics::new());
         Arc::new(Gateway {
             http: HttpClient::new(CONNECT_LIMIT),
             store: PlatformStore::new(settings.store),
@@ -114,8 +115,8 @@
             pool: Pool::new(settings.data_hall.clone()),
             rollouts: Rollouts::default(),
             read_times: ReadTimes::default(),
-            peers: Peers::new(&settings),
-            metrics: Arc::new(Metrics::new()),
+            peers: Peers::new(&settings, metrics.clone()),
+            metrics,
             in_flight: InFlightCount::default(),
             incarnation: Incarnation(started_us),
             retries: Mutex::default(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -8,6 +8,7 @@
     event::Event,
     gateway::{Gateway, fields},
     knowledge::PeerRecord,
+    mesh,
     platform::{
         document::{self, EVERYTHING},
         store::Watched,
@@ -27,6 +28,9 @@
 /// each call has its price; what changes meanwhile comes with the next watch.
 const GATHER_TIME: Duration = Duration::from_millis(200);
 
+/// Time between two looks at whether this VM has to watch.
+const REST_TIME: Duration = Duration::from_millis(100);
+
 /// Age of the proof of the configuration from which a VM asks for a new one,
 /// as a part of the time in which a key that was taken away must be refused.
 /// The first VM to ask tells the others, so one does it for all.
@@ -81,11 +85,16 @@
     async fn watch(&mut self) {
         loop {
             let gateway = &self.gateway;
+            while gateway.peers.may_rest(gateway) {
+                task::sleep(REST_TIME).await;
+            }
             let asked_at = gateway.clock.now();
             let since = gateway.knowledge.as_of();
             let wait = gateway.settings.watch_wait;
             match gateway.store.watch(EVERYTHING, since, wait).await {
                 Ok(Watched::Changes(changes)) => {
+                    let digest = gateway.knowledge.digest();
+                    mesh::tell_news(gateway, digest, &changes);
                     let news = gateway.knowledge.take_changes(changes);
                     gateway.take_news(news);
                     gateway.knowledge.prove(asked_at);
--- a/src/health.rs
+++ b/src/health.rs
@@ -140,3 +140,6 @@
         Some(HealthChange::Unfit)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -152,7 +152,7 @@
         }
     };
     let mut trace = trace(&inbound.id);
-    trace.of_size(inbound.tokens.map(|tokens| tokens.prompt));
+    trace.of(&inbound);
     let admitted = match admit(gateway, &inbound, &mut trace) {
         Ok(admitted) => admitted,
         Err(error) => {
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -71,6 +71,17 @@
     pub version: u64,
 }
 
+/// A value that changed, or was removed, for another VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangedItem {
+    /// The key.
+    pub key: String,
+    /// The value, unless the key was removed.
+    pub value: Option<Vec<u8>>,
+    /// The version of the change.
+    pub version: u64,
+}
+
 #[derive(Debug, Default)]
 struct Mirror {
     as_of: StoreVersion,
@@ -184,13 +195,21 @@
 
     /// Takes in changes that a watch brought.
     pub fn take_changes(&self, changes: Items) -> News {
+        self.mirror.lock().expect("mirror lock").take_changes(changes)
+    }
+
+    /// Takes in changes that another VM tells; `None` when something is
+    /// missing between them and what is known.
+    pub fn take_told(
+        &self,
+        digest_before: u64,
+        changes: Items,
+    ) -> Option<News> {
         let mut mirror = self.mirror.lock().expect("mirror lock");
-        let mut news = News::default();
-        for item in changes.items {
-            mirror.take(item, &mut news);
+        if mirror.digest != digest_before {
+            return None;
         }
-        mirror.as_of = mirror.as_of.max(changes.as_of);
-        news
+        Some(mirror.take_changes(changes))
     }
 
     /// Takes in everything there is; what is not among it is gone.
@@ -223,6 +242,15 @@
 }
 
 impl Mirror {
+    fn take_changes(&mut self, changes: Items) -> News {
+        let mut news = News::default();
+        for item in changes.items {
+            self.take(item, &mut news);
+        }
+        self.as_of = self.as_of.max(changes.as_of);
+        news
+    }
+
     fn take(&mut self, item: Item, news: &mut News) {
         let held = self.items.get(&item.key).map(|(_, version)| *version);
         if held.is_some_and(|held| item.version <= held) {
@@ -252,3 +280,6 @@
 fn digest(key: &str, version: StoreVersion) -> u64 {
     rendezvous::mix(rendezvous::short_hash(key.as_bytes()).into(), version.0)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/knowledge/tests.rs
@@ -0,0 +1,110 @@
+use serde_json::json;
+
+use super::*;
+
+fn configuration(version: u64) -> Vec<u8> {
+    json!({
+        "version": version,
+        "routes": [],
+        "services": [],
+        "limits": {},
+        "tenants": [{"name": "village", "api_keys": ["key-1"]}],
+    })
+    .to_string()
+    .into_bytes()
+}
+
+fn item(key: &str, value: Option<Vec<u8>>, version: u64) -> Item {
+    Item { key: key.to_owned(), value, version: StoreVersion(version) }
+}
+
+fn items(items: Vec<Item>, as_of: u64) -> Items {
+    Items { items, as_of: StoreVersion(as_of) }
+}
+
+fn install(knowledge: &Knowledge, news: News) -> usize {
+    let facts = news.facts.into_iter();
+    facts
+        .filter(|fact| match fact {
+            Fact::Configuration(table) => knowledge.install(table.clone()),
+            _ => false,
+        })
+        .count()
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let knowledge = Knowledge::default();
+    let key = document::CONFIGURATION_KEY;
+    let new = items(vec![item(key, Some(configuration(9)), 20)], 20);
+    assert_eq!(install(&knowledge, knowledge.take_changes(new)), 1);
+    // An answer that was long on its way, by watch, read or another VM.
+    let old = items(vec![item(key, Some(configuration(7)), 10)], 10);
+    assert_eq!(install(&knowledge, knowledge.take_changes(old.clone())), 0);
+    assert_eq!(install(&knowledge, knowledge.take_all(old)), 0);
+    // Written later, but with a number that is lower.
+    let lower = items(vec![item(key, Some(configuration(8)), 30)], 30);
+    assert_eq!(install(&knowledge, knowledge.take_changes(lower)), 0);
+    assert_eq!(knowledge.table_version(), Some(TableVersion(9)));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_changes_nothing() {
+    let knowledge = Knowledge::default();
+    let key = document::CONFIGURATION_KEY;
+    let good = items(vec![item(key, Some(configuration(1)), 1)], 1);
+    install(&knowledge, knowledge.take_changes(good));
+    let bad = items(vec![item(key, Some(b"{".to_vec()), 2)], 2);
+    let news = knowledge.take_changes(bad);
+    assert_eq!(news.unreadable.len(), 1);
+    assert_eq!(knowledge.table_version(), Some(TableVersion(1)));
+}
+
+#[test]
+fn what_is_missing_from_everything_is_gone() {
+    let knowledge = Knowledge::default();
+    let record = json!({
+        "service": "portal", "address": "127.0.0.1:1", "zone": "a",
+        "version": "v1", "capacity": 2, "state": "ready",
+    });
+    let record = record.to_string().into_bytes();
+    let both = vec![
+        item("servers/i-1", Some(record.clone()), 1),
+        item("servers/i-2", Some(record.clone()), 2),
+    ];
+    knowledge.take_all(items(both, 2));
+    let one = vec![item("servers/i-2", Some(record), 2)];
+    let news = knowledge.take_all(items(one, 5));
+    assert!(matches!(
+        news.facts.as_slice(),
+        [Fact::UpstreamGone(id)] if id.as_str() == "i-1"
+    ));
+}
+
+#[test]
+fn the_same_knowledge_has_the_same_digest_however_it_came() {
+    let one = Knowledge::default();
+    let other = Knowledge::default();
+    let key = document::CONFIGURATION_KEY;
+    one.take_changes(items(vec![item(key, Some(configuration(1)), 1)], 1));
+    one.take_changes(items(vec![item("x", Some(vec![1]), 2)], 2));
+    one.take_changes(items(vec![item(key, Some(configuration(2)), 3)], 3));
+    assert_ne!(one.digest(), other.digest());
+    let (as_of, mirrored) = one.mirrored();
+    let all = mirrored
+        .into_iter()
+        .map(|held| item(&held.key, Some(held.value), held.version));
+    other.take_all(Items { items: all.collect(), as_of });
+    assert_eq!(one.digest(), other.digest());
+}
+
+#[test]
+fn a_proof_counts_from_its_latest_moment() {
+    let knowledge = Knowledge::default();
+    let now = Instant::now();
+    assert_eq!(knowledge.proof_age(now), None);
+    let second = Duration::from_secs(1);
+    knowledge.prove(now + second);
+    knowledge.prove(now);
+    assert_eq!(knowledge.proof_age(now + second * 3), Some(second * 2));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! # Finding your way
 //!
-//! Three paths go through the crate.
+//! The router has two faces. One is its own interface, of chat completions
+//! and templates; the other stands before a platform, whose names and formats
+//! [`platform`] translates. Three paths go through the first:
 //!
 //! * The **request path**: [`callers`](crate) read a request, `request` admits
 //!   it and plans, [`choose`] decides as a pure function, `dispatch` and
@@ -19,6 +21,18 @@
 //!   key-value service behind [`store::Store`]. Everything there is a
 //!   [`chain`]: the [`configuration`], the [`claim`]s and the bills.
 //!
+//! Before a platform the same three are:
+//!
+//! * the **request path**: `ingress` reads a request into an
+//!   [`inbound::Inbound`], finds its [`route`] and key, and `forward` makes
+//!   attempts at members of the [`pool`]; `relay_events` relays streams and
+//!   resumes them, `cascade` chooses the model, [`retry_window`] bounds
+//!   further attempts, and `trace` writes the one line that explains it;
+//! * the **view**: [`knowledge`] of the platform's store with its proof of
+//!   freshness, followed by [`gateway`], and [`health`] of upstreams;
+//! * the **agreement**: [`rollout`]s, judged on the evidence that `mesh` pools
+//!   and recorded in the store under a condition.
+//!
 //! # Example
 //!
 //! A template is checked when it is read:
@@ -59,7 +73,7 @@
 pub mod event;
 mod forward;
 mod frame;
-mod gateway;
+pub mod gateway;
 mod gossip;
 pub mod guard;
 pub mod health;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -23,8 +23,8 @@
     event::Event,
     frame::FrameCodec,
     gateway::{Gateway, fields, settings::GatewaySettings},
-    id::Incarnation,
-    knowledge::PeerRecord,
+    id::{DataHallId, Incarnation},
+    knowledge::{ChangedItem, PeerRecord},
     message::{Echo, PeerReply, PeerRequest, VmBeat},
     metrics::Metrics,
     peer::{PeerClient, PeerService},
@@ -51,12 +51,24 @@
 /// watch is at work.
 const BEHIND_AFTER: Duration = Duration::from_millis(1500);
 
+/// VMs of a data hall that watch the store; the others are told by them. Each
+/// watch has its price, and two are enough to lose one.
+const WATCHERS: usize = 2;
+
+/// Part of the time in which a key that was taken away must be refused, up to
+/// which the proof of a VM that does not watch may age before it does.
+const REST_PROOF_PART: f64 = 0.45;
+
+/// Longest time that telling another VM what has changed may take.
+const NEWS_LIMIT: Duration = Duration::from_millis(500);
+
 /// Largest datagram read, in bytes.
 const DATAGRAM_BYTES: usize = 64 << 10;
 
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
+    data_hall: DataHallId,
     heard: Option<Heard>,
 }
 
@@ -65,6 +77,7 @@
     at: Instant,
     incarnation: Incarnation,
     number: u32,
+    is_leaving: bool,
     proven_at: Option<Instant>,
 }
 
@@ -82,25 +95,35 @@
 /// The other VMs that this one knows of.
 pub(crate) struct Peers {
     vm: String,
+    data_hall: DataHallId,
     seeds: Vec<SocketAddr>,
     known: Mutex<HashMap<String, Peer>>,
     sent: Mutex<Vec<(u32, Instant)>>,
+    agreed_at: Mutex<Option<Instant>>,
     next_number: AtomicU32,
     codec: FrameCodec,
+    client: PeerClient,
 }
 
 impl Peers {
     /// Creates the list with nobody on it but the seeds.
-    pub(crate) fn new(settings: &GatewaySettings) -> Peers {
+    pub(crate) fn new(
+        settings: &GatewaySettings,
+        metrics: Arc<Metrics>,
+    ) -> Peers {
+        let codec = FrameCodec::new(&settings.cluster_key);
         let own = settings.peers;
         let seeds = settings.seeds.iter().copied();
         Peers {
             vm: settings.vm.to_string(),
+            data_hall: settings.data_hall.clone(),
             seeds: seeds.filter(|seed| *seed != own).collect(),
             known: Mutex::default(),
             sent: Mutex::default(),
+            agreed_at: Mutex::new(None),
             next_number: AtomicU32::new(1),
-            codec: FrameCodec::new(&settings.cluster_key),
+            client: PeerClient::new(codec.clone(), metrics),
+            codec,
         }
     }
 
@@ -110,9 +133,12 @@
             return;
         }
         let mut known = self.known.lock().expect("peers lock");
-        let peer = known.entry(vm.to_owned());
-        peer.or_insert(Peer { address: record.peers, heard: None }).address =
-            record.peers;
+        let peer = known.entry(vm.to_owned()).or_insert_with(|| Peer {
+            address: record.peers,
+            data_hall: record.data_hall.clone(),
+            heard: None,
+        });
+        peer.address = record.peers;
     }
 
     /// How many VMs there are, with this one.
@@ -152,13 +178,72 @@
         first == Some(self.vm.as_str())
     }
 
+    /// The VMs of this data hall that watch the store: the first few, in a
+    /// fixed order, of those that are heard.
+    fn watchers(&self, now: Instant) -> Vec<String> {
+        let known = self.known.lock().expect("peers lock");
+        let alive = known.iter().filter(|(_, peer)| {
+            peer.data_hall == self.data_hall
+                && peer.heard.as_ref().is_some_and(|heard| {
+                    let age = now.saturating_duration_since(heard.at);
+                    age < SILENT_AFTER && !heard.is_leaving
+                })
+        });
+        let mut names: Vec<String> = alive.map(|(vm, _)| vm.clone()).collect();
+        names.push(self.vm.clone());
+        names.sort_by_key(|vm| rendezvous::short_hash(vm.as_bytes()));
+        names.truncate(WATCHERS);
+        names
+    }
+
+    /// Whether this VM may leave watching the store to others: enough of its
+    /// data hall do, they know what it knows, and the configuration was
+    /// proven a short while ago.
+    pub(crate) fn may_rest(&self, gateway: &Gateway) -> bool {
+        let now = gateway.clock.now();
+        let limit = gateway.settings.revoke.mul_f64(REST_PROOF_PART);
+        let age = gateway.knowledge.proof_age(now);
+        if gateway.is_stopping() || age.is_none_or(|age| age > limit) {
+            return false;
+        }
+        let watchers = self.watchers(now);
+        if watchers.len() < WATCHERS || watchers.contains(&self.vm) {
+            return false;
+        }
+        let agreed_at = *self.agreed_at.lock().expect("agreed lock");
+        agreed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SILENT_AFTER)
+    }
+
+    /// Notes that a watcher of this data hall knows what this VM knows.
+    fn note_agreed(&self, vm: &str, now: Instant) {
+        if self.watchers(now).iter().any(|watcher| watcher == vm) {
+            *self.agreed_at.lock().expect("agreed lock") = Some(now);
+        }
+    }
+
+    /// The VMs of this data hall that a watcher tells what has changed.
+    fn resting(&self, now: Instant) -> Vec<SocketAddr> {
+        let watchers = self.watchers(now);
+        if !watchers.contains(&self.vm) {
+            return Vec::new();
+        }
+        let known = self.known.lock().expect("peers lock");
+        let others = known.iter().filter(|(vm, peer)| {
+            peer.data_hall == self.data_hall && !watchers.contains(vm)
+        });
+        others.map(|(_, peer)| peer.address).collect()
+    }
+
     /// Takes in a beat; returns whether its sender knows more than this VM.
     fn hear(&self, gateway: &Gateway, beat: &VmBeat) -> bool {
         let now = gateway.clock.now();
         let mut known = self.known.lock().expect("peers lock");
-        let peer = known
-            .entry(beat.vm.clone())
-            .or_insert(Peer { address: beat.peers, heard: None });
+        let peer = known.entry(beat.vm.clone()).or_insert_with(|| Peer {
+            address: beat.peers,
+            data_hall: beat.data_hall.clone(),
+            heard: None,
+        });
         let is_old = peer.heard.as_ref().is_some_and(|heard| {
             (heard.incarnation, heard.number)
                 >= (beat.incarnation, beat.number)
@@ -172,6 +257,7 @@
             at: now,
             incarnation: beat.incarnation,
             number: beat.number,
+            is_leaving: beat.leaving,
             proven_at,
         });
         drop(known);
@@ -299,20 +385,60 @@
     }
     let now = gateway.clock.now();
     let knows_more = gateway.peers.hear(gateway, beat);
+    if beat.digest == gateway.knowledge.digest() {
+        gateway.peers.note_agreed(&beat.vm, now);
+    }
     gateway.pool.set_peer_work(&beat.vm, &beat.work, now);
     gateway.rollouts.hear(&beat.vm, &beat.evidence, now);
+    if !knows_more {
+        return;
+    }
+    // A VM that watches hears it from the store in a moment.
     let age = gateway.knowledge.proof_age(now);
-    if knows_more && age.is_none_or(|age| age > BEHIND_AFTER) {
+    let is_cut_off = age.is_none_or(|age| age > BEHIND_AFTER);
+    if is_cut_off || gateway.peers.may_rest(gateway) {
         let (gateway, from) = (gateway.clone(), beat.peers);
         task::spawn(async move { fetch(&gateway, from).await }).detach();
     }
 }
 
+/// Tells the VMs of this data hall that do not watch what has changed.
+pub(crate) fn tell_news(
+    gateway: &Arc<Gateway>,
+    digest_before: u64,
+    changes: &Items,
+) {
+    if changes.items.is_empty() {
+        return;
+    }
+    let items: Vec<ChangedItem> = changes
+        .items
+        .iter()
+        .map(|item| ChangedItem {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            version: item.version.0,
+        })
+        .collect();
+    let as_of = changes.as_of.0;
+    for address in gateway.peers.resting(gateway.clock.now()) {
+        let request =
+            PeerRequest::News { digest_before, as_of, items: items.clone() };
+        let gateway = gateway.clone();
+        task::spawn(async move {
+            // One that does not hear it learns from the next beat that it
+            // is behind.
+            let client = &gateway.peers.client;
+            let _ = client.call(address, request, NEWS_LIMIT).await;
+        })
+        .detach();
+    }
+}
+
 /// Takes over what another VM knows.
 async fn fetch(gateway: &Gateway, from: SocketAddr) {
     let asked_at = gateway.clock.now();
-    let client =
-        PeerClient::new(gateway.peers.codec.clone(), gateway.metrics.clone());
+    let client = &gateway.peers.client;
     let reply =
         client.call(from, PeerRequest::Knowledge, KNOWLEDGE_LIMIT).await;
     let Ok(PeerReply::Knowledge { as_of, items, proof_age_ms }) = reply else {
@@ -357,6 +483,22 @@
                     proof_age_ms: age.as_millis() as u32 + 1,
                 }
             }
+            PeerRequest::News { digest_before, as_of, items } => {
+                let items = items.into_iter().map(|item| Item {
+                    key: item.key,
+                    value: item.value,
+                    version: StoreVersion(item.version),
+                });
+                let as_of = StoreVersion(as_of);
+                let changes = Items { items: items.collect(), as_of };
+                match self.knowledge.take_told(digest_before, changes) {
+                    Some(news) => {
+                        self.take_news(news);
+                        PeerReply::Done
+                    }
+                    None => PeerReply::Refused("something is missing".into()),
+                }
+            }
             _ => PeerReply::Refused("not a request for this VM".into()),
         }
     }
--- a/src/message.rs
+++ b/src/message.rs
@@ -14,7 +14,7 @@
     configuration::Change,
     decision::Decision,
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
-    knowledge::MirroredItem,
+    knowledge::{ChangedItem, MirroredItem},
     pool::Work,
     rollout::Evidence,
     tally::{Tally, TallyKey},
@@ -211,6 +211,15 @@
     Decision(RequestId),
     /// Everything that is known from the platform's store.
     Knowledge,
+    /// Take in what has changed in the platform's store.
+    News {
+        /// The digest of what was known before.
+        digest_before: u64,
+        /// The version of the store up to which it holds.
+        as_of: u64,
+        /// What has changed.
+        items: Vec<ChangedItem>,
+    },
 }
 
 /// The reply to a [`PeerRequest`].
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -572,3 +572,6 @@
     };
     if kept.is_empty() && or_else_all { open } else { kept }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/pool/tests.rs
@@ -0,0 +1,154 @@
+use super::*;
+use crate::health::Verdict;
+
+fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.parse().unwrap(),
+        service: "writers".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_hall: hall.parse().unwrap(),
+        software: software.parse().unwrap(),
+        slots: 10,
+        state: UpstreamState::Ready,
+        warm_up_left: Duration::ZERO,
+    }
+}
+
+fn pool(entries: &[UpstreamEntry], now: Instant) -> Pool {
+    let pool = Pool::new("a".parse().unwrap());
+    for entry in entries {
+        pool.set(entry.clone(), now);
+    }
+    pool
+}
+
+fn picks(pool: &Pool, want: &Want<'_>, now: Instant) -> Vec<String> {
+    let service = "writers".parse().unwrap();
+    let mut names: Vec<String> = (0..200)
+        .filter_map(|_| pool.pick(&service, want, now).ok())
+        .map(|member| member.entry.id.to_string())
+        .collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+#[test]
+fn one_that_is_leaving_or_was_tried_is_not_picked() {
+    let now = Instant::now();
+    let mut leaving = entry("i-3", "a", "v1");
+    leaving.state = UpstreamState::Leaving;
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1"), leaving];
+    let pool = pool(&entries, now);
+    let tried = ["i-1".parse().unwrap()];
+    let want = Want { tried: &tried, ..Want::default() };
+    assert_eq!(picks(&pool, &want, now), ["i-2"]);
+}
+
+#[test]
+fn versions_are_picked_by_the_rule() {
+    let now = Instant::now();
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v2")];
+    let pool = pool(&entries, now);
+    let new: VersionId = "v2".parse().unwrap();
+    let by = |rule| picks(&pool, &Want { rule, ..Want::default() }, now);
+    assert_eq!(by(VersionRule::Prefer(new.clone())), ["i-2"]);
+    assert_eq!(by(VersionRule::Avoid(new.clone())), ["i-1"]);
+    pool.remove(&"i-1".parse().unwrap(), true, now);
+    assert_eq!(by(VersionRule::Avoid(new.clone())), ["i-2"]);
+    assert!(by(VersionRule::Never(new)).is_empty());
+}
+
+#[test]
+fn a_prompt_goes_to_one_upstream_until_that_is_busy() {
+    let now = Instant::now();
+    let entries: Vec<UpstreamEntry> =
+        (0..8).map(|n| entry(&format!("i-{n}"), "a", "v1")).collect();
+    let pool = pool(&entries, now);
+    let prompt =
+        SharedPrompt { subject: 77, saved: Duration::from_millis(100) };
+    let want = Want { prompt: Some(prompt), ..Want::default() };
+    let home = picks(&pool, &want, now);
+    assert_eq!(home.len(), 1);
+    let member = pool.member(&home[0].parse().unwrap()).unwrap();
+    let reading = member.read(Duration::from_millis(60));
+    assert_ne!(picks(&pool, &want, now), home, "the second home is free");
+    drop(reading);
+    assert_eq!(picks(&pool, &want, now), home);
+}
+
+#[test]
+fn what_other_vms_have_there_counts_and_fades() {
+    let now = Instant::now();
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1")];
+    let pool = pool(&entries, now);
+    let busy = pool.member(&"i-1".parse().unwrap()).unwrap();
+    let work = Work { requests: 9, reading_ms: 500 };
+    pool.set_peer_work("vm-2", &[(busy.upstream.short, work)], now);
+    assert_eq!(busy.requests(), 9);
+    assert_eq!(picks(&pool, &Want::default(), now), ["i-2"]);
+    let later = now + PEER_COUNT_LIFETIME;
+    pool.set_peer_work("vm-3", &[], later);
+    assert_eq!(busy.requests(), 0);
+}
+
+#[test]
+fn when_all_are_full_that_is_said() {
+    let now = Instant::now();
+    let pool = pool(&[entry("i-1", "a", "v1")], now);
+    let member = pool.member(&"i-1".parse().unwrap()).unwrap();
+    let held: Vec<_> = (0..13).map(|_| member.upstream.begin()).collect();
+    let service = "writers".parse().unwrap();
+    let picked = pool.pick(&service, &Want::default(), now);
+    assert_eq!(picked.unwrap_err(), NoMember::Full);
+    drop(held);
+    assert!(pool.pick(&service, &Want::default(), now).is_ok());
+    let other = "nobody".parse().unwrap();
+    let picked = pool.pick(&other, &Want::default(), now);
+    assert_eq!(picked.unwrap_err(), NoMember::Unknown);
+}
+
+#[test]
+fn a_record_that_vanished_with_the_store_may_come_back() {
+    let now = Instant::now();
+    let pool = pool(&[entry("i-1", "a", "v1")], now);
+    let id = "i-1".parse().unwrap();
+    pool.remove(&id, false, now);
+    let soon = now + VANISHED_GRACE / 2;
+    assert_eq!(picks(&pool, &Want::default(), soon), ["i-1"]);
+    assert!(pool.sweep(soon).is_empty());
+    pool.set(entry("i-1", "a", "v1"), soon);
+    let late = now + VANISHED_GRACE * 2;
+    assert!(pool.sweep(late).is_empty());
+    assert_eq!(picks(&pool, &Want::default(), late), ["i-1"]);
+    pool.remove(&id, false, late);
+    assert_eq!(pool.sweep(late + VANISHED_GRACE).len(), 1);
+    assert!(picks(&pool, &Want::default(), late).is_empty());
+}
+
+#[test]
+fn a_hall_that_cannot_be_reached_is_left_alone_for_a_while() {
+    let now = Instant::now();
+    let entries = [
+        entry("i-1", "a", "v1"),
+        entry("i-2", "b", "v1"),
+        entry("i-3", "b", "v1"),
+        entry("i-4", "b", "v1"),
+    ];
+    let pool = pool(&entries, now);
+    for id in ["i-2", "i-3"] {
+        let member = pool.member(&id.parse().unwrap()).unwrap();
+        member.health.record(Verdict::Unreachable, now);
+        pool.note_way(&member, false, now);
+    }
+    assert_eq!(picks(&pool, &Want::default(), now), ["i-1"]);
+    let other = pool.member(&"i-4".parse().unwrap()).unwrap();
+    let limit = Duration::from_secs(1);
+    let silent = now + CUT_SILENCE;
+    assert!(pool.seems_dead(&other, CUT_SILENCE, limit, silent));
+    assert!(!pool.seems_dead(&other, Duration::ZERO, limit, silent));
+    pool.note_way(&other, true, now);
+    let near = pool.member(&"i-1".parse().unwrap()).unwrap();
+    let _held = [near.upstream.begin(), near.upstream.begin()];
+    assert!(picks(&pool, &Want::default(), now).contains(&"i-4".to_owned()));
+}
--- a/src/retry_window.rs
+++ b/src/retry_window.rs
@@ -105,3 +105,6 @@
         count(&mut parts[at]);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/retry_window/tests.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+const BOUND: RetryBound =
+    RetryBound { share: 0.9, extra: 60.0, window: Duration::from_secs(10) };
+
+/// The platform counts the requests of a window, of the one before it, or of
+/// the one half a window before, whichever has most.
+#[test]
+fn attempts_stay_within_the_bound_in_every_window() {
+    // Bursts of requests and of wishes to retry that do not coincide.
+    let start = Instant::now();
+    let window = RetryWindow::new(BOUND, start);
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for step in 0..6000_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        let is_busy = step / 500 % 3 == 0;
+        if is_busy || step % 20 == 0 {
+            window.count_request(now);
+            requests.push(step * 10);
+        }
+        let wants = if step / 300 % 2 == 0 { 3 } else { 0 };
+        for _ in 0..wants {
+            if window.try_retry(1, now) {
+                retries.push(step * 10);
+            }
+        }
+    }
+    let count = |times: &[u64], from: u64| {
+        let within = |at: &&u64| (from..from + 10_000).contains(*at);
+        times.iter().filter(within).count() as f64
+    };
+    for from in (10_000..50_000).step_by(100) {
+        let windows = [from, from - 5_000, from - 10_000];
+        let asked = windows.map(|from| count(&requests, from));
+        let asked = asked.into_iter().fold(0.0, f64::max);
+        let sent = count(&retries, from);
+        assert!(sent <= asked * 0.9 + 60.0, "{sent} of {asked} at {from}");
+    }
+    assert!(!retries.is_empty());
+}
+
+#[test]
+fn the_extra_attempts_are_shared_by_all_vms() {
+    let now = Instant::now();
+    let window = RetryWindow::new(BOUND, now);
+    let taken = (0..100).filter(|_| window.try_retry(10, now)).count();
+    assert!((1..=6).contains(&taken), "{taken}");
+}
+
+#[test]
+fn what_was_asked_long_ago_allows_nothing() {
+    let now = Instant::now();
+    let window = RetryWindow::new(BOUND, now);
+    for _ in 0..1000 {
+        window.count_request(now);
+    }
+    assert!(window.has_one(1000, now));
+    assert!(!window.has_one(1000, now + BOUND.window));
+}
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -33,6 +33,10 @@
 /// allows `canary_share`, and repeated requests need room below it.
 const TRIAL_SHARE: f64 = 0.08;
 
+/// Time after an order in which the new version gets nothing yet: by then all
+/// VMs have told which sessions are at the old one.
+const TRIAL_START: Duration = Duration::from_millis(1500);
+
 /// Part of the allowed time until which the trial lasts; sessions may change
 /// version only in the second half.
 const TRIAL_END: f64 = 0.52;
@@ -64,6 +68,9 @@
 /// Sessions remembered, with a version each; older ones are dropped first.
 const SESSIONS_MOST: usize = 20_000;
 
+/// Sessions told in one beat; a VM has a few at a time.
+const SESSIONS_TOLD_MOST: usize = 64;
+
 /// How many times the usual a first part of an answer may take before the
 /// answer counts as bad.
 const SLOW_FACTOR: f64 = 4.0;
@@ -145,6 +152,8 @@
     pub stopped: bool,
     /// Requests that it still has at the old version.
     pub old_in_flight: u16,
+    /// Sessions at the old version that the trial would take, by hash.
+    pub old_sessions: Vec<ShortHash>,
     /// Answers by route, of the old and the new version.
     pub answers: Vec<(ShortHash, Answers, Answers)>,
 }
@@ -158,7 +167,8 @@
     own: HashMap<ShortHash, [Answers; 2]>,
     first_part_s: HashMap<ShortHash, f64>,
     others: HashMap<String, (Instant, Evidence)>,
-    sessions: HashMap<String, (VersionSide, Instant)>,
+    sessions: HashMap<ShortHash, (VersionSide, Instant)>,
+    told_old: HashMap<ShortHash, Instant>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,9 +186,15 @@
     pub status: Status,
 }
 
+/// When each session of a service had its last request.
+type Recent = HashMap<ShortHash, Instant>;
+
 /// All roll-outs that this VM knows of.
 #[derive(Debug, Default)]
-pub struct Rollouts(Mutex<HashMap<ServiceId, Rollout>>);
+pub struct Rollouts {
+    running: Mutex<HashMap<ServiceId, Rollout>>,
+    recent: Mutex<HashMap<ServiceId, Recent>>,
+}
 
 impl Rollouts {
     /// Takes in an order; returns whether it is a new one.
@@ -188,18 +204,23 @@
         order: Order,
         now: Instant,
     ) -> bool {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut rollouts = self.running.lock().expect("rollouts lock");
         let held = rollouts.get(&service);
         if held.is_some_and(|held| held.order == order) {
             return false;
         }
-        rollouts.insert(service, Rollout::new(order, now));
+        let mut rollout = Rollout::new(order, now);
+        let mut recent = self.recent.lock().expect("recent lock");
+        for (session, at) in recent.remove(&service).unwrap_or_default() {
+            rollout.sessions.insert(session, (VersionSide::Old, at));
+        }
+        rollouts.insert(service, rollout);
         true
     }
 
     /// Takes in the state that stands in the store.
     pub fn set_status(&self, service: &ServiceId, status: &Status) {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut rollouts = self.running.lock().expect("rollouts lock");
         let Some(rollout) = rollouts.get_mut(service) else { return };
         if rollout.order.target == status.target {
             rollout.progress = Some(status.progress);
@@ -208,7 +229,7 @@
 
     /// Forgets a roll-out whose order is gone.
     pub fn forget(&self, service: &ServiceId) {
-        self.0.lock().expect("rollouts lock").remove(service);
+        self.running.lock().expect("rollouts lock").remove(service);
     }
 
     /// Which version may answer a request.
@@ -219,7 +240,7 @@
         request_id: &str,
         now: Instant,
     ) -> VersionRule {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut rollouts = self.running.lock().expect("rollouts lock");
         let Some(rollout) = rollouts.get_mut(service) else {
             return VersionRule::Any;
         };
@@ -234,12 +255,30 @@
         software: &VersionId,
         now: Instant,
     ) {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
-        if let Some(rollout) = rollouts.get_mut(service) {
-            rollout.note_session(session, software, now);
+        let session = ShortHash::of(session);
+        let mut rollouts = self.running.lock().expect("rollouts lock");
+        match rollouts.get_mut(service) {
+            Some(rollout) if rollout.is_running() => {
+                rollout.note_session(session, software, now);
+            }
+            _ => self.note_recent(service, session, now),
         }
     }
 
+    fn note_recent(
+        &self,
+        service: &ServiceId,
+        session: ShortHash,
+        now: Instant,
+    ) {
+        let mut recent = self.recent.lock().expect("recent lock");
+        let sessions = recent.entry(service.clone()).or_default();
+        if sessions.len() >= SESSIONS_MOST {
+            sessions.retain(|_, at| is_recent(*at, now));
+        }
+        sessions.insert(session, now);
+    }
+
     /// Takes in how an answer of a version on a route was.
     pub fn record(
         &self,
@@ -249,7 +288,7 @@
         verdict: Verdict,
         first_part: Option<Duration>,
     ) {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut rollouts = self.running.lock().expect("rollouts lock");
         if let Some(rollout) = rollouts.get_mut(service) {
             rollout.record(software, route, verdict, first_part);
         }
@@ -261,7 +300,7 @@
         old_in_flight: impl Fn(&ServiceId, &VersionId) -> u32,
         now: Instant,
     ) -> Vec<Evidence> {
-        let rollouts = self.0.lock().expect("rollouts lock");
+        let rollouts = self.running.lock().expect("rollouts lock");
         let running =
             rollouts.iter().filter(|(_, rollout)| rollout.is_running());
         running
@@ -274,7 +313,7 @@
 
     /// Takes in what another VM tells.
     pub fn hear(&self, vm: &str, told: &[Evidence], now: Instant) {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut rollouts = self.running.lock().expect("rollouts lock");
         for (service, rollout) in rollouts.iter_mut() {
             let service = ShortHash::of(service.as_str());
             let target = ShortHash::of(rollout.order.target.as_str());
@@ -290,7 +329,7 @@
     /// Judges the running roll-outs; returns those that were stopped just
     /// now, with the reason.
     pub fn judge(&self) -> Vec<(ServiceId, String)> {
-        let mut rollouts = self.0.lock().expect("rollouts lock");
+        let mut rollouts = self.running.lock().expect("rollouts lock");
         let mut stopped = Vec::new();
         for (service, rollout) in rollouts.iter_mut() {
             if let Some(reason) = rollout.judge() {
@@ -310,7 +349,7 @@
         old_in_flight: impl Fn(&ServiceId, &VersionId) -> u32,
         now: Instant,
     ) -> Vec<Due> {
-        let rollouts = self.0.lock().expect("rollouts lock");
+        let rollouts = self.running.lock().expect("rollouts lock");
         let mut due = Vec::new();
         for (service, rollout) in rollouts.iter() {
             let old = old_in_flight(service, &rollout.order.target);
@@ -325,7 +364,7 @@
 
     /// Whether any roll-out is running.
     pub fn any_running(&self) -> bool {
-        let rollouts = self.0.lock().expect("rollouts lock");
+        let rollouts = self.running.lock().expect("rollouts lock");
         rollouts.values().any(Rollout::is_running)
     }
 }
@@ -341,6 +380,7 @@
             first_part_s: HashMap::new(),
             others: HashMap::new(),
             sessions: HashMap::new(),
+            told_old: HashMap::new(),
         }
     }
 
@@ -357,6 +397,9 @@
 
     /// The share of the requests that the new version gets.
     fn share(&self, now: Instant) -> f64 {
+        if now.saturating_duration_since(self.started_at) < TRIAL_START {
+            return 0.0;
+        }
         match self.passed(now) {
             passed if passed < TRIAL_END => TRIAL_SHARE,
             passed if passed < PART_END => PART_SHARE,
@@ -377,15 +420,13 @@
         if self.progress == Some(Progress::Completed) {
             return VersionRule::Prefer(target);
         }
-        let subject = session.unwrap_or(request_id);
-        let drawn = f64::from(ShortHash::of(subject).0 ^ self.salt())
-            / f64::from(u32::MAX);
-        let side = match drawn < self.share(now) {
+        let subject = ShortHash::of(session.unwrap_or(request_id));
+        let side = match self.draw(subject) < self.share(now) {
             true => VersionSide::New,
             false => VersionSide::Old,
         };
         let is_trial = self.passed(now) < TRIAL_END;
-        let held = session.and_then(|session| self.session(session, now));
+        let held = session.and_then(|_| self.session(subject, now));
         let side = match held {
             Some(VersionSide::New) => VersionSide::New,
             Some(VersionSide::Old) if is_trial => VersionSide::Old,
@@ -397,31 +438,57 @@
         }
     }
 
+    /// A number in `0..=1` for a subject, the same on every VM.
+    fn draw(&self, subject: ShortHash) -> f64 {
+        f64::from(subject.0 ^ self.salt()) / f64::from(u32::MAX)
+    }
+
     /// Makes the draw of a subject differ from one roll-out to the next.
     fn salt(&self) -> u32 {
         let target = ShortHash::of(self.order.target.as_str());
         rendezvous::mix(u64::from(target.0), 1) as u32
     }
 
-    fn session(&self, session: &str, now: Instant) -> Option<VersionSide> {
-        let (side, at) = self.sessions.get(session)?;
-        let rested = now.saturating_duration_since(*at);
-        (rested < SESSION_LIFETIME).then_some(*side)
+    /// The version that a session is at, here or on another VM.
+    fn session(
+        &self,
+        session: ShortHash,
+        now: Instant,
+    ) -> Option<VersionSide> {
+        let own = self.sessions.get(&session);
+        let told = self.told_old.get(&session);
+        own.filter(|(_, at)| is_recent(*at, now))
+            .map(|(side, _)| *side)
+            .or_else(|| {
+                let is_told = told.is_some_and(|at| is_recent(*at, now));
+                is_told.then_some(VersionSide::Old)
+            })
     }
 
     fn note_session(
         &mut self,
-        session: &str,
+        session: ShortHash,
         software: &VersionId,
         now: Instant,
     ) {
         if self.sessions.len() >= SESSIONS_MOST {
-            self.sessions.retain(|_, (_, at)| {
-                now.saturating_duration_since(*at) < SESSION_LIFETIME
-            });
+            self.sessions.retain(|_, (_, at)| is_recent(*at, now));
         }
         let side = self.side(software);
-        self.sessions.insert(session.to_owned(), (side, now));
+        self.sessions.insert(session, (side, now));
+    }
+
+    /// Sessions at the old version that the trial would take.
+    fn old_sessions(&self, now: Instant) -> Vec<ShortHash> {
+        if self.passed(now) >= TRIAL_END {
+            return Vec::new();
+        }
+        let old = self.sessions.iter().filter(|(session, (side, at))| {
+            *side == VersionSide::Old
+                && is_recent(*at, now)
+                && self.draw(**session) < TRIAL_SHARE
+        });
+        old.map(|(session, _)| *session).take(SESSIONS_TOLD_MOST).collect()
     }
 
     fn side(&self, software: &VersionId) -> VersionSide {
@@ -487,6 +554,7 @@
             running_ms: running.as_millis() as u32,
             stopped: self.stopped,
             old_in_flight: old_in_flight.min(u32::from(u16::MAX)) as u16,
+            old_sessions: self.old_sessions(now),
             answers: self
                 .own
                 .iter()
@@ -503,6 +571,9 @@
             self.started_at = self.started_at.min(started_at);
         }
         self.stopped |= told.stopped;
+        for session in &told.old_sessions {
+            self.told_old.insert(*session, now);
+        }
         self.others.insert(vm.to_owned(), (now, told));
     }
 
@@ -561,6 +632,10 @@
     }
 }
 
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < SESSION_LIFETIME
+}
+
 fn is_worse(old: Answers, new: Answers) -> bool {
     let usual = match old.all >= KNOWN_ANSWERS {
         true => old.share(),
@@ -568,3 +643,6 @@
     };
     new.bad >= BAD_ANSWERS && new.share() > usual + SHARE_MARGIN
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/rollout/tests.rs
@@ -0,0 +1,191 @@
+use super::*;
+
+const ALLOWED: Duration = Duration::from_secs(20);
+
+fn service() -> ServiceId {
+    "writers".parse().unwrap()
+}
+
+fn version(name: &str) -> VersionId {
+    name.parse().unwrap()
+}
+
+fn running(now: Instant) -> Rollouts {
+    let rollouts = Rollouts::default();
+    let order = Order { target: version("v2"), time_allowed: ALLOWED };
+    assert!(rollouts.order(service(), order, now));
+    let status = Status { target: version("v2"), progress: Progress::Running };
+    rollouts.set_status(&service(), &status);
+    rollouts
+}
+
+/// The share of sessions that the new version gets at a time.
+fn share(rollouts: &Rollouts, now: Instant) -> f64 {
+    let new = (0..10_000).filter(|number| {
+        let session = format!("session-{number}");
+        let rule = rollouts.rule(&service(), Some(&session), "r", now);
+        rule == VersionRule::Prefer(version("v2"))
+    });
+    new.count() as f64 / 10_000.0
+}
+
+#[test]
+fn a_new_version_gets_a_small_share_and_then_everything() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    assert_eq!(share(&rollouts, now), 0.0);
+    let on_trial = share(&rollouts, now + ALLOWED / 4);
+    assert!((0.06..0.1).contains(&on_trial), "{on_trial}");
+    assert_eq!(share(&rollouts, now + ALLOWED.mul_f64(0.7)), 1.0);
+}
+
+#[test]
+fn a_session_keeps_its_version_through_the_trial() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let at = now + ALLOWED / 4;
+    for number in 0..1000 {
+        let session = format!("session-{number}");
+        let old = version("v1");
+        rollouts.note_session(&service(), &session, &old, at);
+        let later = at + Duration::from_secs(4);
+        let rule = rollouts.rule(&service(), Some(&session), "r", later);
+        assert_eq!(rule, VersionRule::Avoid(version("v2")));
+    }
+}
+
+#[test]
+fn a_session_that_began_before_the_order_on_another_vm_stays() {
+    let now = Instant::now();
+    let here = Rollouts::default();
+    let there = Rollouts::default();
+    let old = version("v1");
+    let names: Vec<String> =
+        (0..500).map(|number| format!("session-{number}")).collect();
+    for name in &names {
+        there.note_session(&service(), name, &old, now);
+    }
+    let order = Order { target: version("v2"), time_allowed: ALLOWED };
+    for rollouts in [&here, &there] {
+        rollouts.order(service(), order.clone(), now);
+    }
+    let told = there.evidence(|_, _| 0, now);
+    here.hear("vm-2", &told, now);
+    let at = now + Duration::from_secs(3);
+    for name in &names {
+        let rule = here.rule(&service(), Some(name), "r", at);
+        assert_eq!(rule, VersionRule::Avoid(version("v2")), "{name}");
+    }
+}
+
+#[test]
+fn a_version_is_stopped_by_the_evidence_of_all_vms() {
+    let now = Instant::now();
+    let here = running(now);
+    let there = running(now);
+    for rollouts in [&here, &there] {
+        for _ in 0..40 {
+            let old = version("v1");
+            rollouts.record(&service(), &old, "a", Verdict::Good, None);
+        }
+        for _ in 0..2 {
+            let new = version("v2");
+            rollouts.record(&service(), &new, "a", Verdict::Bad, None);
+        }
+    }
+    assert_eq!(here.judge(), []);
+    here.hear("vm-2", &there.evidence(|_, _| 0, now), now);
+    assert_eq!(here.judge().len(), 1);
+    let at = now + ALLOWED / 4;
+    let rule = here.rule(&service(), None, "r", at);
+    assert_eq!(rule, VersionRule::Never(version("v2")));
+    let due = here.due(false, |_, _| 0, at);
+    assert_eq!(due[0].status.progress, Progress::Reverted);
+    // The other VM stops as soon as it hears of it.
+    there.hear("vm-1", &here.evidence(|_, _| 0, now), now);
+    let rule = there.rule(&service(), None, "r", at);
+    assert_eq!(rule, VersionRule::Never(version("v2")));
+}
+
+#[test]
+fn failures_that_the_old_version_has_too_stop_nothing() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    for name in ["v1", "v2"] {
+        for number in 0..100 {
+            let verdict = match number % 5 {
+                0 => Verdict::Bad,
+                _ => Verdict::Good,
+            };
+            let version = version(name);
+            rollouts.record(&service(), &version, "a", verdict, None);
+        }
+    }
+    assert_eq!(rollouts.judge(), []);
+}
+
+#[test]
+fn a_version_that_is_much_slower_on_one_route_is_stopped() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let record = |name: &str, route: &str, ms: u64| {
+        let first_part = Some(Duration::from_millis(ms));
+        let version = version(name);
+        rollouts.record(
+            &service(),
+            &version,
+            route,
+            Verdict::Good,
+            first_part,
+        );
+    };
+    for _ in 0..30 {
+        record("v1", "a", 50);
+        record("v1", "b", 50);
+        record("v2", "a", 60);
+    }
+    for _ in 0..6 {
+        record("v2", "b", 400);
+    }
+    assert_eq!(rollouts.judge().len(), 1);
+}
+
+#[test]
+fn completed_waits_for_the_old_versions_last_requests() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let at = now + ALLOWED.mul_f64(0.7);
+    assert_eq!(rollouts.due(true, |_, _| 1, at), []);
+    assert_eq!(rollouts.due(false, |_, _| 0, at), []);
+    let due = rollouts.due(true, |_, _| 0, at);
+    assert_eq!(due[0].status.progress, Progress::Completed);
+    let late = now + ALLOWED.mul_f64(0.95);
+    let due = rollouts.due(true, |_, _| 1, late);
+    assert_eq!(due[0].status.progress, Progress::Completed);
+}
+
+#[test]
+fn a_vm_that_was_restarted_learns_how_long_it_has_been() {
+    let now = Instant::now();
+    let old = running(now);
+    let at = now + ALLOWED.mul_f64(0.7);
+    let restarted = running(at);
+    assert!(share(&restarted, at) < 0.2);
+    restarted.hear("vm-2", &old.evidence(|_, _| 0, at), at);
+    assert_eq!(share(&restarted, at), 1.0);
+}
+
+#[test]
+fn a_roll_out_that_has_ended_stays_ended() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let reverted =
+        Status { target: version("v2"), progress: Progress::Reverted };
+    rollouts.set_status(&service(), &reverted);
+    assert!(!rollouts.any_running());
+    assert_eq!(rollouts.due(true, |_, _| 0, now), []);
+    let order = Order { target: version("v2"), time_allowed: ALLOWED };
+    assert!(!rollouts.order(service(), order, now), "the same order");
+    let order = Order { target: version("v3"), time_allowed: ALLOWED };
+    assert!(rollouts.order(service(), order, now), "another order");
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -704,12 +704,13 @@
     Some(LogSettings { level: level?, format: format?, path })
 }
 
-/// The table of keys in Markdown, as `docs/SETTINGS.md` prints it.
-pub fn key_table() -> String {
+/// A table of keys in Markdown, as `docs/SETTINGS.md` and
+/// `docs/GATEWAY.md` print it.
+pub fn key_table(keys: &[Key]) -> String {
     let mut table = String::from(
         "| section | key | default | meaning |\n|---|---|---|---|\n",
     );
-    for key in KEYS {
+    for key in keys {
         let default = match key.default {
             None => "(must be given)".to_owned(),
             Some("") => "(empty)".to_owned(),
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -15,6 +15,7 @@
     clock::SharedClock,
     event::Event,
     id::{ModelId, OrganisationId},
+    inbound::Inbound,
     metrics::{Metrics, OTHER},
     pool::Member,
     route::{Route, TableVersion},
@@ -60,6 +61,7 @@
     table: Option<TableVersion>,
     proof_age: Option<Duration>,
     prompt_tokens: Option<u64>,
+    session: Option<String>,
     first_part_ms: Option<u64>,
     last_part_ms: Option<u64>,
     longest_pause_ms: u64,
@@ -84,6 +86,7 @@
             table: None,
             proof_age: None,
             prompt_tokens: None,
+            session: None,
             first_part_ms: None,
             last_part_ms: None,
             longest_pause_ms: 0,
@@ -107,9 +110,10 @@
         self.route = Some(route);
     }
 
-    /// Notes how long its prompt is.
-    pub(crate) fn of_size(&mut self, prompt_tokens: Option<u64>) {
-        self.prompt_tokens = prompt_tokens;
+    /// Notes what its head says.
+    pub(crate) fn of(&mut self, inbound: &Inbound) {
+        self.prompt_tokens = inbound.tokens.map(|tokens| tokens.prompt);
+        self.session.clone_from(&inbound.session);
     }
 
     /// Notes who is asking.
@@ -197,6 +201,7 @@
         let proof_age = self.proof_age.map(|age| age.as_millis() as u64);
         put("proof_age_ms", json!(proof_age));
         put("prompt_tokens", json!(self.prompt_tokens));
+        put("session", json!(self.session));
         put("passed_ms", json!(self.passed_ms()));
         put("first_part_ms", json!(self.first_part_ms));
         let pause_ms = Some(self.longest_pause_ms).filter(|ms| *ms > 0);
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -413,7 +413,7 @@
             PeerRequest::Decision(id) => {
                 PeerReply::Decision(self.decisions.get(&id).map(Box::new))
             }
-            PeerRequest::Knowledge => {
+            PeerRequest::Knowledge | PeerRequest::News { .. } => {
                 refused("this VM follows no platform's store")
             }
         }
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -4,7 +4,10 @@
 
 use std::{fs, path::PathBuf};
 
-use lupinseam::{error, event, metrics::Metrics, settings};
+use lupinseam::{
+    error, event, gateway::settings as gateway_settings, metrics::Metrics,
+    settings,
+};
 
 const BEGIN: &str = "<!-- table from the code -->\n";
 const END: &str = "<!-- end of the table -->\n";
@@ -25,7 +28,12 @@
 
 #[test]
 fn the_settings_reference_is_the_code() {
-    check("SETTINGS.md", &settings::key_table());
+    check("SETTINGS.md", &settings::key_table(settings::KEYS));
+}
+
+#[test]
+fn the_gateway_settings_reference_is_the_code() {
+    check("GATEWAY.md", &settings::key_table(gateway_settings::KEYS));
 }
 
 #[test]
