--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -14,15 +14,20 @@
     gateway::{Gateway, fields},
     platform::{document, store::Committed},
     rollout::{Due, Progress, Status},
-    store::StoreError,
+    store::{Backoff, StoreError},
     task,
 };
 
 /// Time between two looks at the roll-outs.
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// Longest wait after a state could not be recorded.
+const RECORD_MOST: Duration = Duration::from_secs(1);
+
 /// Looks after the roll-outs for as long as it is polled.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut backoff = Backoff::new(PERIOD, RECORD_MOST);
+    let mut record_from = gateway.clock.now();
     loop {
         task::sleep(PERIOD).await;
         gateway.note_freshness();
@@ -35,24 +40,30 @@
         if !gateway.rollouts.any_running() {
             continue;
         }
-        for (service, reason) in gateway.rollouts.judge() {
+        let now = gateway.clock.now();
+        for (service, reason) in gateway.rollouts.judge(now) {
             Event::RolloutStopped.record(fields(json!({
                 "service": service,
                 "reason": reason,
             })));
         }
-        let now = gateway.clock.now();
+        if now < record_from {
+            continue;
+        }
         let is_steward = gateway.peers.is_steward(&gateway);
         let old = |service: &_, target: &_| {
             gateway.in_flight_at_old(service, target)
         };
         for due in gateway.rollouts.due(is_steward, old, now) {
             if let Err(error) = record(&gateway, &due).await {
+                record_from = gateway.clock.now() + backoff.wait();
                 Event::RolloutNotRecorded.record(fields(json!({
                     "service": due.service,
                     "progress": due.status.progress.to_string(),
                     "reason": error.to_string(),
                 })));
+            } else {
+                backoff.reset();
             }
         }
     }
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -52,6 +52,10 @@
 /// the old version still works on something.
 const COMPLETE_ANYWAY: f64 = 0.93;
 
+/// Time after which a VM that is not the steward records that a version was
+/// stopped, if nobody has yet.
+const RECORD_ANYWAY: Duration = Duration::from_millis(700);
+
 /// Bad answers on one route that are enough to judge a version by.
 const BAD_ANSWERS: u32 = 4;
 
@@ -163,7 +167,7 @@
     order: Order,
     started_at: Instant,
     progress: Option<Progress>,
-    stopped: bool,
+    stopped_at: Option<Instant>,
     own: HashMap<ShortHash, [Answers; 2]>,
     first_part_s: HashMap<ShortHash, f64>,
     others: HashMap<String, (Instant, Evidence)>,
@@ -328,11 +332,11 @@
 
     /// Judges the running roll-outs; returns those that were stopped just
     /// now, with the reason.
-    pub fn judge(&self) -> Vec<(ServiceId, String)> {
+    pub fn judge(&self, now: Instant) -> Vec<(ServiceId, String)> {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let mut stopped = Vec::new();
         for (service, rollout) in rollouts.iter_mut() {
-            if let Some(reason) = rollout.judge() {
+            if let Some(reason) = rollout.judge(now) {
                 stopped.push((service.clone(), reason));
             }
         }
@@ -341,8 +345,8 @@
 
     /// What is to be recorded in the store about the roll-outs.
     ///
-    /// `is_steward` says whether this VM keeps the records; a VM that has
-    /// stopped a version records that itself.
+    /// `is_steward` says whether this VM keeps the records; another one
+    /// records only that a version was stopped, and a little later.
     pub fn due(
         &self,
         is_steward: bool,
@@ -375,7 +379,7 @@
             order,
             started_at: now,
             progress: None,
-            stopped: false,
+            stopped_at: None,
             own: HashMap::new(),
             first_part_s: HashMap::new(),
             others: HashMap::new(),
@@ -414,7 +418,9 @@
         now: Instant,
     ) -> VersionRule {
         let target = self.order.target.clone();
-        if self.stopped || self.progress == Some(Progress::Reverted) {
+        if self.stopped_at.is_some()
+            || self.progress == Some(Progress::Reverted)
+        {
             return VersionRule::Never(target);
         }
         if self.progress == Some(Progress::Completed) {
@@ -552,7 +558,7 @@
             service: ShortHash::of(service.as_str()),
             target: ShortHash::of(self.order.target.as_str()),
             running_ms: running.as_millis() as u32,
-            stopped: self.stopped,
+            stopped: self.stopped_at.is_some(),
             old_in_flight: old_in_flight.min(u32::from(u16::MAX)) as u16,
             old_sessions: self.old_sessions(now),
             answers: self
@@ -570,7 +576,9 @@
         if let Some(started_at) = now.checked_sub(running) {
             self.started_at = self.started_at.min(started_at);
         }
-        self.stopped |= told.stopped;
+        if told.stopped {
+            self.stopped_at.get_or_insert(now);
+        }
         for session in &told.old_sessions {
             self.told_old.insert(*session, now);
         }
@@ -578,8 +586,8 @@
     }
 
     /// Stops the version if its answers are worse than the old one's.
-    fn judge(&mut self) -> Option<String> {
-        if self.stopped || !self.is_running() {
+    fn judge(&mut self, now: Instant) -> Option<String> {
+        if self.stopped_at.is_some() || !self.is_running() {
             return None;
         }
         let mut pooled = self.own.clone();
@@ -592,7 +600,7 @@
         }
         let worse = pooled.values().find(|[old, new]| is_worse(*old, *new))?;
         let [old, new] = worse;
-        self.stopped = true;
+        self.stopped_at = Some(now);
         Some(format!(
             "{} of {} answers bad on one route, {} of {} of the old version",
             new.bad, new.all, old.bad, old.all
@@ -605,11 +613,15 @@
         old_in_flight: u32,
         now: Instant,
     ) -> Option<Progress> {
+        if !self.is_running() {
+            return None;
+        }
+        if let Some(stopped_at) = self.stopped_at {
+            let passed = now.saturating_duration_since(stopped_at);
+            let is_due = is_steward || passed >= RECORD_ANYWAY;
+            return is_due.then_some(Progress::Reverted);
+        }
         match self.progress {
-            None if self.stopped => return Some(Progress::Reverted),
-            Some(Progress::Running) if self.stopped => {
-                return Some(Progress::Reverted);
-            }
             Some(Progress::Completed | Progress::Reverted) => return None,
             _ if !is_steward => return None,
             None => return Some(Progress::Running),
