--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -21,7 +21,9 @@
     error::{Error, ErrorKind},
     estimate::{evidence_key, version_hash},
     event::Event,
-    http_client::{Call, Exchange, Reuse, SendError, WholeAnswer},
+    http_client::{
+        Call, Exchange, HOP_HEADERS, Reuse, SendError, WholeAnswer,
+    },
     id::UpstreamId,
     message::ShortHash,
     rating::{self, RatingRequest},
@@ -842,18 +844,6 @@
     Error::new(ErrorKind::ClaimUnavailable).context(reason.to_owned())
 }
 
-/// Headers that belong to a connection and are not passed on.
-const HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
-
 /// Whether a header is passed on between caller and upstream.
 pub(crate) fn is_passed_on(name: &str) -> bool {
     !HOP_HEADERS.contains(&name) && name != "host" && name != "date"
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -58,7 +58,7 @@
 const READING_PATIENCE_MOST: Duration = Duration::from_millis(2500);
 
 /// Time between two looks at a silent upstream.
-const WATCH_PERIOD: Duration = Duration::from_millis(150);
+pub(crate) const WATCH_PERIOD: Duration = Duration::from_millis(150);
 
 /// Wait that a caller is told when every upstream is full.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -32,6 +32,18 @@
 /// Time after which an idle connection is not used again.
 const IDLE_LIFETIME: Duration = Duration::from_secs(20);
 
+/// Headers that belong to a connection and are not passed on.
+pub(crate) const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
 /// Why a call brought no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SendError {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod metrics;
 mod operators;
 mod peer;
+mod peers;
 #[path = "../platform/mod.rs"]
 pub mod platform;
 mod platform_list;
--- a/src/message.rs
+++ b/src/message.rs
@@ -211,6 +211,8 @@
     Decision(RequestId),
     /// Everything that is known from the platform's store.
     Knowledge,
+    /// Ask the platform's store for what has changed.
+    Look,
     /// Take in what has changed in the platform's store.
     News {
         /// The digest of what was known before.
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     cascade::{Doubt, Kept, larger_model},
-    forward::{Attempt, Fault, Job, Reply, ReplyBody, patience},
+    forward::{Attempt, Fault, Job, Reply, ReplyBody, WATCH_PERIOD, patience},
     health::Verdict,
     http_client::Exchange,
     id::ModelId,
@@ -39,9 +39,6 @@
 /// upstream is well.
 const LOST_AFTER: Duration = Duration::from_millis(2500);
 
-/// Time between two looks at a silent upstream.
-const WATCH_PERIOD: Duration = Duration::from_millis(150);
-
 /// The stream broke off for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BrokenOff;
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -413,7 +413,9 @@
             PeerRequest::Decision(id) => {
                 PeerReply::Decision(self.decisions.get(&id).map(Box::new))
             }
-            PeerRequest::Knowledge | PeerRequest::News { .. } => {
+            PeerRequest::Knowledge
+            | PeerRequest::Look
+            | PeerRequest::News { .. } => {
                 refused("this VM follows no platform's store")
             }
         }
