--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -116,8 +116,7 @@
     if !knows_more {
         return;
     }
-    // One that can reach the store hears it from there in a moment.
-    gateway.peers.look();
+    gateway.peers.note_behind(now);
     let age = gateway.knowledge.proof_age(now);
     if age.is_none_or(|age| age > BEHIND_AFTER) {
         let (gateway, from) = (gateway.clone(), beat.peers);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -36,6 +36,10 @@
 /// watch has its price, and two are enough to lose one.
 const WATCHERS: usize = 2;
 
+/// Time that what a watcher tells may be on its way before a VM that others
+/// are ahead of asks the store itself.
+const NEWS_TIME: Duration = Duration::from_millis(800);
+
 /// Part of the time in which a key that was taken away must be refused, up to
 /// which the proof of a VM that does not watch may age before it does.
 const REST_PROOF_PART: f64 = 0.45;
@@ -67,6 +71,25 @@
     }
 }
 
+/// Whether this VM knows what the watchers of its data hall know.
+#[derive(Clone, Copy, Debug, Default)]
+struct Agreement {
+    /// When that last was so.
+    at: Option<Instant>,
+    /// Since when another VM has been known to know more.
+    behind_since: Option<Instant>,
+}
+
+impl Agreement {
+    fn holds(&self, now: Instant) -> bool {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let is_recent = self.at.is_some_and(|at| since(at) < SILENT_AFTER);
+        let is_behind =
+            self.behind_since.is_some_and(|at| since(at) >= NEWS_TIME);
+        is_recent && !is_behind
+    }
+}
+
 /// The other VMs that this one knows of.
 pub(crate) struct Peers {
     vm: String,
@@ -74,7 +97,7 @@
     seeds: Vec<SocketAddr>,
     known: Mutex<HashMap<String, Peer>>,
     sent: Mutex<Vec<(u32, Instant)>>,
-    agreed_at: Mutex<Option<Instant>>,
+    agreement: Mutex<Agreement>,
     next_number: AtomicU32,
     /// Seals and opens what VMs send each other.
     pub(crate) codec: FrameCodec,
@@ -97,7 +120,7 @@
             seeds: seeds.filter(|seed| *seed != own).collect(),
             known: Mutex::default(),
             sent: Mutex::default(),
-            agreed_at: Mutex::new(None),
+            agreement: Mutex::default(),
             next_number: AtomicU32::new(1),
             client: PeerClient::new(codec.clone(), metrics),
             codec,
@@ -192,20 +215,26 @@
         if watchers.len() < WATCHERS || watchers.contains(&self.vm) {
             return false;
         }
-        let agreed_at = *self.agreed_at.lock().expect("agreed lock");
-        agreed_at
-            .is_some_and(|at| now.saturating_duration_since(at) < SILENT_AFTER)
+        self.agreement.lock().expect("agreement lock").holds(now)
     }
 
     /// Has this VM ask the store itself for what has changed.
     pub(crate) fn look(&self) {
-        *self.agreed_at.lock().expect("agreed lock") = None;
+        *self.agreement.lock().expect("agreement lock") = Agreement::default();
+    }
+
+    /// Notes that another VM knows more than this one. What a watcher tells
+    /// may be on its way, so that alone says nothing yet.
+    pub(crate) fn note_behind(&self, now: Instant) {
+        let mut agreement = self.agreement.lock().expect("agreement lock");
+        agreement.behind_since.get_or_insert(now);
     }
 
     /// Notes that a watcher of this data hall knows what this VM knows.
     pub(crate) fn note_agreed(&self, vm: &str, now: Instant) {
         if self.watchers(now).iter().any(|watcher| watcher == vm) {
-            *self.agreed_at.lock().expect("agreed lock") = Some(now);
+            let agreed = Agreement { at: Some(now), behind_since: None };
+            *self.agreement.lock().expect("agreement lock") = agreed;
         }
     }
 
