--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -198,18 +198,18 @@
         self.mirror.lock().expect("mirror lock").take_changes(changes)
     }
 
-    /// Takes in changes that another VM tells; `None` when something is
-    /// missing between them and what is known.
-    pub fn take_told(
-        &self,
-        digest_before: u64,
-        changes: Items,
-    ) -> Option<News> {
+    /// Takes in changes that another VM tells.
+    ///
+    /// They may be known already in part, and something may be missing
+    /// between them and what is known; only if neither is so does this VM
+    /// know everything up to their version of the store afterwards.
+    pub fn take_told(&self, digest_before: u64, changes: Items) -> News {
         let mut mirror = self.mirror.lock().expect("mirror lock");
-        if mirror.digest != digest_before {
-            return None;
-        }
-        Some(mirror.take_changes(changes))
+        let as_of = match mirror.digest == digest_before {
+            true => changes.as_of,
+            false => mirror.as_of,
+        };
+        mirror.take_changes(Items { items: changes.items, as_of })
     }
 
     /// Takes in everything there is; what is not among it is gone.
--- a/src/knowledge/tests.rs
+++ b/src/knowledge/tests.rs
@@ -98,6 +98,26 @@
     assert_eq!(one.digest(), other.digest());
 }
 
+#[test]
+fn changes_told_twice_or_with_a_gap_are_taken_in_by_their_versions() {
+    let knowledge = Knowledge::default();
+    let tell = |digest, items: Items| {
+        knowledge.take_told(digest, items);
+    };
+    let one = items(vec![item("x", Some(vec![1]), 1)], 10);
+    tell(knowledge.digest(), one.clone());
+    assert_eq!(knowledge.as_of(), StoreVersion(10));
+    // From a second VM, which gathered one more.
+    let both = vec![item("x", Some(vec![1]), 1), item("y", Some(vec![2]), 12)];
+    tell(0, items(both, 20));
+    let complete = knowledge.digest();
+    assert_eq!(knowledge.version_of("y"), Some(StoreVersion(12)));
+    // It cannot know what came between, so a watch would begin before.
+    assert_eq!(knowledge.as_of(), StoreVersion(10));
+    tell(0, one);
+    assert_eq!(knowledge.digest(), complete);
+}
+
 #[test]
 fn a_proof_counts_from_its_latest_moment() {
     let knowledge = Knowledge::default();
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -220,16 +220,10 @@
                 });
                 let as_of = StoreVersion(as_of);
                 let changes = Items { items: items.collect(), as_of };
-                match self.knowledge.take_told(digest_before, changes) {
-                    Some(news) => {
-                        self.take_news(news);
-                        PeerReply::Done
-                    }
-                    None => {
-                        self.peers.look();
-                        PeerReply::Refused("something is missing".into())
-                    }
-                }
+                // Whether anything is missing shows in the next beat.
+                let news = self.knowledge.take_told(digest_before, changes);
+                self.take_news(news);
+                PeerReply::Done
             }
             PeerRequest::Look => {
                 self.peers.look();
