Soak the router before the platform under faults from outside

A checker with eleven promises looks at what callers and upstreams saw; a test shows that it finds each of them broken.

--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -131,9 +131,9 @@
     let calls = evidence.calls_by_id();
     let is_as_sent = |run: &&Run| {
         calls.get(run.id.as_str()).is_some_and(|call| {
-            let organisation = match call.kind {
-                Kind::Tell => "",
-                _ => ORGANISATION,
+            let organisation = match call.kind.needs_key() {
+                true => ORGANISATION,
+                false => "",
             };
             run.path == call.kind.path(&run.id)
                 && run.organisation == organisation
@@ -158,6 +158,9 @@
         .iter()
         .filter_map(|run| {
             let call = calls.get(run.id.as_str())?;
+            if !call.kind.needs_key() {
+                return None;
+            }
             let removed_at = *removed.get(call.key.as_str())?;
             let late = call.sent_at.checked_sub(removed_at)?;
             let what = format!(
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -30,6 +30,11 @@
         matches!(self, Kind::Read | Kind::Write | Kind::Probe(_))
     }
 
+    /// Whether its route is open to keyholders only.
+    pub fn needs_key(self) -> bool {
+        self != Kind::Tell
+    }
+
     /// The path of a request of this kind.
     pub fn path(self, id: &str) -> String {
         match self {
--- /dev/null
+++ b/standins/tests/soak.rs
@@ -0,0 +1,237 @@
+//! The soak: a short run of fixed seeds, and proof that its checker finds
+//! each promise broken.
+
+use std::{path::PathBuf, time::Duration};
+
+use standins::{
+    gateway_site::KEY,
+    soak::{
+        Soak,
+        check::{Promise, check},
+        evidence::{Call, Change, Evidence, Kind, Run, Scope, Trouble},
+    },
+};
+
+/// Seeds that are always run; each that ever failed is added, with a line on
+/// the cause.
+const SEEDS: [u64; 1] = [1];
+
+/// Seconds of faults for each seed in CI.
+const SECONDS: u64 = 8;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn call(id: &str, kind: Kind, sent_s: f64) -> Call {
+    Call {
+        id: id.to_owned(),
+        kind,
+        vm: 0,
+        life: 1,
+        key: KEY.to_owned(),
+        sent_at: seconds(sent_s),
+        ended_at: seconds(sent_s + 0.1),
+        status: 200,
+        is_whole: true,
+        is_own: true,
+    }
+}
+
+fn run_of(call: &Call) -> Run {
+    Run {
+        id: call.id.clone(),
+        upstream: "i-1".to_owned(),
+        software: "v1".to_owned(),
+        at: call.sent_at + seconds(0.01),
+        path: call.kind.path(&call.id),
+        organisation: "village".to_owned(),
+    }
+}
+
+/// One call of each kind that went well.
+fn good() -> Evidence {
+    let kinds = [Kind::Read, Kind::Once, Kind::Write, Kind::Probe(1)];
+    let calls: Vec<Call> = kinds
+        .iter()
+        .enumerate()
+        .map(|(at, kind)| call(&format!("c-{at}"), *kind, 10.0))
+        .collect();
+    let runs = calls.iter().map(run_of).collect();
+    Evidence { calls, runs, recovery: (10, 10), ..Evidence::default() }
+}
+
+fn broken(evidence: &Evidence) -> Vec<Promise> {
+    let mut found: Vec<Promise> =
+        check(evidence).into_iter().map(|v| v.promise).collect();
+    found.sort();
+    found.dedup();
+    found
+}
+
+/// What is broken once `change` was made to evidence that is good.
+fn broken_by(change: impl FnOnce(&mut Evidence)) -> Vec<Promise> {
+    let mut evidence = good();
+    assert_eq!(broken(&evidence), Vec::new());
+    change(&mut evidence);
+    broken(&evidence)
+}
+
+fn trouble(scope: Scope, from_s: f64, to_s: f64) -> Trouble {
+    let what = "test".to_owned();
+    Trouble { from: seconds(from_s), to: seconds(to_s), scope, what }
+}
+
+#[test]
+fn a_second_run_is_found_where_one_is_allowed() {
+    let doubled = |at: usize| broken_by(|e| e.runs.push(e.runs[at].clone()));
+    assert_eq!(doubled(0), [], "may be repeated");
+    assert_eq!(doubled(1), [Promise::AtMostOnce]);
+}
+
+#[test]
+fn a_false_refusal_is_found() {
+    for status in [408, 421, 429, 503] {
+        let found = broken_by(|e| e.calls[0].status = status);
+        assert_eq!(found, [Promise::TrueRefusal], "{status}");
+    }
+    let after_a_run = broken_by(|e| e.calls[0].status = 502);
+    assert_eq!(after_a_run, [], "which promises nothing");
+}
+
+#[test]
+fn an_answer_of_another_request_is_found() {
+    assert_eq!(broken_by(|e| e.calls[2].is_own = false), [Promise::OwnAnswer]);
+    let visibly_cut = broken_by(|e| {
+        e.calls[2].is_own = false;
+        e.calls[2].is_whole = false;
+    });
+    assert_eq!(visibly_cut, []);
+}
+
+#[test]
+fn a_changed_or_invented_request_is_found() {
+    let path = broken_by(|e| e.runs[0].path.push('x'));
+    let invented = broken_by(|e| e.runs[0].id = "c-9".to_owned());
+    let organisation = broken_by(|e| e.runs[0].organisation.clear());
+    for found in [path, invented, organisation] {
+        assert_eq!(found, [Promise::AsSent]);
+    }
+}
+
+#[test]
+fn a_run_under_a_removed_key_is_found_whatever_the_trouble() {
+    let sent_after = |removed_s: f64| {
+        broken_by(|e| {
+            e.calls[0].key = "old".to_owned();
+            let change = Change::KeyRemoved("old".to_owned());
+            e.changes.push((seconds(removed_s), change));
+            e.troubles.push(trouble(Scope::Everyone, 0.0, 20.0));
+        })
+    };
+    assert_eq!(sent_after(5.1), [], "within the bound");
+    assert_eq!(sent_after(4.9), [Promise::RevokedKey]);
+}
+
+#[test]
+fn a_denial_of_what_is_always_allowed_is_found() {
+    for status in [400, 401, 403, 404] {
+        let found = broken_by(|e| e.calls[0].status = status);
+        assert_eq!(found, [Promise::NotDenied], "{status}");
+    }
+}
+
+#[test]
+fn a_late_configuration_is_found_at_vms_in_touch() {
+    let added = |e: &mut Evidence| {
+        e.changes.push((seconds(7.0), Change::RouteAdded(1)));
+        e.calls[3].status = 404;
+    };
+    assert_eq!(broken_by(added), [Promise::Configuration]);
+    let in_trouble = |scope: Scope| {
+        broken_by(|e| {
+            added(e);
+            e.troubles.push(trouble(scope, 8.0, 9.0));
+        })
+    };
+    assert_eq!(in_trouble(Scope::Vm(0)), []);
+    assert_eq!(in_trouble(Scope::Everyone), []);
+    assert_eq!(in_trouble(Scope::Vm(1)), [Promise::Configuration]);
+    assert_eq!(in_trouble(Scope::Upstreams), [Promise::Configuration]);
+}
+
+#[test]
+fn a_configuration_that_is_taken_back_is_found() {
+    let lost_in = |life: u32| {
+        broken_by(|e| {
+            let mut lost = call("c-9", Kind::Probe(1), 11.0);
+            lost.status = 404;
+            lost.life = life;
+            e.calls.push(lost);
+        })
+    };
+    assert_eq!(lost_in(1), [Promise::Configuration]);
+    assert_eq!(lost_in(2), [], "a later process begins anew");
+}
+
+#[test]
+fn work_for_an_upstream_that_left_is_found() {
+    let left = |e: &mut Evidence| {
+        let change = Change::Leaving("i-1".to_owned());
+        e.changes.push((seconds(7.5), change));
+    };
+    assert_eq!(broken_by(left), [Promise::LeftAlone]);
+    let out_of_touch = broken_by(|e| {
+        left(e);
+        e.troubles.push(trouble(Scope::Vm(0), 6.0, 9.0));
+    });
+    assert_eq!(out_of_touch, []);
+}
+
+#[test]
+fn work_for_a_reverted_version_is_found() {
+    let found = broken_by(|e| {
+        let change = Change::Reverted("v1".to_owned());
+        e.changes.push((seconds(7.5), change));
+    });
+    assert_eq!(found, [Promise::Withdrawn]);
+}
+
+#[test]
+fn a_request_cut_by_a_planned_stop_is_found() {
+    let cut = |e: &mut Evidence| {
+        e.calls[0].is_whole = false;
+        e.calls[0].status = 0;
+        e.troubles.push(trouble(Scope::PlannedStop(0), 10.05, 12.0));
+    };
+    assert_eq!(broken_by(cut), [Promise::PlannedStop]);
+    let with_another_fault = broken_by(|e| {
+        cut(e);
+        e.troubles.push(trouble(Scope::Upstreams, 8.0, 8.5));
+    });
+    assert_eq!(with_another_fault, []);
+}
+
+#[test]
+fn a_site_that_does_not_recover_is_found() {
+    assert_eq!(broken_by(|e| e.recovery = (10, 8)), [Promise::Recovery]);
+    assert_eq!(broken_by(|e| e.recovery = (10, 9)), []);
+}
+
+#[test]
+fn fixed_seeds_break_no_promise() {
+    let soak = Soak {
+        seed: 1,
+        seeds: 1,
+        seconds: SECONDS,
+        vms: 5,
+        callers: 12,
+        logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+    };
+    for seed in SEEDS {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+        let outcome = soak.run_seed(seed, program).expect("a run");
+        assert!(outcome.faults > 0 && outcome.served > 0, "{outcome:?}");
+        assert!(outcome.violations.is_empty(), "{outcome:#?}");
+    }
+}
