Ask a lost store with one short call, by few VMs

Cause: while the store is down each VM asked it from two places, with a watch and with a read that proves the configuration, every second or so, and calls that are refused cost as much as others.

Now the one that follows the store asks with a short read first, which also proves the configuration when it comes through, and the other place rests; VMs that are not among the first two of their hall wait four times as long.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -26,7 +26,7 @@
 
 /// How many times as long a VM waits that is not one of the first of its data
 /// hall: they tell it when the store is back, and each call has its price.
-const RETRY_FACTOR_OTHERS: f64 = 2.5;
+const RETRY_FACTOR_OTHERS: f64 = 4.0;
 
 /// Pause between two watches. Records of upstreams often change together, and
 /// each call has its price; what changes meanwhile comes with the next watch.
@@ -119,6 +119,15 @@
             while gateway.may_rest() {
                 task::sleep(REST_TIME).await;
             }
+            if self.is_lost {
+                // A short call tells sooner than a watch that the store is
+                // back, and proves the configuration at once.
+                match prove(gateway).await {
+                    Ok(()) => self.answered(),
+                    Err(error) => self.failed(&error).await,
+                }
+                continue;
+            }
             let asked_at = gateway.clock.now();
             let since = gateway.knowledge.as_of();
             let wait = gateway.settings.watch_wait;
@@ -187,6 +196,10 @@
             // The first proof comes with the first read of everything.
             None => task::sleep(patience).await,
             Some(age) if age < patience => task::sleep(patience - age).await,
+            // The follower of the store asks already whether it is back.
+            Some(_) if !gateway.peers.can_watch(now) => {
+                task::sleep(REST_TIME).await;
+            }
             Some(_) if prove(&gateway).await.is_ok() => backoff.reset(),
             Some(_) => {
                 // The watch reports that the store is lost.
