Wait longer for an upstream that has the prompt in memory

Cause: a prompt went to another upstream as soon as its home was busy for the time that reading the shared part takes. Reading it again holds up what runs there and drives other prompts out, which the choice did not count.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -39,6 +39,14 @@
 /// Part of its aim after which a short repeatable request is tried elsewhere.
 const RETRY_AFTER_AIM: f64 = 0.6;
 
+/// Wait that is taken, beside the time to read it, for each token of a prompt
+/// that need not be read again: reading it holds up what runs beside it and
+/// takes memory from other prompts. Measured in `docs/ROUNDS.md`.
+const KEPT_TOKEN_WAIT: Duration = Duration::from_micros(300);
+
+/// Part of the aim that this wait may take at most.
+const KEPT_PROMPT_WAIT_PART: f64 = 0.25;
+
 /// Time for which an upstream may give no sign of life while it has work.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
@@ -224,7 +232,10 @@
         let tokens = shared.iter().map(|part| part.tokens).sum();
         let times = &self.gateway.read_times;
         let saved = times.expected(self.model.as_ref(), tokens);
-        Some(SharedPrompt { subject, saved })
+        let count = u32::try_from(tokens).unwrap_or(u32::MAX);
+        let most = self.route.aim.mul_f64(KEPT_PROMPT_WAIT_PART);
+        let spared = KEPT_TOKEN_WAIT.saturating_mul(count).min(most);
+        Some(SharedPrompt { subject, worth_waiting: saved + spared })
     }
 
     fn urgency(&self) -> u8 {
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -251,8 +251,8 @@
 pub struct SharedPrompt {
     /// What identifies the longest part shared with other requests.
     pub subject: u64,
-    /// The time that is saved where it need not be read.
-    pub saved: Duration,
+    /// The wait that is worth taking to find it there.
+    pub worth_waiting: Duration,
 }
 
 /// What a request asks of the choice.
@@ -485,11 +485,12 @@
             let id = u64::from(member.upstream.short.0);
             std::cmp::Reverse(rendezvous::mix(prompt.subject, id))
         });
+        let away = prompt.worth_waiting;
         let wait = |place: usize, member: &Arc<Member>| {
             let read = match place {
                 0 => Duration::ZERO,
-                1 => prompt.saved.mul_f64(SECOND_HOME_PART),
-                _ => prompt.saved,
+                1 => away.mul_f64(SECOND_HOME_PART),
+                _ => away,
             };
             let running = RUNNING_SLOWS * member.requests();
             member.reading() + running + read
--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -65,8 +65,10 @@
     let entries: Vec<UpstreamEntry> =
         (0..8).map(|n| entry(&format!("i-{n}"), "a", "v1")).collect();
     let pool = pool(&entries, now);
-    let prompt =
-        SharedPrompt { subject: 77, saved: Duration::from_millis(100) };
+    let prompt = SharedPrompt {
+        subject: 77,
+        worth_waiting: Duration::from_millis(100),
+    };
     let want = Want { prompt: Some(prompt), ..Want::default() };
     let home = picks(&pool, &want, now);
     assert_eq!(home.len(), 1);
