Wait for a silent stream nobody can go on with; judge versions by failures

Silence ended a wait also when nobody else could be asked: the attempts were used up, the request may not be repeated, or the retry budget was empty. Now silence ends a wait only if another attempt is possible; else the caller's time does. The two loops that watched for silence are one, so heads of streams, too, are given up sooner in a data hall that is cut off.

Duty missed: a good version was reverted, '4 of 5 answers bad, 14 of 46 of the old version', while a quarter of all upstreams crashed. None of those answers was a failure; 13 were broken, 3 silent, 3 unreachable. Now lost answers count against a version only from 20 on one route, more than half of all, and five times the old version's share. Test: lost_answers_speak_of_ machines_until_there_are_many.

Ruled out for 2: late knowledge of the order (all VMs had it 2 s after).

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -66,7 +66,7 @@
 const READING_PATIENCE_MOST: Duration = Duration::from_millis(2500);
 
 /// Time between two looks at a silent upstream.
-pub(crate) const WATCH_PERIOD: Duration = Duration::from_millis(150);
+const WATCH_PERIOD: Duration = Duration::from_millis(150);
 
 /// Wait that a caller is told when every upstream is full.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
@@ -135,6 +135,17 @@
     Poor(ModelId),
 }
 
+impl Fault {
+    /// What it says of the upstream, if that is to blame.
+    pub(crate) fn verdict(&self) -> Option<Verdict> {
+        match self {
+            Fault::NotRun(..) | Fault::Poor(_) => None,
+            Fault::Unknown(..) => Some(Verdict::Lost),
+            Fault::Failed(_) => Some(Verdict::Failed),
+        }
+    }
+}
+
 impl Job {
     /// Carries the request out.
     pub(crate) async fn run(mut self, mut trace: Trace) -> Reply {
@@ -159,8 +170,8 @@
                         return reply;
                     }
                     Err(fault) => {
-                        if !matches!(fault, Fault::NotRun(..)) {
-                            self.judge(&attempt, Verdict::Bad, None);
+                        if let Some(verdict) = fault.verdict() {
+                            self.judge(&attempt, verdict, None);
                         }
                         fault
                     }
@@ -284,12 +295,15 @@
         };
         let call = self.call(attempt, resume_after);
         let http = self.gateway.http.clone();
+        let can_try_again = self.can_try_again();
         let answered = async {
             let sent = http.send(call, reuse).await;
             sent.map_err(Some)
         };
         let silent = async {
-            self.silence(attempt, limit).await;
+            let (member, since) = (&attempt.member, attempt.began_at);
+            let least = can_try_again.then_some(SILENCE_LIMIT);
+            self.watch_silence(member, since, least, limit).await;
             Err(None)
         };
         let sent = answered.or(silent).await;
@@ -332,23 +346,31 @@
         self.may_have_run = true;
     }
 
-    /// Returns when `limit` has passed, or, for a request that may be
-    /// repeated, when its upstream seems dead.
-    async fn silence(&self, attempt: &Attempt, limit: Duration) {
-        let clock = &self.gateway.clock;
+    /// Returns when `most` has passed since `since`, or when the upstream has
+    /// given no sign of life for `least`, or for longer while it reads long
+    /// prompts. Without `least` its silence is no reason to return.
+    pub(crate) async fn watch_silence(
+        &self,
+        member: &Member,
+        since: Instant,
+        least: Option<Duration>,
+        most: Duration,
+    ) {
+        let gateway = &self.gateway;
         loop {
-            let patience = patience(&attempt.member, SILENCE_LIMIT);
-            let now = clock.now();
-            let waited = now.saturating_duration_since(attempt.began_at);
-            if waited >= limit {
+            let now = gateway.clock.now();
+            let waited = now.saturating_duration_since(since);
+            if waited >= most {
                 return;
             }
-            let is_dead =
-                attempt.member.silence(now) >= patience && waited >= patience;
-            if is_dead && self.route.repeat == Repeat::Any {
+            let is_dead = least.is_some_and(|least| {
+                let patience = patience(member, least);
+                gateway.pool.seems_dead(member, waited, patience, now)
+            });
+            if is_dead {
                 return;
             }
-            task::sleep((limit - waited).min(WATCH_PERIOD)).await;
+            task::sleep((most - waited).min(WATCH_PERIOD)).await;
         }
     }
 
@@ -390,7 +412,17 @@
 
     /// Whether another attempt could be made if the one under way failed.
     pub(crate) fn can_try_again(&self) -> bool {
-        self.route.repeat == Repeat::Any && self.sent + 1 < self.route.attempts
+        self.route.repeat == Repeat::Any
+            && self.sent + 1 < self.route.attempts
+            && self.gateway.has_retry(&self.service)
+    }
+
+    /// Whether the rest of a stream that broke off may be asked for.
+    pub(crate) fn may_resume(&self, now: Instant) -> bool {
+        self.route.repeat == Repeat::Any
+            && self.sent < self.route.attempts
+            && now < self.deadline
+            && self.gateway.has_retry(&self.service)
     }
 
     /// Records how the attempt's upstream did.
@@ -490,7 +522,7 @@
 
 /// How long an upstream may give no sign of life: longer while it reads long
 /// prompts, since nothing else comes meanwhile.
-pub(crate) fn patience(member: &Member, least: Duration) -> Duration {
+fn patience(member: &Member, least: Duration) -> Duration {
     let reading = member.reading().mul_f64(READING_PART);
     least + reading.min(READING_PATIENCE_MOST)
 }
--- a/src/health.rs
+++ b/src/health.rs
@@ -29,8 +29,10 @@
 pub enum Verdict {
     /// It answered.
     Good,
-    /// It failed, broke off or stayed silent.
-    Bad,
+    /// It answered that it failed.
+    Failed,
+    /// It broke off or stayed silent.
+    Lost,
     /// No connection to it could be opened.
     Unreachable,
 }
@@ -87,7 +89,7 @@
         state.fade(now);
         match verdict {
             Verdict::Good => state.record_good(now),
-            Verdict::Bad => state.record_bad(now),
+            Verdict::Failed | Verdict::Lost => state.record_bad(now),
             Verdict::Unreachable => {
                 // One such failure says enough: the next request would wait
                 // for it as well.
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -12,12 +12,11 @@
 
 use crate::{
     cascade::{Doubt, Kept, larger_model},
-    forward::{Attempt, Fault, Job, Reply, ReplyBody, WATCH_PERIOD, patience},
+    forward::{Attempt, Fault, Job, Reply, ReplyBody},
     health::Verdict,
     http_client::Exchange,
     id::ModelId,
     platform::headers::{self, AnswerHead},
-    route::Repeat,
     sse::Splitter,
     task,
     trace::{End, Trace},
@@ -87,9 +86,9 @@
         }
     }
 
-    fn reason(self) -> String {
+    fn reason(&self) -> String {
         match self {
-            Stop::Broken(reason) => reason,
+            Stop::Broken(reason) => reason.clone(),
             Stop::Silent => String::new(),
         }
     }
@@ -114,7 +113,13 @@
                 chunk.map_err(|error| Stop::Broken(error.to_string()))
             };
             let silent = async {
-                watch_silence(job, &member, limit).await;
+                let now = job.gateway.clock.now();
+                let left = job.left(now);
+                let (least, most) = match job.may_resume(now) {
+                    true => (Some(limit), left.min(LOST_AFTER)),
+                    false => (None, left),
+                };
+                job.watch_silence(&member, now, least, most).await;
                 Err(Stop::Silent)
             };
             match read.or(silent).await? {
@@ -150,31 +155,6 @@
     }
 }
 
-/// Returns when the request's time is over, or nothing came from the
-/// upstream for too long.
-async fn watch_silence(
-    job: &Job,
-    member: &crate::pool::Member,
-    limit: Duration,
-) {
-    let clock = &job.gateway.clock;
-    let began_at = clock.now();
-    loop {
-        let now = clock.now();
-        if now >= job.deadline {
-            return;
-        }
-        let waited = now.saturating_duration_since(began_at);
-        let patience = patience(member, limit);
-        let pool = &job.gateway.pool;
-        let is_dead = pool.seems_dead(member, waited, patience, now);
-        if is_dead || waited >= LOST_AFTER {
-            return;
-        }
-        task::sleep(job.left(now).min(WATCH_PERIOD)).await;
-    }
-}
-
 impl Job {
     /// Asks one upstream for a stream, up to its first events.
     pub(crate) async fn ask_stream(
@@ -190,8 +170,8 @@
         let (exchange, head) = match self.send(&attempt, None, limit).await {
             Ok(sent) => sent,
             Err(fault) => {
-                if matches!(fault, Fault::Unknown(..)) {
-                    self.judge(&attempt, Verdict::Bad, None);
+                if let Some(verdict) = fault.verdict() {
+                    self.judge(&attempt, verdict, None);
                 }
                 return Err(fault);
             }
@@ -252,7 +232,7 @@
             Ok(Brought::Events(first)) => (first, false),
             Ok(Brought::End) => (Bytes::new(), true),
             Err(stop) => {
-                self.judge(&source.attempt, Verdict::Bad, None);
+                self.judge(&source.attempt, Verdict::Lost, None);
                 return Err(Fault::Unknown(stop.label(), stop.reason()));
             }
         };
@@ -282,11 +262,11 @@
         let left = self.left(self.gateway.clock.now());
         let read = exchange.read_whole(LIMIT_BYTES);
         let Some(Ok(answer)) = task::within(left, read).await else {
-            self.judge(&attempt, Verdict::Bad, None);
+            self.judge(&attempt, Verdict::Lost, None);
             return Fault::Unknown("broken", format!("status {status}"));
         };
         if status >= 500 {
-            self.judge(&attempt, Verdict::Bad, None);
+            self.judge(&attempt, Verdict::Failed, None);
         }
         let status = hyper::StatusCode::from_u16(status)
             .unwrap_or(hyper::StatusCode::BAD_GATEWAY);
@@ -363,6 +343,8 @@
                     return Ok(Some(events));
                 }
                 Ok(Brought::End) => self.ended = true,
+                // Nobody else can be asked, and it may still go on.
+                Err(Stop::Silent) if self.must_wait() => {}
                 Err(stop) => self.resume(stop).await?,
             }
         }
@@ -378,22 +360,26 @@
         }
     }
 
+    /// Whether a silent source is all there is, and there is time left.
+    fn must_wait(&self) -> bool {
+        let now = self.job.gateway.clock.now();
+        now < self.job.deadline && !self.job.may_resume(now)
+    }
+
     /// Asks another upstream for the rest.
     async fn resume(&mut self, stop: Stop) -> Result<(), BrokenOff> {
         let Some(source) = self.source.take() else {
             return Err(BrokenOff);
         };
-        let mut reason = stop_text(&stop);
-        self.job.judge(&source.attempt, Verdict::Bad, None);
+        let mut reason = stop.reason();
+        self.job.judge(&source.attempt, Verdict::Lost, None);
         self.note_end(stop.label(), &reason);
         // The upstream that is given up must stop before another goes on.
         let model = source.attempt.model.clone();
         drop(source);
         loop {
             let now = self.job.gateway.clock.now();
-            let can_resume = self.job.route.repeat == Repeat::Any
-                && self.job.sent < self.job.route.attempts
-                && now < self.job.deadline
+            let can_resume = self.job.may_resume(now)
                 && self.job.gateway.try_retry(&self.job.service);
             if !can_resume {
                 return self.break_off(reason);
@@ -440,13 +426,13 @@
                 Ok(Source { attempt, exchange, events })
             }
             Ok((exchange, _)) => {
-                self.job.judge(&attempt, Verdict::Bad, None);
+                self.job.judge(&attempt, Verdict::Failed, None);
                 let reason = format!("status {}", exchange.status);
                 failed(self, "failed", reason)
             }
             Err(Fault::NotRun(label, reason)) => failed(self, label, reason),
             Err(Fault::Unknown(label, reason)) => {
-                self.job.judge(&attempt, Verdict::Bad, None);
+                self.job.judge(&attempt, Verdict::Lost, None);
                 failed(self, label, reason)
             }
             Err(Fault::Poor(_)) => failed(self, "poor", String::new()),
@@ -470,13 +456,6 @@
     }
 }
 
-fn stop_text(stop: &Stop) -> String {
-    match stop {
-        Stop::Broken(reason) => reason.clone(),
-        Stop::Silent => "silent".to_owned(),
-    }
-}
-
 /// The relay as a body of an HTTP answer.
 pub(crate) fn into_body(
     relay: Box<EventRelay>,
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -63,6 +63,15 @@
 /// answers may be.
 const SHARE_MARGIN: f64 = 0.2;
 
+/// Lost answers on one route that are enough to judge a version by.
+const LOST_ANSWERS: u32 = 20;
+
+/// Share of lost answers above which a version is worse.
+const LOST_SHARE: f64 = 0.5;
+
+/// How many times the old version's share of lost answers that must be.
+const LOST_RATIO: f64 = 5.0;
+
 /// Answers of the old version from which its share is known.
 const KNOWN_ANSWERS: u32 = 10;
 
@@ -126,20 +135,27 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
 )]
 pub struct Answers {
-    /// All of them.
+    /// All that came.
     pub all: u32,
-    /// Those that failed, broke off or came much too late.
+    /// Those of them that were failures or came much too late.
     pub bad: u32,
+    /// Those that did not come, or not whole.
+    pub lost: u32,
 }
 
 impl Answers {
-    fn share(self) -> f64 {
+    fn bad_share(self) -> f64 {
         f64::from(self.bad) / f64::from(self.all.max(1))
     }
 
+    fn lost_share(self) -> f64 {
+        f64::from(self.lost) / f64::from((self.all + self.lost).max(1))
+    }
+
     fn add(&mut self, other: Answers) {
         self.all += other.all;
         self.bad += other.bad;
+        self.lost += other.lost;
     }
 }
 
@@ -513,11 +529,15 @@
     ) {
         let side = self.side(software);
         let route = ShortHash::of(route);
-        let mut is_bad = verdict == Verdict::Bad;
+        let mut is_bad = verdict == Verdict::Failed;
         if let Some(first_part) = first_part {
             is_bad |= self.is_slow(route, side, first_part.as_secs_f64());
         }
         let answers = &mut self.own.entry(route).or_default()[side as usize];
+        if verdict == Verdict::Lost {
+            answers.lost += 1;
+            return;
+        }
         answers.all += 1;
         answers.bad += u32::from(is_bad);
     }
@@ -648,12 +668,22 @@
     now.saturating_duration_since(at) < SESSION_LIFETIME
 }
 
+/// Whether a new version is worse than the old one.
+///
+/// An answer that is lost says first of all that a machine or a way to it is:
+/// a few machines are lost on most days, and a new version has few. So it
+/// takes many of them, and an old version that loses hardly any.
 fn is_worse(old: Answers, new: Answers) -> bool {
     let usual = match old.all >= KNOWN_ANSWERS {
-        true => old.share(),
+        true => old.bad_share(),
         false => 0.0,
     };
-    new.bad >= BAD_ANSWERS && new.share() > usual + SHARE_MARGIN
+    let fails =
+        new.bad >= BAD_ANSWERS && new.bad_share() > usual + SHARE_MARGIN;
+    let vanishes = new.lost >= LOST_ANSWERS
+        && new.lost_share() > LOST_SHARE
+        && old.lost_share() < new.lost_share() / LOST_RATIO;
+    fails || vanishes
 }
 
 #[cfg(test)]
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -90,7 +90,7 @@
         }
         for _ in 0..2 {
             let new = version("v2");
-            rollouts.record(&service(), &new, "a", Verdict::Bad, None);
+            rollouts.record(&service(), &new, "a", Verdict::Failed, None);
         }
     }
     assert_eq!(here.judge(now), []);
@@ -107,13 +107,35 @@
     assert_eq!(rule, VersionRule::Never(version("v2")));
 }
 
+#[test]
+fn lost_answers_speak_of_machines_until_there_are_many() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let record = |software: &str, verdict, count| {
+        for _ in 0..count {
+            let software = version(software);
+            rollouts.record(&service(), &software, "a", verdict, None);
+        }
+    };
+    // A quarter of all machines is lost, and of the new version's three two.
+    record("v1", Verdict::Good, 100);
+    record("v1", Verdict::Lost, 30);
+    record("v2", Verdict::Good, 2);
+    record("v2", Verdict::Lost, 8);
+    assert_eq!(rollouts.judge(now), []);
+    // Only the new version goes on losing answers.
+    record("v1", Verdict::Good, 300);
+    record("v2", Verdict::Lost, 30);
+    assert_eq!(rollouts.judge(now).len(), 1);
+}
+
 #[test]
 fn others_record_a_stop_only_later() {
     let now = Instant::now();
     let rollouts = running(now);
     for _ in 0..BAD_ANSWERS {
         let new = version("v2");
-        rollouts.record(&service(), &new, "a", Verdict::Bad, None);
+        rollouts.record(&service(), &new, "a", Verdict::Failed, None);
     }
     assert_eq!(rollouts.judge(now).len(), 1);
     assert_eq!(rollouts.due(false, |_, _| 0, now), []);
@@ -129,7 +151,7 @@
     for name in ["v1", "v2"] {
         for number in 0..100 {
             let verdict = match number % 5 {
-                0 => Verdict::Bad,
+                0 => Verdict::Failed,
                 _ => Verdict::Good,
             };
             let version = version(name);
