Leave a hall that is cut off alone until a VM there is heard; explain from logs

The mark that a hall is cut off lasted a second, and each request that came after it had to learn again. A killed upstream beside another also marked a hall whose VMs were well.

Now the mark lasts three seconds and goes when a beat of a VM there arrives. Tests: a_hall_whose_vms_are_heard_is_not_cut_off, and the longer mark in a_hall_that_cannot_be_reached_is_left_alone_for_a_while.

VMs of a test site end with the process that started them: a soak that was ended had left some behind.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,7 @@
     logging,
     server::{Addresses, Server},
     settings::Settings,
+    story::Story,
     task,
     template::VersionState,
 };
@@ -236,7 +237,12 @@
     /// print the record as JSON
     #[argh(switch)]
     json: bool,
-    /// decision id, as in the header Lupinseam-Decision
+    /// log file of a VM before a platform; may be given several times, and no
+    /// VM is asked then
+    #[argh(option)]
+    log: Vec<PathBuf>,
+    /// decision id, as in the header Lupinseam-Decision, or in logs the id
+    /// that the caller gave its request
     #[argh(positional)]
     id: String,
 }
@@ -296,6 +302,9 @@
         Command::Serve(serve) => run_serve(&serve),
         Command::Gateway(command) => run_gateway(command),
         Command::Check(check) => run_check(&check),
+        Command::Explain(explain) if !explain.log.is_empty() => {
+            run_explain(&explain)
+        }
         other => match task::block_on(ask(other)) {
             Ok(answer) => print_answer(&answer),
             Err(reason) => {
@@ -325,6 +334,31 @@
     }
 }
 
+/// Tells the story of a request from log files.
+fn run_explain(explain: &Explain) -> ExitCode {
+    let mut logs = Vec::new();
+    for path in &explain.log {
+        let name = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => logs.push((name, text)),
+            Err(error) => {
+                eprintln!("lupinseam: {name}: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    match Story::find(&explain.id, &logs) {
+        Some(story) => {
+            print!("{story}");
+            ExitCode::SUCCESS
+        }
+        None => {
+            eprintln!("lupinseam: {} is in none of these logs", explain.id);
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run_serve(serve: &Serve) -> ExitCode {
     let settings = match Settings::from_file(&serve.settings) {
         Ok(settings) => settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -120,6 +120,7 @@
 mod sse;
 mod steward;
 pub mod store;
+mod story;
 pub mod tally;
 mod task;
 pub mod template;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -49,8 +49,10 @@
 /// off.
 const CUT_FAILURES: u32 = 2;
 
-/// Time for which a data hall that is cut off is left alone.
-const CUT_PAUSE: Duration = Duration::from_millis(1000);
+/// Time for which a data hall that is cut off is left alone, unless a VM
+/// there is heard before: about the length of a short cut, since each try
+/// costs a request the time to connect.
+const CUT_PAUSE: Duration = Duration::from_millis(3000);
 
 /// Silence of an upstream in a data hall that is cut off after which its
 /// streams are given up.
@@ -376,6 +378,15 @@
         }
     }
 
+    /// Notes that a VM of a data hall was heard, so that the way there is open
+    /// and failures to connect are the upstreams' own.
+    pub fn note_hall_heard(&self, hall: &DataHallId) {
+        let mut ways = self.ways.lock().expect("ways lock");
+        if let Some(way) = ways.get_mut(hall) {
+            *way = Way::default();
+        }
+    }
+
     /// Whether the data hall of an upstream seems cut off.
     fn is_cut_off(&self, member: &Member, now: Instant) -> bool {
         let ways = self.ways.lock().expect("ways lock");
--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -149,8 +149,30 @@
     let silent = now + CUT_SILENCE;
     assert!(pool.seems_dead(&other, CUT_SILENCE, limit, silent));
     assert!(!pool.seems_dead(&other, Duration::ZERO, limit, silent));
+    let later = now + CUT_PAUSE / 2;
+    assert_eq!(picks(&pool, &Want::default(), later), ["i-1"]);
     pool.note_way(&other, true, now);
     let near = pool.member(&"i-1".parse().unwrap()).unwrap();
     let _held = [near.upstream.begin(), near.upstream.begin()];
     assert!(picks(&pool, &Want::default(), now).contains(&"i-4".to_owned()));
 }
+
+#[test]
+fn a_hall_whose_vms_are_heard_is_not_cut_off() {
+    let now = Instant::now();
+    let entries = [
+        entry("i-1", "b", "v1"),
+        entry("i-2", "b", "v1"),
+        entry("i-3", "b", "v1"),
+    ];
+    let pool = pool(&entries, now);
+    let member = |id: &str| pool.member(&id.parse().unwrap()).unwrap();
+    for id in ["i-1", "i-2"] {
+        pool.note_way(&member(id), false, now);
+    }
+    assert!(pool.is_cut_off(&member("i-3"), now));
+    pool.note_hall_heard(&"b".parse().unwrap());
+    assert!(!pool.is_cut_off(&member("i-3"), now));
+    pool.note_way(&member("i-1"), false, now);
+    assert!(!pool.is_cut_off(&member("i-3"), now), "one says nothing");
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -130,7 +130,7 @@
 }
 
 /// Set for the processes of a fleet.
-const FLEET_VARIABLE: &str = "STANDINS_FLEET";
+pub(crate) const FLEET_VARIABLE: &str = "STANDINS_FLEET";
 
 /// Lets a process of a fleet end with the one that started it, however that
 /// ends, so that a test that is killed leaves nothing behind.
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -15,7 +15,9 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use crate::{platform_store::PlatformStore, scripted::Upstream};
+use crate::{
+    fleet::FLEET_VARIABLE, platform_store::PlatformStore, scripted::Upstream,
+};
 
 /// The service of plain upstreams.
 pub const PLAIN: &str = "portal";
@@ -220,6 +222,8 @@
             .arg("gateway")
             .arg("--settings")
             .arg(self.directory.path().join(SETTINGS_FILE))
+            // It ends with the process that started it, however that ends.
+            .env(FLEET_VARIABLE, "1")
             .stdin(Stdio::null())
             .stdout(log)
             .spawn()
