--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use smol::Timer;
 
-use crate::{engine::hidden_number, fleet::bearer_key};
+use crate::{documents::bearer_key, engine::hidden_number};
 use futures_lite::FutureExt;
 
 /// What a caller asks for.
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -10,7 +10,9 @@
 use crate::{
     caller::{Ask, CallRecord, CameBack},
     check::{Evidence, Violation, check},
-    fleet::{Fleet, FleetResult, bearer_key, version},
+    documents::{bearer_key, version},
+    fleet::Fleet,
+    process::FleetResult,
     site,
     traffic::{ORGANISATIONS, Traffic},
 };
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -16,7 +16,7 @@
 use tempfile::TempDir;
 
 use crate::{
-    fleet::FLEET_VARIABLE, platform_store::PlatformStore, scripted::Upstream,
+    platform_store::PlatformStore, process::FLEET_VARIABLE, scripted::Upstream,
 };
 
 /// The service of plain upstreams.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod check;
 pub mod demo;
+pub mod documents;
 pub mod engine;
 pub mod fleet;
 pub mod gateway_site;
@@ -15,6 +16,7 @@
 pub mod list;
 pub mod measure;
 pub mod platform_store;
+pub mod process;
 pub mod proxy;
 pub mod rating;
 pub mod scripted;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use async_global_executor::block_on;
 use standins::{
-    demo::Demo, engine::Engine, fleet, kv::Kv, list::List, measure::Measure,
+    demo::Demo, engine::Engine, kv::Kv, list::List, measure::Measure, process,
     rating::Rating, service::Service, soak::Soak,
 };
 
@@ -31,7 +31,7 @@
 }
 
 fn main() -> ExitCode {
-    fleet::end_with_parent();
+    process::end_with_parent();
     let arguments: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     // The router takes its own command line.
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -25,8 +25,10 @@
 
 use crate::{
     check::{Evidence, Violation, check},
-    fleet::{Fleet, FleetPlan, FleetResult, bearer_key},
+    documents::bearer_key,
+    fleet::{Fleet, FleetPlan},
     kv::KvFaults,
+    process::FleetResult,
     proxy::Mode,
     site,
     traffic::{ORGANISATIONS, READ_SERVICE, Traffic},
@@ -319,7 +321,7 @@
                 break;
             }
             let vm = &fleet.plan.vms[0].0;
-            let mut template = crate::fleet::template("extra", &[], &[]);
+            let mut template = crate::documents::template("extra", &[], &[]);
             template["concurrency"] = json!(made + 1);
             fleet.put_template(vm, &template).await?;
             made += 1;
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -6,10 +6,9 @@
 
 use crate::{
     check::Rules,
-    fleet::{
-        EnginePlan, Fleet, FleetPlan, FleetResult, ServicePlan, template,
-        version,
-    },
+    documents::{template, version},
+    fleet::{EnginePlan, Fleet, FleetPlan, ServicePlan},
+    process::FleetResult,
     traffic::{ONCE_SERVICES, ORGANISATIONS, READ_SERVICE},
 };
 
--- a/standins/tests/common/mod.rs
+++ b/standins/tests/common/mod.rs
@@ -14,7 +14,8 @@
 use standins::{
     caller::{Ask, CallRecord, Request, send},
     check::{Evidence, Rules, Violation, check},
-    fleet::{Fleet, FleetPlan, set_program},
+    fleet::{Fleet, FleetPlan},
+    process::set_program,
     site,
     traffic::{ONCE_SERVICES, ORGANISATIONS},
 };
--- a/standins/tests/upstreams.rs
+++ b/standins/tests/upstreams.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use smol::Timer;
 use standins::{
-    caller::CameBack, engine::EngineFaults, fleet::version, site, web,
+    caller::CameBack, documents::version, engine::EngineFaults, site, web,
 };
 
 const VM: &str = "vm-hall-a-1";
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -10,7 +10,10 @@
 use lupinseam::http_client::Call;
 use serde_json::{Value, json};
 use smol::Timer;
-use standins::fleet::{Fleet, bearer_key, template};
+use standins::{
+    documents::{bearer_key, template},
+    fleet::Fleet,
+};
 
 const VM: &str = "vm-hall-a-1";
 const OTHER_VM: &str = "vm-hall-b-1";
@@ -54,7 +57,8 @@
                 .await;
         let token = first.session.clone().expect("a token");
         let state = json!({ "rolling_out": { "stage": 2 } });
-        let entry = standins::fleet::version("writer", "v2", state, 400, 0.8);
+        let entry =
+            standins::documents::version("writer", "v2", state, 400, 0.8);
         fleet.put_version(VM, &entry).await.unwrap();
         eventually("v2 answers new sessions", || async {
             let call = ask(&fleet, OTHER_VM, &chat(2, 2, false)).await;
