--- a/standins/tests/common/mod.rs
+++ b/standins/tests/common/mod.rs
@@ -183,7 +183,12 @@
         if found.is_empty() {
             return;
         }
-        assert!(Instant::now() < end, "not in time: {found:#?}");
+        if Instant::now() >= end {
+            for vm in fleet.vms.values() {
+                println!("log of {}:\n{}", vm.name, fleet.log(&vm.name));
+            }
+            panic!("not in time: {found:#?}");
+        }
         Timer::after(Duration::from_millis(50)).await;
     }
 }
