Keep a VM's paths to the others over its restart; say when bills are alone

Cause of the red test bills_outlive_a_killed_vm, found by a log line that the ledger lacked: the restarted VM asked three others to hold its bills and got 'connection refused' from each, went on alone, and was killed. The test fleet made new proxies on all its paths at each restart, and published them after the VM had started; a VM that read the list before had addresses of proxies that were gone. On a busy machine it sent requests before its next read of the list. A fault of the harness, then, not of the router; the check is as strict as before.

Now a path is made anew only when its target has changed. E063 and E064 say when no second VM can be reached, whom it asked, and when one is again.

--- a/src/event.rs
+++ b/src/event.rs
@@ -131,6 +131,10 @@
     LedgerDrained = 61, Info, "All waiting bills are committed.";
     /// Bills of a dead VM were settled.
     OrphansSettled = 62, Warn, "Open bills of a dead VM were settled at their stated amount.";
+    /// No second VM can be reached to hold bills.
+    BillsAlone = 63, Warn, "No second VM can be reached to hold bills; says whom it asked. Requests go on, and the bills are offered again after a while.";
+    /// A second VM holds bills again.
+    BillsShared = 64, Info, "A second VM holds this VM's bills again.";
     /// This VM became the steward of its hall.
     StewardTaken = 70, Info, "This VM holds the steward lease of its data hall.";
     /// This VM is no longer the steward.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -7,7 +7,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -111,6 +114,8 @@
 pub(crate) struct Ledger {
     books: Mutex<Books>,
     silent: Silent,
+    /// Whether no second VM could be reached when one was last asked.
+    is_alone: AtomicBool,
     news: Sender<()>,
     has_news: Receiver<()>,
 }
@@ -135,7 +140,13 @@
     pub(crate) fn new() -> Ledger {
         let (news, has_news) = bounded(1);
         let books = Mutex::default();
-        Ledger { books, silent: Silent::default(), news, has_news }
+        Ledger {
+            books,
+            silent: Silent::default(),
+            is_alone: AtomicBool::new(false),
+            news,
+            has_news,
+        }
     }
 
     /// Opens the bill of a request before it is dispatched.
@@ -253,19 +264,41 @@
         let requests: Vec<RequestId> =
             due.iter().map(|bill| bill.request.clone()).collect();
         let full = due.len() >= SEND_LIMIT;
+        let mut asked = Vec::new();
         for holder in holders(vm).into_iter().take(HOLDERS_ASKED) {
             let message = PeerRequest::Bills(due.clone());
             let reply = vm.ask_peer(&holder, message, HOLD_LIMIT).await;
-            if let Ok(PeerReply::BillsHeld { committed }) = reply {
-                vm.ledger.mark_held(&requests, &committed);
-                return full;
-            }
+            let why = match reply {
+                Ok(PeerReply::BillsHeld { committed }) => {
+                    vm.ledger.note_alone(None);
+                    vm.ledger.mark_held(&requests, &committed);
+                    return full;
+                }
+                Ok(_) => "another reply".to_owned(),
+                Err(error) => error.to_string(),
+            };
             vm.ledger.silent.note(&holder, vm.clock.now());
+            asked.push(format!("{holder}: {why}"));
         }
+        vm.ledger.note_alone(Some(&asked));
         vm.ledger.keep_alone(due);
         false
     }
 
+    /// Notes whether a second VM could be reached, and logs when that
+    /// changes; `asked` says who could not be, and why.
+    fn note_alone(&self, asked: Option<&[String]>) {
+        let was_alone = self.is_alone.swap(asked.is_some(), Ordering::Relaxed);
+        match asked {
+            Some(asked) if !was_alone => {
+                let asked = asked.join("; ");
+                Event::BillsAlone.log(format_args!("asked: {asked}"));
+            }
+            None if was_alone => Event::BillsShared.log(""),
+            _ => {}
+        }
+    }
+
     fn due(&self, now: Instant) -> Vec<Bill> {
         let mut books = self.books.lock().expect("ledger lock");
         let due = books.own.values_mut().filter(|own| own.is_due(now));
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -389,16 +389,23 @@
         Ok(())
     }
 
+    /// Makes the path between two VMs, unless it leads there already: a VM
+    /// that is restarted reads the list before it says so itself, and finds
+    /// the paths to the others as they were.
     fn make_path(
         &mut self,
         from: &str,
         to: &str,
         target: SocketAddr,
     ) -> FleetResult<()> {
+        let key = (from.to_owned(), to.to_owned());
+        if self.paths.get(&key).is_some_and(|path| path.target == target) {
+            return Ok(());
+        }
         let seed = self.plan.seed ^ self.paths.len() as u64;
         let proxy =
             Proxy::both(target, seed).map_err(|error| error.to_string())?;
-        self.paths.insert((from.to_owned(), to.to_owned()), proxy);
+        self.paths.insert(key, proxy);
         Ok(())
     }
 
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -47,6 +47,8 @@
 pub struct Proxy {
     /// Where the proxy listens.
     pub address: SocketAddr,
+    /// Where it leads.
+    pub target: SocketAddr,
     mode: SharedMode,
     _tasks: Vec<Task<()>>,
 }
@@ -62,7 +64,7 @@
         let address = listener.local_addr()?;
         let mode = SharedMode::default();
         let task = spawn(accept(listener, target, mode.clone()));
-        Ok(Proxy { address, mode, _tasks: vec![task] })
+        Ok(Proxy { address, target, mode, _tasks: vec![task] })
     }
 
     /// Starts a proxy of a port for both TCP and UDP.
@@ -86,7 +88,12 @@
             let mode = SharedMode::default();
             let tcp = spawn(accept(listener, target, mode.clone()));
             let udp = spawn(forward(socket, target, mode.clone(), seed));
-            return Ok(Proxy { address, mode, _tasks: vec![tcp, udp] });
+            return Ok(Proxy {
+                address,
+                target,
+                mode,
+                _tasks: vec![tcp, udp],
+            });
         }
         Err(last)
     }
