Serve by the newest configuration known where keys need not fail closed

The platform's word was not read at all.

Ruled out: a longer bound (a figure that nobody states); accepting older configurations than the newest known (versions still only rise).

Test first: a_vm_may_go_on_by_the_newest_keys_that_it_knows (real process, store silent, resetting and busy for four times the bound, keys taken away before and during, a restart during it); it cannot pass before, since the setting is unknown. a_vm_that_cannot_know_of_a_lost_key_runs_nothing stays as it was for fail-closed sites.

Sites that fail closed do not take this path.

--- a/src/event.rs
+++ b/src/event.rs
@@ -81,8 +81,8 @@
     ListLost = 22, Warn, "The platform's list of VMs does not answer.";
     /// The platform's list answers again.
     ListBack = 23, Info, "The platform's list of VMs answers again.";
-    /// What is known from the store is too old to accept keys by.
-    KnowledgeStale = 24, Warn, "What is known from the platform's store is too old to accept keys; the VM is not ready.";
+    /// What is known from the store is too old to know which keys hold.
+    KnowledgeStale = 24, Warn, "What is known from the platform's store is too old to know which keys hold; the VM is not ready, unless `keys.fail_closed` is false.";
     /// What is known is recent enough again.
     KnowledgeFresh = 25, Info, "What is known from the platform's store is recent enough again.";
     /// Knowledge came from another VM.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -142,7 +142,16 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
             && !self.knowledge.is_empty()
-            && self.is_fresh(self.clock.now())
+            && self.may_accept_keys(self.clock.now())
+    }
+
+    /// Whether keys are accepted by what is known.
+    ///
+    /// Where the operators say that keys need not fail closed, the newest
+    /// configuration known holds for as long as no newer one is heard of: a
+    /// VM that lost the store serves on rather than refuses everybody.
+    pub(crate) fn may_accept_keys(&self, now: Instant) -> bool {
+        !self.settings.fail_closed || self.is_fresh(now)
     }
 
     /// Whether this VM may leave watching the store to others.
@@ -173,7 +182,10 @@
             true => Event::KnowledgeFresh,
             false => Event::KnowledgeStale,
         };
-        event.record(fields(json!({ "proof_age_ms": age_ms })));
+        event.record(fields(json!({
+            "proof_age_ms": age_ms,
+            "accepts_keys": self.may_accept_keys(now),
+        })));
     }
 
     /// The retry budget of a service.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -74,6 +74,14 @@
         None,
         "Time after which a key that was taken away must be refused.",
     ),
+    key(
+        "keys",
+        "fail_closed",
+        Some("true"),
+        "Whether a VM that cannot know any more which keys were taken away \
+         refuses all (`true`), or goes on by the newest configuration that \
+         it knows (`false`).",
+    ),
     key(
         "retries",
         "share",
@@ -119,6 +127,9 @@
     pub beat: Duration,
     /// Time after which a key that was taken away must be refused.
     pub revoke: Duration,
+    /// Whether every key is refused once it cannot be known any more which
+    /// ones were taken away.
+    pub fail_closed: bool,
     /// How many attempts beyond the first are allowed.
     pub retries: RetryBound,
     /// Longest planned stop.
@@ -162,6 +173,7 @@
     let seeds = read_seeds(r, peers);
     let beat = r.millis("peers", "beat_ms");
     let revoke = r.millis("keys", "revoke_ms");
+    let fail_closed = r.value("keys", "fail_closed");
     let retries = read_retries(r);
     let grace = r.seconds("stop", "grace_s");
     let log_level = r.value("log", "level");
@@ -178,6 +190,7 @@
         seeds: seeds?,
         beat: beat?,
         revoke: revoke?,
+        fail_closed: fail_closed?,
         retries: retries?,
         grace: grace?,
         log_level: log_level?,
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -212,7 +212,7 @@
     };
     let age = gateway.knowledge.proof_age(now);
     trace.judged_by(table.version(), age);
-    if !gateway.is_fresh(now) {
+    if !gateway.may_accept_keys(now) {
         return Err(stale("the configuration known may be out of date"));
     }
     let route = table.route(&inbound.host, inbound.path_only());
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -88,6 +88,9 @@
     pub store: PlatformStore,
     /// The VMs.
     pub vms: Vec<SiteVm>,
+    /// Whether VMs that are added refuse every key once they cannot know
+    /// which ones were taken away.
+    pub fail_closed: bool,
     first_port: u16,
     revoke_ms: u64,
 }
@@ -101,6 +104,7 @@
             program: (program, words.iter().map(|w| (*w).into()).collect()),
             store,
             vms: Vec::new(),
+            fail_closed: true,
             first_port: free_ports(),
             revoke_ms,
         }
@@ -164,10 +168,10 @@
              [cluster]\nkey = {CLUSTER_KEY}\n\
              [platform]\nstore = {store_way}\n\
              [peers]\nseeds = 127.0.0.10:1, 127.0.0.11:1\nbeat_ms = 100\n\
-             [keys]\nrevoke_ms = {}\n\
+             [keys]\nrevoke_ms = {}\nfail_closed = {}\n\
              [retries]\nshare = 1\nextra = 50\nwindow_s = 10\n\
              [stop]\ngrace_s = 6\n",
-            self.revoke_ms,
+            self.revoke_ms, self.fail_closed,
         );
         let directory = TempDir::new().expect("a directory");
         let path = directory.path().join(SETTINGS_FILE);
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -11,8 +11,8 @@
 use serde_json::json;
 use standins::{
     gateway_site::{
-        KEY, MODELS, PLAIN, Site, configuration, request, stream_request,
-        wait_until,
+        KEY, MODELS, PLAIN, Site, configuration, configuration_with, request,
+        stream_request, wait_until,
     },
     http_raw::{RawRequest, answer, chunk},
     platform_store::Mood,
@@ -368,6 +368,46 @@
     }
 }
 
+#[test]
+fn a_vm_may_go_on_by_the_newest_keys_that_it_knows() {
+    let _alone = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let with_keys =
+        |version, keys: &[&str]| configuration_with(version, keys, Vec::new());
+    for mood in [Mood::Silent, Mood::Resetting, Mood::Busy] {
+        let mut site = site(1_000);
+        site.fail_closed = false;
+        site.list(&upstream, PLAIN, "v1");
+        site.start_vm();
+        let ask = |site: &Site, key: &str| {
+            let text = request("GET", "/read/x", "r", "").replace(KEY, key);
+            site.vms[0].ask(&text).status
+        };
+        site.store.put("op/config", &with_keys(2, &[KEY, "key-3"]));
+        wait_until("a key is gone", || ask(&site, "key-2") == 401);
+        site.store.set_mood(mood);
+        site.store.put("op/config", &with_keys(3, &["key-3"]));
+        // Several times as long as its knowledge counts as recent.
+        let until = Instant::now() + Duration::from_secs(4);
+        while Instant::now() < until {
+            assert_eq!(ask(&site, KEY), 200, "as last known");
+            assert_eq!(ask(&site, "key-2"), 401, "never by an older one");
+            assert!(site.vms[0].is_ready());
+            thread::sleep(Duration::from_millis(100));
+        }
+        // One that has known nothing yet may neither serve nor deny.
+        site.vms[0].kill();
+        site.vms[0].start();
+        wait_until("it answers", || ask(&site, KEY) != 0);
+        assert_eq!(ask(&site, KEY), 503);
+        assert_eq!(ask(&site, "key-9"), 503);
+        assert!(!site.vms[0].is_ready());
+        site.store.set_mood(Mood::Well);
+        wait_until("it serves again", || ask(&site, "key-3") == 200);
+        assert_eq!(ask(&site, KEY), 401, "taken away meanwhile");
+    }
+}
+
 #[test]
 fn history_that_is_lost_is_read_again() {
     let _alone = alone();
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -16,6 +16,7 @@
     ("platform.address", "10.200.1.7:8223"),
     ("seed_nodes", "10.1.0.40:8229,10.2.0.29:8229"),
     ("bounds.revoke_ms", "5000"),
+    ("bounds.fail_closed", "false"),
     ("bounds.grace_s", "8"),
     ("bounds.retry_budget_ratio", "0.9"),
     ("bounds.retry_min_extra", "58"),
@@ -49,6 +50,7 @@
         settings.seeds.iter().map(ToString::to_string).collect();
     // Other VMs listen for each other on the same port as this one.
     assert_eq!(seeds, ["10.1.0.40:7340", "10.2.0.29:7340"]);
+    assert!(!settings.fail_closed, "the operators' word counts");
 }
 
 #[test]
