Tell the other VMs at once that a long prompt is being read

VMs that chose within the same half second did not know of each other's long prompts and sent theirs to the same engine; those behind it looked silent and were read again elsewhere.

Test first: the_others_hear_at_once_of_a_long_prompt, with real processes and a beat every 1.5 s; it fails without the early beat.

Also: one function gives the limit of an attempt's head, which stood twice.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -56,6 +56,11 @@
 /// Time for which the head of a stream is waited for whatever is expected.
 const HEAD_LEAST: Duration = Duration::from_millis(500);
 
+/// Expected time to read a prompt from which the other VMs are told at once
+/// that it is being read: they would send theirs to the same upstream until
+/// the next beat says so.
+const TOLD_READING: Duration = Duration::from_millis(80);
+
 /// How many times the expected time the head of a stream may take.
 const HEAD_FACTOR: f64 = 2.5;
 
@@ -223,6 +228,9 @@
         let times = &self.gateway.read_times;
         let expected = times.expected(model.as_ref(), tokens);
         let reading = (tokens > 0).then(|| member.read(expected));
+        if reading.is_some() && expected >= TOLD_READING {
+            self.gateway.early_beat.wake();
+        }
         Ok(Attempt {
             _in_flight: member.upstream.begin(),
             member,
@@ -410,6 +418,19 @@
         Ok(reply)
     }
 
+    /// How long the head of a stream is waited for before another upstream
+    /// is asked, since an answer can get lost although its upstream is well;
+    /// where none can be asked, to the end.
+    pub(crate) fn head_limit(&self, attempt: &Attempt) -> Duration {
+        let left = self.left(attempt.began_at);
+        if !self.can_try_again() {
+            return left;
+        }
+        let busy = attempt.read_before + attempt.expected;
+        let patience = HEAD_LEAST + busy.mul_f64(HEAD_FACTOR);
+        patience.min(left)
+    }
+
     /// Whether another attempt could be made if the one under way failed.
     pub(crate) fn can_try_again(&self) -> bool {
         self.route.repeat == Repeat::Any
@@ -512,14 +533,6 @@
     }
 }
 
-impl Attempt {
-    /// How long the head of a stream is waited for before another upstream is
-    /// asked: an answer can get lost although its upstream is well.
-    pub(crate) fn head_limit(&self) -> Duration {
-        HEAD_LEAST + (self.read_before + self.expected).mul_f64(HEAD_FACTOR)
-    }
-}
-
 /// How long an upstream may give no sign of life: longer while it reads long
 /// prompts, since nothing else comes meanwhile.
 fn patience(member: &Member, least: Duration) -> Duration {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
     pool::{Member, Pool, UpstreamState},
     retry_window::RetryWindow,
     rollout::Rollouts,
+    task::Wake,
 };
 
 pub mod settings;
@@ -93,6 +94,8 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) in_flight: InFlightCount,
+    /// Has the next beat sent early.
+    pub(crate) early_beat: Wake,
     pub(crate) incarnation: Incarnation,
     retries: Mutex<HashMap<ServiceId, Arc<RetryWindow>>>,
     store_ill_at: Mutex<Option<Instant>>,
@@ -118,6 +121,7 @@
             peers: Peers::new(&settings, metrics.clone()),
             metrics,
             in_flight: InFlightCount::default(),
+            early_beat: Wake::default(),
             incarnation: Incarnation(started_us),
             retries: Mutex::default(),
             store_ill_at: Mutex::new(None),
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -8,6 +8,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_lite::future;
 use serde_json::json;
 use smol::net::UdpSocket;
 
@@ -41,11 +42,20 @@
 /// Largest datagram read, in bytes.
 const DATAGRAM_BYTES: usize = 64 << 10;
 
-/// Sends a beat to every other VM, again and again.
+/// Least time between two beats, however much there is to tell.
+const BEAT_GAP: Duration = Duration::from_millis(50);
+
+/// Sends beats again and again: at every beat period, and sooner when
+/// something was begun that the others should know of.
 pub(crate) async fn beat_loop(gateway: Arc<Gateway>, socket: UdpSocket) {
     loop {
         let jitter = 0.9 + 0.2 * rand::random::<f64>();
-        task::sleep(gateway.settings.beat.mul_f64(jitter)).await;
+        let regular = task::sleep(gateway.settings.beat.mul_f64(jitter));
+        let early = async {
+            task::sleep(BEAT_GAP).await;
+            gateway.early_beat.woken().await;
+        };
+        future::or(regular, early).await;
         send_beats(&gateway, &socket).await;
     }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -46,8 +46,9 @@
 /// Age up to which the list of the VMs that watch is used again.
 const WATCHERS_KEPT: Duration = Duration::from_millis(100);
 
-/// Beats of its own that a VM remembers, to know when an echoed one left.
-const BEATS_REMEMBERED: usize = 16;
+/// Beats of its own that a VM remembers, to know when an echoed one left: at
+/// the least gap between two, those of about three seconds.
+const BEATS_REMEMBERED: usize = 64;
 
 /// Age of the proof of a VM that may keep the records of roll-outs.
 const STEWARD_PROOF: Duration = Duration::from_millis(2800);
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -162,11 +162,7 @@
         attempt: Attempt,
         trace: &mut Trace,
     ) -> Result<Opened, Fault> {
-        let left = self.left(attempt.began_at);
-        let limit = match self.can_try_again() {
-            true => attempt.head_limit().min(left),
-            false => left,
-        };
+        let limit = self.head_limit(&attempt);
         let (exchange, head) = match self.send(&attempt, None, limit).await {
             Ok(sent) => sent,
             Err(fault) => {
@@ -405,11 +401,7 @@
         let mut attempt =
             self.job.begin(trace, now).map_err(|error| error.to_string())?;
         attempt.model = model;
-        let left = self.job.left(now);
-        let limit = match self.job.can_try_again() {
-            true => attempt.head_limit().min(left),
-            false => left,
-        };
+        let limit = self.job.head_limit(&attempt);
         let last = self.last_event;
         let sent = self.job.send(&attempt, last, limit).await;
         let failed = |relay: &mut EventRelay, label, reason: String| {
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -91,6 +91,8 @@
     /// Whether VMs that are added refuse every key once they cannot know
     /// which ones were taken away.
     pub fail_closed: bool,
+    /// Time between two beats of VMs that are added, in milliseconds.
+    pub beat_ms: u64,
     first_port: u16,
     revoke_ms: u64,
 }
@@ -105,6 +107,7 @@
             store,
             vms: Vec::new(),
             fail_closed: true,
+            beat_ms: 100,
             first_port: free_ports(),
             revoke_ms,
         }
@@ -167,11 +170,11 @@
              peers = {peers}\nmetrics = {metrics}\n\
              [cluster]\nkey = {CLUSTER_KEY}\n\
              [platform]\nstore = {store_way}\n\
-             [peers]\nseeds = 127.0.0.10:1, 127.0.0.11:1\nbeat_ms = 100\n\
+             [peers]\nseeds = 127.0.0.10:1, 127.0.0.11:1\nbeat_ms = {}\n\
              [keys]\nrevoke_ms = {}\nfail_closed = {}\n\
              [retries]\nshare = 1\nextra = 50\nwindow_s = 10\n\
              [stop]\ngrace_s = 6\n",
-            self.revoke_ms, self.fail_closed,
+            self.beat_ms, self.revoke_ms, self.fail_closed,
         );
         let directory = TempDir::new().expect("a directory");
         let path = directory.path().join(SETTINGS_FILE);
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -606,3 +606,45 @@
     assert!(begun.elapsed() >= long);
     assert_eq!(upstream.received().len(), 1);
 }
+
+/// Sends the events of a short stream after a time.
+fn streams_after(wait: Duration) -> Script {
+    let stream = streams(|_| Streamed::default());
+    Box::new(move |request: &RawRequest| {
+        let mut acts = vec![Act::Wait(wait)];
+        acts.extend(stream(request));
+        acts
+    })
+}
+
+#[test]
+fn the_others_hear_at_once_of_a_long_prompt() {
+    let _guard = alone();
+    let upstream =
+        Upstream::start("i-1", streams_after(Duration::from_secs(2)));
+    let mut site = site(REVOKE_MS);
+    site.beat_ms = 1_500;
+    site.list(&upstream, MODELS, "v1");
+    site.start_vm();
+    site.start_vm();
+    // Until each has heard the other.
+    thread::sleep(Duration::from_millis(3_500));
+    let long = stream_request("/tell/x", "r-1")
+        .replace("Token-Count: 100,50", "Token-Count: 100000,50");
+    let long = long.replace("c3:20", "c3:99920");
+    thread::scope(|scope| {
+        scope.spawn(|| site.vms[0].ask(&long));
+        // Long enough for an early beat, too short for a regular one to be
+        // likely, and short enough that the prompt is still being read.
+        thread::sleep(Duration::from_millis(300));
+        site.vms[1].ask(&stream_request("/tell/x", "r-2"));
+    });
+    let line = || {
+        let lines = site.vms[1].lines("E100");
+        lines.into_iter().find(|line| line["id"] == "r-2")
+    };
+    wait_until("its line is written", || line().is_some());
+    let attempt = &line().expect("its line")["attempts"][0];
+    let reading_ms = attempt["reading_there_ms"].as_u64();
+    assert!(reading_ms.is_some_and(|ms| ms > 1_000), "{attempt}");
+}
