Tell a hall that is cut off by its silence, and no longer by mistake open

Cause: an attempt that was given up as silent counted as a sign that the way to its hall was open, which ended the pause of a hall that was cut off; and after that pause of three seconds the hall was taken for well without any sign of life. Now only what comes from a hall opens the way, and a hall whose beats stop while nothing else comes either counts as cut off after 1.1 s, or five of its usual gaps.

Ruled out: the retry budget (not exhausted), a lack of other upstreams (four in the own hall).

Tests first: a_hall_that_falls_silent_gets_nothing_new_and_its_streams_are_ given_up, and those of hall_way. The pool's own copy of the rule moved there.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -302,7 +302,9 @@
     /// Takes in how an attempt at an upstream ended.
     pub(crate) fn judge_upstream(&self, member: &Member, verdict: Verdict) {
         let now = self.clock.now();
-        self.pool.note_way(member, verdict != Verdict::Unreachable, now);
+        if verdict == Verdict::Unreachable {
+            member.note_unreachable(now);
+        }
         let change = member.health.record(verdict, now);
         let event = match change {
             None => return,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod gateway;
 mod gossip;
 pub mod guard;
+pub mod hall_way;
 pub mod health;
 pub mod http_client;
 pub mod id;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -122,7 +122,7 @@
     if beat.digest == gateway.knowledge.digest() {
         gateway.peers.note_agreed(&beat.vm, now);
     }
-    gateway.pool.note_hall_heard(&beat.data_hall);
+    gateway.pool.note_hall_heard(&beat.data_hall, now);
     gateway.pool.set_peer_work(&beat.vm, &beat.work, now);
     gateway.rollouts.hear(&beat.vm, &beat.evidence, now);
     if !knows_more {
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    hall_way::HallWay,
     health::Health,
     id::{DataHallId, ServiceId, UpstreamId, VersionId},
     message::ShortHash,
@@ -44,16 +45,6 @@
 /// may still be used; a live one is back within about two seconds.
 const VANISHED_GRACE: Duration = Duration::from_millis(1500);
 
-/// Upstreams of a data hall that cannot be reached, one after the other and
-/// without a sign of life from any other there, before the hall counts as cut
-/// off.
-const CUT_FAILURES: u32 = 2;
-
-/// Time for which a data hall that is cut off is left alone, unless a VM
-/// there is heard before: about the length of a short cut, since each try
-/// costs a request the time to connect.
-const CUT_PAUSE: Duration = Duration::from_millis(3000);
-
 /// Silence of an upstream in a data hall that is cut off after which its
 /// streams are given up.
 const CUT_SILENCE: Duration = Duration::from_millis(250);
@@ -125,6 +116,7 @@
     pub upstream: Arc<Upstream>,
     /// How it has been answering.
     pub health: Health,
+    way: Arc<HallWay>,
     reading_ms: AtomicU32,
     others: AtomicU32,
     others_reading_ms: AtomicU32,
@@ -140,7 +132,7 @@
 }
 
 impl Member {
-    fn new(entry: UpstreamEntry, now: Instant) -> Member {
+    fn new(entry: UpstreamEntry, way: Arc<HallWay>, now: Instant) -> Member {
         let record = UpstreamRecord {
             id: entry.id.clone(),
             data_hall: entry.data_hall.clone(),
@@ -152,6 +144,7 @@
         Member {
             upstream: Arc::new(Upstream::new(record, false, now)),
             health: Health::new(now),
+            way,
             reading_ms: AtomicU32::new(0),
             others: AtomicU32::new(0),
             others_reading_ms: AtomicU32::new(0),
@@ -184,6 +177,12 @@
     /// Notes that something came from it.
     pub fn note_heard(&self, now: Instant) {
         *self.heard_at.lock().expect("heard lock") = now;
+        self.way.note_heard(now);
+    }
+
+    /// Notes that no connection to it could be opened.
+    pub fn note_unreachable(&self, now: Instant) {
+        self.way.note_unreachable(now);
     }
 
     /// How long nothing has come from it.
@@ -288,14 +287,7 @@
 pub struct Pool {
     data_hall: DataHallId,
     members: RwLock<Arc<Members>>,
-    ways: Mutex<HashMap<DataHallId, Way>>,
-}
-
-/// How the way to a data hall has been.
-#[derive(Clone, Copy, Debug, Default)]
-struct Way {
-    failures: u32,
-    cut_until: Option<Instant>,
+    ways: Mutex<HashMap<DataHallId, Arc<HallWay>>>,
 }
 
 impl Pool {
@@ -316,7 +308,8 @@
             }
             _ => {
                 let is_leaving = entry.state == UpstreamState::Leaving;
-                let member = Arc::new(Member::new(entry, now));
+                let way = self.way(&entry.data_hall);
+                let member = Arc::new(Member::new(entry, way, now));
                 if is_leaving {
                     member.upstream.mark_leaving();
                 }
@@ -363,35 +356,21 @@
         gone
     }
 
-    /// Takes in whether an upstream could be reached.
-    pub fn note_way(&self, member: &Member, is_open: bool, now: Instant) {
-        let hall = &member.entry.data_hall;
-        let mut ways = self.ways.lock().expect("ways lock");
-        let way = ways.entry(hall.clone()).or_default();
-        if is_open {
-            *way = Way::default();
-            return;
-        }
-        way.failures += 1;
-        if way.failures >= CUT_FAILURES {
-            way.cut_until = Some(now + CUT_PAUSE);
-        }
-    }
-
     /// Notes that a VM of a data hall was heard, so that the way there is open
     /// and failures to connect are the upstreams' own.
-    pub fn note_hall_heard(&self, hall: &DataHallId) {
+    pub fn note_hall_heard(&self, hall: &DataHallId, now: Instant) {
+        self.way(hall).note_beat(now);
+    }
+
+    fn way(&self, hall: &DataHallId) -> Arc<HallWay> {
         let mut ways = self.ways.lock().expect("ways lock");
-        if let Some(way) = ways.get_mut(hall) {
-            *way = Way::default();
-        }
+        ways.entry(hall.clone()).or_default().clone()
     }
 
-    /// Whether the data hall of an upstream seems cut off.
+    /// Whether the data hall of an upstream seems cut off. This VM's own never
+    /// does: it can say nothing of another way to there.
     fn is_cut_off(&self, member: &Member, now: Instant) -> bool {
-        let ways = self.ways.lock().expect("ways lock");
-        let way = ways.get(&member.entry.data_hall);
-        way.and_then(|way| way.cut_until).is_some_and(|until| now < until)
+        member.entry.data_hall != self.data_hall && member.way.is_cut_off(now)
     }
 
     /// Whether an upstream, of which something has been awaited for `waited`,
--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::health::Verdict;
+use crate::{hall_way::CUT_PAUSE, health::Verdict};
 
 fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
     UpstreamEntry {
@@ -141,7 +141,7 @@
     for id in ["i-2", "i-3"] {
         let member = pool.member(&id.parse().unwrap()).unwrap();
         member.health.record(Verdict::Unreachable, now);
-        pool.note_way(&member, false, now);
+        member.note_unreachable(now);
     }
     assert_eq!(picks(&pool, &Want::default(), now), ["i-1"]);
     let other = pool.member(&"i-4".parse().unwrap()).unwrap();
@@ -151,7 +151,7 @@
     assert!(!pool.seems_dead(&other, Duration::ZERO, limit, silent));
     let later = now + CUT_PAUSE / 2;
     assert_eq!(picks(&pool, &Want::default(), later), ["i-1"]);
-    pool.note_way(&other, true, now);
+    other.note_heard(now);
     let near = pool.member(&"i-1".parse().unwrap()).unwrap();
     let _held = [near.upstream.begin(), near.upstream.begin()];
     assert!(picks(&pool, &Want::default(), now).contains(&"i-4".to_owned()));
@@ -168,11 +168,39 @@
     let pool = pool(&entries, now);
     let member = |id: &str| pool.member(&id.parse().unwrap()).unwrap();
     for id in ["i-1", "i-2"] {
-        pool.note_way(&member(id), false, now);
+        member(id).note_unreachable(now);
     }
     assert!(pool.is_cut_off(&member("i-3"), now));
-    pool.note_hall_heard(&"b".parse().unwrap());
+    pool.note_hall_heard(&"b".parse().unwrap(), now);
     assert!(!pool.is_cut_off(&member("i-3"), now));
-    pool.note_way(&member("i-1"), false, now);
+    member("i-1").note_unreachable(now);
     assert!(!pool.is_cut_off(&member("i-3"), now), "one says nothing");
 }
+
+#[test]
+fn a_hall_that_falls_silent_gets_nothing_new_and_its_streams_are_given_up() {
+    let mut now = Instant::now();
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v1")];
+    let pool = pool(&entries, now);
+    let (near, far) = ("a".parse().unwrap(), "b".parse().unwrap());
+    let beat = Duration::from_millis(200);
+    for _ in 0..10 {
+        now += beat;
+        pool.note_hall_heard(&near, now);
+        pool.note_hall_heard(&far, now);
+    }
+    let member = pool.member(&"i-2".parse().unwrap()).unwrap();
+    member.note_heard(now);
+    let began_at = now;
+    let limit = Duration::from_secs(5);
+    let silent = began_at + Duration::from_millis(1500);
+    let waited = silent - began_at;
+    assert!(pool.seems_dead(&member, waited, limit, silent));
+    // However full the hall that is left, and although none of its own VMs
+    // beats: this VM stands there.
+    let busy = pool.member(&"i-1".parse().unwrap()).unwrap();
+    let _held: Vec<_> = (0..9).map(|_| busy.upstream.begin()).collect();
+    assert_eq!(picks(&pool, &Want::default(), silent), ["i-1"]);
+    pool.note_hall_heard(&far, silent);
+    assert_eq!(picks(&pool, &Want::default(), silent), ["i-2"]);
+}
