Let callers wait for the first knowledge of a VM that starts

Cause: a VM that starts listens before the store has answered. When all were killed at once, 8 requests within 20 ms were refused with 503 although every VM was ready 12 to 100 ms later.

Test first: a_vm_that_starts_lets_callers_wait_for_its_first_knowledge; before, the refusal came 22 ms after the start.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -52,6 +52,15 @@
 /// then the balancer sends it to another VM.
 const RETRY_AFTER_STALE: Duration = Duration::from_millis(500);
 
+/// Longest time after its start for which a VM that is not ready lets callers
+/// wait. The store answers within a few milliseconds, so those who come before
+/// that are served rather than refused; if it does not, they are refused well
+/// within the time of a short request.
+const FIRST_KNOWLEDGE_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time between two looks at whether a VM that starts is ready.
+const FIRST_KNOWLEDGE_LOOK: Duration = Duration::from_millis(5);
+
 type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
 
 /// Accepts callers until told to stop.
@@ -62,6 +71,7 @@
     listener: TcpListener,
     closing: Receiver<()>,
 ) {
+    wait_for_knowledge(&gateway).await;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -75,6 +85,17 @@
     }
 }
 
+/// Lets the first callers wait a moment for what a VM that starts learns.
+async fn wait_for_knowledge(gateway: &Gateway) {
+    let ready = async {
+        while !gateway.is_ready() {
+            task::sleep(FIRST_KNOWLEDGE_LOOK).await;
+        }
+    };
+    // Afterwards each request is told whether it can be served.
+    let _ = task::within(FIRST_KNOWLEDGE_LIMIT, ready).await;
+}
+
 /// Serves one connection to its end.
 async fn converse(
     gateway: Arc<Gateway>,
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -648,3 +648,27 @@
     let reading_ms = attempt["reading_there_ms"].as_u64();
     assert!(reading_ms.is_some_and(|ms| ms > 1_000), "{attempt}");
 }
+
+#[test]
+fn a_vm_that_starts_lets_callers_wait_for_its_first_knowledge() {
+    let _guard = alone();
+    let upstream = Upstream::start("i-1", answers(200, "hello"));
+    let mut site = site_with(&[(&upstream, PLAIN)]);
+    let first_answer = |site: &mut Site| {
+        let begun = Instant::now();
+        site.vms[0].kill();
+        site.vms[0].start();
+        let mut status = 0;
+        wait_until("it answers", || {
+            let text = request("GET", "/read/x", "r", "");
+            status = site.vms[0].ask(&text).status;
+            status != 0
+        });
+        (status, begun.elapsed())
+    };
+    assert_eq!(first_answer(&mut site).0, 200);
+    site.store.set_mood(Mood::Busy);
+    let (status, passed) = first_answer(&mut site);
+    assert_eq!(status, 503);
+    assert!(passed >= Duration::from_millis(300), "refused at {passed:?}");
+}
