Take an empty setting for one that was not given

Cause: the platform's template leaves a value empty where the deployment states nothing for it, so a site without a word on keys would have had every VM end at its start with a faulty keys.fail_closed. Found by reading; none of the five sites at hand lacks it.

Test first: keys_fail_closed_where_nothing_is_said_of_them. Nothing else reads an empty value differently: those that must be given are still reported.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -436,7 +436,9 @@
             .iter()
             .find(|key| key.section == section && key.name == name)
             .expect("every key that is read stands in its table");
+        // A template leaves a value empty where nothing was stated for it.
         let given = self.ini.get_from(Some(section), name);
+        let given = given.filter(|text| !text.trim().is_empty());
         match given.or(key.default) {
             Some(text) => Some(text.trim().to_owned()),
             None => {
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -53,6 +53,15 @@
     assert!(!settings.fail_closed, "the operators' word counts");
 }
 
+#[test]
+fn keys_fail_closed_where_nothing_is_said_of_them() {
+    let text = rendered("");
+    let unsaid = text.replace("fail_closed = false", "fail_closed = ");
+    assert_ne!(text, unsaid);
+    let settings = GatewaySettings::from_ini(&unsaid).expect("no fault");
+    assert!(settings.fail_closed);
+}
+
 #[test]
 fn a_vm_without_seeds_is_accepted() {
     let settings = GatewaySettings::from_ini(&rendered("")).expect("no fault");
