Put logic that stood twice into one place; one lock for a beat

Whether one more attempt is left stood in may_resume and in the question for a larger model: Job::has_attempt answers both. Two checks of the soak, of leaving upstreams and of withdrawn versions, differed in the change that they look at: run_too_late serves both, and looks calls up once rather than for each change. A beat took the lock of its hall's way twice. Three constants of hall_way that nothing else uses are private.

No behaviour changes, no test or bound does.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -443,8 +443,13 @@
     /// Whether the rest of a stream that broke off may be asked for.
     pub(crate) fn may_resume(&self, now: Instant) -> bool {
         self.route.repeat == Repeat::Any
-            && self.sent < self.route.attempts
             && now < self.deadline
+            && self.has_attempt()
+    }
+
+    /// Whether the route's attempts and the retry budget leave one more.
+    pub(crate) fn has_attempt(&self) -> bool {
+        self.sent < self.route.attempts
             && self.gateway.has_retry(&self.service)
     }
 
--- a/src/hall_way.rs
+++ b/src/hall_way.rs
@@ -14,7 +14,7 @@
 /// Upstreams of a data hall that cannot be reached, one after the other and
 /// without a sign of life from any other there, before the hall counts as cut
 /// off.
-pub(crate) const CUT_FAILURES: u32 = 2;
+const CUT_FAILURES: u32 = 2;
 
 /// Time for which a data hall that could not be reached is left alone, unless
 /// something there is heard before: about the length of a short cut, since
@@ -23,7 +23,7 @@
 
 /// Least time without any sign of life after which a hall whose VMs were
 /// heard counts as cut off: two regular beats, and a little for their way.
-pub(crate) const SILENCE_LEAST: Duration = Duration::from_millis(1100);
+const SILENCE_LEAST: Duration = Duration::from_millis(1100);
 
 /// How many times the usual time between two beats that silence must last.
 /// In a large fleet the VMs of another hall beat a VM only now and then.
@@ -31,7 +31,7 @@
 
 /// Silence beyond which its lack of beats says no more: the VMs there may be
 /// gone for good while its upstreams are well, and only trying tells.
-pub(crate) const SILENCE_MOST: Duration = Duration::from_secs(10);
+const SILENCE_MOST: Duration = Duration::from_secs(10);
 
 /// What the usual time between two beats still counts when one more has come.
 const GAP_FADE: f64 = 0.8;
@@ -55,16 +55,13 @@
 impl HallWay {
     /// Notes that something came from an upstream there.
     pub fn note_heard(&self, now: Instant) {
-        let mut state = self.0.lock().expect("way lock");
-        state.failures = 0;
-        state.cut_until = None;
-        state.heard_at = Some(now);
+        self.0.lock().expect("way lock").hear(now);
     }
 
     /// Notes that a VM there was heard.
     pub fn note_beat(&self, now: Instant) {
-        self.note_heard(now);
         let mut state = self.0.lock().expect("way lock");
+        state.hear(now);
         if let Some(before) = state.beat_at.replace(now) {
             let gap = now.saturating_duration_since(before);
             let usual = state.beat_gap.unwrap_or(gap);
@@ -91,6 +88,12 @@
 }
 
 impl State {
+    fn hear(&mut self, now: Instant) {
+        self.failures = 0;
+        self.cut_until = None;
+        self.heard_at = Some(now);
+    }
+
     /// Whether beats came from there, and for too long nothing has.
     fn is_silent(&self, now: Instant) -> bool {
         let (Some(heard_at), Some(gap)) = (self.heard_at, self.beat_gap)
--- a/src/relay_events.rs
+++ b/src/relay_events.rs
@@ -198,8 +198,7 @@
             model,
             confidence,
             started_at: self.started_at,
-            has_attempt: self.sent < self.route.attempts
-                && self.gateway.has_retry(&self.service),
+            has_attempt: self.has_attempt(),
             tokens: attempt.tokens,
         };
         let times = &self.gateway.read_times;
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -228,47 +228,44 @@
 }
 
 fn left_alone(evidence: &Evidence) -> Vec<Violation> {
-    let leaving =
-        evidence.changes.iter().filter_map(|(at, change)| match change {
-            Change::Leaving(upstream) => Some((*at, upstream)),
-            _ => None,
-        });
-    let late = leaving.flat_map(|(at, upstream)| {
-        let runs = evidence.runs.iter().filter(move |run| {
-            run.upstream == *upstream && run.at > at + LEAVE_TIME + SLACK
-        });
-        in_touch_since(evidence, at, runs)
-    });
-    late.map(|run| violation(Promise::LeftAlone, format!("{run:?}"))).collect()
+    let is_at = |change: &Change, run: &Run| match change {
+        Change::Leaving(upstream) => run.upstream == *upstream,
+        _ => false,
+    };
+    run_too_late(evidence, Promise::LeftAlone, LEAVE_TIME, is_at)
 }
 
 fn withdrawn(evidence: &Evidence) -> Vec<Violation> {
-    let reverted =
-        evidence.changes.iter().filter_map(|(at, change)| match change {
-            Change::Reverted(software) => Some((*at, software)),
-            _ => None,
-        });
-    let late = reverted.flat_map(|(at, software)| {
-        let runs = evidence.runs.iter().filter(move |run| {
-            run.software == *software && run.at > at + REVERT_TIME + SLACK
-        });
-        in_touch_since(evidence, at, runs)
-    });
-    late.map(|run| violation(Promise::Withdrawn, format!("{run:?}"))).collect()
+    let is_of = |change: &Change, run: &Run| match change {
+        Change::Reverted(software) => run.software == *software,
+        _ => false,
+    };
+    run_too_late(evidence, Promise::Withdrawn, REVERT_TIME, is_of)
 }
 
-/// Those runs whose VM has been in touch since `at`.
-fn in_touch_since<'a>(
-    evidence: &'a Evidence,
-    at: Duration,
-    runs: impl Iterator<Item = &'a Run>,
-) -> Vec<&'a Run> {
+/// Runs that a change forbids, later than `allowed` after it, by VMs that have
+/// been in touch since.
+fn run_too_late(
+    evidence: &Evidence,
+    promise: Promise,
+    allowed: Duration,
+    forbids: impl Fn(&Change, &Run) -> bool,
+) -> Vec<Violation> {
     let calls = evidence.calls_by_id();
-    runs.filter(|run| {
+    let was_in_touch = |since: Duration, run: &Run| {
         let call = calls.get(run.id.as_str());
-        call.is_some_and(|call| evidence.is_in_touch(call.vm, at, run.at))
-    })
-    .collect()
+        call.is_some_and(|call| evidence.is_in_touch(call.vm, since, run.at))
+    };
+    let mut found = Vec::new();
+    for (at, change) in &evidence.changes {
+        let late = evidence.runs.iter().filter(|run| {
+            run.at > *at + allowed + SLACK
+                && forbids(change, run)
+                && was_in_touch(*at, run)
+        });
+        found.extend(late.map(|run| violation(promise, format!("{run:?}"))));
+    }
+    found
 }
 
 fn planned_stops(evidence: &Evidence) -> Vec<Violation> {
