Accept keys until 0.93 of the time in which a lost one must be refused

Cause: every VM refused all callers from 0.75 of the bound on, 1.2 s before it had to: where the store fell silent at second 18, refusals began at 20.65 with proofs 1.1 s old. The margin was kept for watches; but a proof counts from before the store was asked and a request is sent before it arrives, so only clocks that run unlike need one. Ruled out: a shorter time between proofs, which costs calls.

Test: keys_hold_until_shortly_before_the_bound.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,9 +48,13 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 
 /// Part of the time after which a key that was taken away must be refused,
-/// up to which knowledge is recent enough to accept keys by. The rest covers
-/// a watch that hears nothing for a second before its history is dropped.
-const KEY_PROOF_PART: f64 = 0.75;
+/// up to which knowledge is recent enough to accept keys by.
+///
+/// A proof counts from before the store was asked, and a request from when it
+/// arrives, which is after it was sent; so only clocks that run unlike need
+/// the rest. Each hundredth serves callers for 50 ms longer when a store with
+/// a bound of five seconds is away.
+const KEY_PROOF_PART: f64 = 0.93;
 
 /// Time that the store must have been well before a record that vanished
 /// means that its upstream leaves; a live one is back within two seconds.
@@ -344,3 +348,6 @@
         other => Map::from_iter([("value".to_owned(), other)]),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/tests.rs
@@ -0,0 +1,36 @@
+//! How long keys are accepted by what is known.
+
+use super::*;
+use crate::{
+    clock::SystemClock,
+    route::{InputLimits, RouteTable, TableVersion},
+};
+
+const SETTINGS: &str = "[vm]\nid = vm-0\ndata_hall = hall-a\n[listen]\n\
+    callers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n\
+    peers = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[cluster]\n\
+    key = 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n\
+    [platform]\nstore = 127.0.0.1:5\n[keys]\nrevoke_ms = 5000\n\
+    [retries]\nshare = 1\nextra = 1\nwindow_s = 10\n[stop]\ngrace_s = 8\n";
+
+fn table() -> RouteTable {
+    let version = TableVersion(1);
+    let limits = InputLimits::default();
+    RouteTable::new(version, Vec::new(), Vec::new(), None, limits)
+}
+
+/// A store that falls silent: keys hold for nearly as long as the operators
+/// bear, and never for longer.
+#[test]
+fn keys_hold_until_shortly_before_the_bound() {
+    let settings = GatewaySettings::from_ini(SETTINGS).expect("settings");
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    gateway.knowledge.install(table());
+    let proven_at = gateway.clock.now();
+    assert!(!gateway.may_accept_keys(proven_at), "nothing is proven");
+    gateway.knowledge.prove(proven_at);
+    let after = |ms| proven_at + Duration::from_millis(ms);
+    assert!(gateway.may_accept_keys(after(4_500)));
+    assert!(!gateway.may_accept_keys(after(4_900)));
+    assert!(!gateway.may_accept_keys(after(60_000)));
+}
