Let a roll-out rise by the answers that have come, not by time alone

Cause: the trial of a new version ended at 0.52 of the time allowed however few had asked it. Fewer than the four failures that a version is judged by come in 0.6 s on a busy machine, and then 0.4 of the requests followed: a_bad_version_is_taken_back got a share of 0.167 where 0.15 is allowed, in one of four runs of the script beside load.

Ruled out: judging by fewer failures, which took good versions back beside failing machines; a smaller share, since it is not the share that is at fault.

The trial lasts until twelve answers have come, or 0.8 of the time has passed; the first VM that ends it tells the others, so that a session that moved does not move back elsewhere.

Tests: a_version_rises_once_enough_answers_have_shown_it, new. Three tests that took the rise by time for granted now give the answers first, and check the share before the rise as well.

--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -3,7 +3,8 @@
 //!
 //! An operator orders a version and allows a time for it. In the first part
 //! of that time a small share of the requests goes to it, and none of a
-//! session that began on the old one. If its answers are as good as the old
+//! session that began on the old one. That lasts until enough answers have
+//! come to judge it by, or hardly any time is left. If its answers are as good as the old
 //! version's, all requests go to it, and the roll-out is completed once the
 //! old version has nothing left to do. If they are worse, it gets nothing
 //! more and the roll-out is reverted.
@@ -41,13 +42,26 @@
 /// version only in the second half.
 const TRIAL_END: f64 = 0.52;
 
-/// Part of the allowed time until which a part of the requests goes to the
-/// new version, before all do.
-const PART_END: f64 = 0.58;
+/// Answers of the new version that end the trial. A version that fails a third
+/// of its requests has failed the four by then that it is judged by; one that
+/// rose by the time alone got a sixth of all requests where few came.
+const TRIAL_ANSWERS: u32 = 12;
+
+/// Part of the allowed time at which the trial ends although there were fewer:
+/// a good version must be completed where hardly anybody asks.
+const TRIAL_END_LATEST: f64 = 0.8;
+
+/// Part of the allowed time after the trial for which a part of the requests
+/// goes to the new version, before all do.
+const PART_TIME: f64 = 0.06;
 
 /// The share of the requests in that part.
 const PART_SHARE: f64 = 0.4;
 
+/// Part of the allowed time after all requests go to the new version, in which
+/// the old version's last ones are waited for.
+const MOVE_TIME: f64 = 0.06;
+
 /// Part of the allowed time after which a roll-out is completed although
 /// the old version still works on something.
 const COMPLETE_ANYWAY: f64 = 0.93;
@@ -168,6 +182,8 @@
     pub target: ShortHash,
     /// How long the roll-out has been running.
     pub running_ms: u32,
+    /// How long it had been running when the trial ended, if it has.
+    pub trial_ended_ms: Option<u32>,
     /// Whether this VM has stopped the new version.
     pub stopped: bool,
     /// Requests that it still has at the old version.
@@ -184,6 +200,10 @@
     started_at: Instant,
     progress: Option<Progress>,
     stopped_at: Option<Instant>,
+    /// How long it had been running when the trial ended. All VMs go by the
+    /// first that ended it, so that a session that moved with one of them
+    /// does not move back with another.
+    trial_ended: Option<Duration>,
     own: HashMap<ShortHash, [Answers; 2]>,
     first_part_s: HashMap<ShortHash, f64>,
     others: HashMap<String, (Instant, Evidence)>,
@@ -396,6 +416,7 @@
             started_at: now,
             progress: None,
             stopped_at: None,
+            trial_ended: None,
             own: HashMap::new(),
             first_part_s: HashMap::new(),
             others: HashMap::new(),
@@ -410,9 +431,13 @@
 
     /// Part of the allowed time that has passed.
     fn passed(&self, now: Instant) -> f64 {
-        let passed = now.saturating_duration_since(self.started_at);
+        self.part(now.saturating_duration_since(self.started_at))
+    }
+
+    /// A time as a part of the allowed one.
+    fn part(&self, time: Duration) -> f64 {
         let allowed = self.order.time_allowed.as_secs_f64().max(0.001);
-        passed.as_secs_f64() / allowed
+        time.as_secs_f64() / allowed
     }
 
     /// The share of the requests that the new version gets.
@@ -420,11 +445,44 @@
         if now.saturating_duration_since(self.started_at) < TRIAL_START {
             return 0.0;
         }
-        match self.passed(now) {
-            passed if passed < TRIAL_END => TRIAL_SHARE,
-            passed if passed < PART_END => PART_SHARE,
-            _ => 1.0,
+        match self.trial_ended {
+            None => TRIAL_SHARE,
+            Some(end) if self.passed(now) < self.part(end) + PART_TIME => {
+                PART_SHARE
+            }
+            Some(_) => 1.0,
+        }
+    }
+
+    /// Ends the trial once it has lasted for long enough and shown enough.
+    fn end_trial(&mut self, now: Instant) {
+        let passed = self.passed(now);
+        if self.trial_ended.is_some() || passed < TRIAL_END {
+            return;
+        }
+        let pooled = self.pooled();
+        let of_new = |sides: &[Answers; 2]| {
+            let new = sides[VersionSide::New as usize];
+            new.all + new.lost
+        };
+        let seen: u32 = pooled.values().map(of_new).sum();
+        if seen >= TRIAL_ANSWERS || passed >= TRIAL_END_LATEST {
+            let running = now.saturating_duration_since(self.started_at);
+            self.trial_ended = Some(running);
+        }
+    }
+
+    /// What this VM and the others have seen, by route.
+    fn pooled(&self) -> HashMap<ShortHash, [Answers; 2]> {
+        let mut pooled = self.own.clone();
+        for (_, told) in self.others.values() {
+            for (route, old, new) in &told.answers {
+                let held = pooled.entry(*route).or_default();
+                held[VersionSide::Old as usize].add(*old);
+                held[VersionSide::New as usize].add(*new);
+            }
         }
+        pooled
     }
 
     fn rule(
@@ -447,7 +505,7 @@
             true => VersionSide::New,
             false => VersionSide::Old,
         };
-        let is_trial = self.passed(now) < TRIAL_END;
+        let is_trial = self.trial_ended.is_none();
         let held = session.and_then(|_| self.session(subject, now));
         let side = match held {
             Some(VersionSide::New) => VersionSide::New,
@@ -502,7 +560,7 @@
 
     /// Sessions at the old version that the trial would take.
     fn old_sessions(&self, now: Instant) -> Vec<ShortHash> {
-        if self.passed(now) >= TRIAL_END {
+        if self.trial_ended.is_some() {
             return Vec::new();
         }
         let old = self.sessions.iter().filter(|(session, (side, at))| {
@@ -578,6 +636,7 @@
             service: ShortHash::of(service.as_str()),
             target: ShortHash::of(self.order.target.as_str()),
             running_ms: running.as_millis() as u32,
+            trial_ended_ms: self.trial_ended.map(|end| end.as_millis() as u32),
             stopped: self.stopped_at.is_some(),
             old_in_flight: old_in_flight.min(u32::from(u16::MAX)) as u16,
             old_sessions: self.old_sessions(now),
@@ -596,6 +655,10 @@
         if let Some(started_at) = now.checked_sub(running) {
             self.started_at = self.started_at.min(started_at);
         }
+        let told_end = told.trial_ended_ms.map(u64::from);
+        let told_end = told_end.map(Duration::from_millis);
+        let ends = self.trial_ended.into_iter().chain(told_end);
+        self.trial_ended = ends.min();
         if told.stopped {
             self.stopped_at.get_or_insert(now);
         }
@@ -610,14 +673,8 @@
         if self.stopped_at.is_some() || !self.is_running() {
             return None;
         }
-        let mut pooled = self.own.clone();
-        for (_, told) in self.others.values() {
-            for (route, old, new) in &told.answers {
-                let held = pooled.entry(*route).or_default();
-                held[VersionSide::Old as usize].add(*old);
-                held[VersionSide::New as usize].add(*new);
-            }
-        }
+        self.end_trial(now);
+        let pooled = self.pooled();
         let worse = pooled.values().find(|[old, new]| is_worse(*old, *new))?;
         let [old, new] = worse;
         self.stopped_at = Some(now);
@@ -658,7 +715,9 @@
             .sum();
         // What others told is half a second old, so the old version's last
         // requests are waited for a little beyond the move.
-        let is_moved = passed > PART_END + 0.06;
+        let is_moved = self.trial_ended.is_some_and(|end| {
+            passed > self.part(end) + PART_TIME + MOVE_TIME
+        });
         let is_done = is_moved && old_in_flight + others == 0;
         (is_done || passed > COMPLETE_ANYWAY).then_some(Progress::Completed)
     }
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -36,9 +36,55 @@
     assert_eq!(share(&rollouts, now), 0.0);
     let on_trial = share(&rollouts, now + ALLOWED / 4);
     assert!((0.06..0.1).contains(&on_trial), "{on_trial}");
+    answer(&rollouts, TRIAL_ANSWERS);
+    rollouts.judge(now + ALLOWED / 4);
+    let still = share(&rollouts, now + ALLOWED / 2);
+    assert!((0.06..0.1).contains(&still), "{still}");
+    rollouts.judge(now + ALLOWED.mul_f64(TRIAL_END));
+    let part = share(&rollouts, now + ALLOWED.mul_f64(TRIAL_END + 0.01));
+    assert!((0.3..0.5).contains(&part), "{part}");
     assert_eq!(share(&rollouts, now + ALLOWED.mul_f64(0.7)), 1.0);
 }
 
+/// Good answers of the new version.
+fn answer(rollouts: &Rollouts, count: u32) {
+    let new = version("v2");
+    for _ in 0..count {
+        let verdict = Verdict::Good;
+        rollouts.record(&service(), &new, "write", verdict, None);
+    }
+}
+
+/// Few requests come: a version that hardly anybody has asked yet does not
+/// rise by the time alone, but a good one is completed all the same.
+#[test]
+fn a_version_rises_once_enough_answers_have_shown_it() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let at = |part: f64| now + ALLOWED.mul_f64(part);
+    answer(&rollouts, TRIAL_ANSWERS - 1);
+    rollouts.judge(at(0.7));
+    let on_trial = share(&rollouts, at(0.7));
+    assert!((0.06..0.1).contains(&on_trial), "{on_trial}");
+    answer(&rollouts, 1);
+    rollouts.judge(at(0.71));
+    let moved = at(0.711 + PART_TIME);
+    assert_eq!(share(&rollouts, moved), 1.0);
+    // A VM that has seen less goes by what the first one found.
+    let other = running(now);
+    other.hear("vm-2", &rollouts.evidence(|_, _| 0, moved), moved);
+    assert_eq!(share(&other, moved), 1.0);
+
+    let unasked = running(now);
+    unasked.judge(at(TRIAL_END_LATEST - 0.01));
+    let on_trial = share(&unasked, at(TRIAL_END_LATEST - 0.01));
+    assert!((0.06..0.1).contains(&on_trial), "{on_trial}");
+    unasked.judge(at(TRIAL_END_LATEST));
+    assert_eq!(share(&unasked, at(TRIAL_END_LATEST + 0.001 + PART_TIME)), 1.0);
+    let due = unasked.due(true, |_, _| 0, at(COMPLETE_ANYWAY));
+    assert_eq!(due[0].status.progress, Progress::Completed);
+}
+
 #[test]
 fn a_session_keeps_its_version_through_the_trial() {
     let now = Instant::now();
@@ -191,6 +237,8 @@
 fn completed_waits_for_the_old_versions_last_requests() {
     let now = Instant::now();
     let rollouts = running(now);
+    answer(&rollouts, TRIAL_ANSWERS);
+    rollouts.judge(now + ALLOWED.mul_f64(TRIAL_END));
     let at = now + ALLOWED.mul_f64(0.7);
     assert_eq!(rollouts.due(true, |_, _| 1, at), []);
     assert_eq!(rollouts.due(false, |_, _| 0, at), []);
@@ -205,6 +253,8 @@
 fn a_vm_that_was_restarted_learns_how_long_it_has_been() {
     let now = Instant::now();
     let old = running(now);
+    answer(&old, TRIAL_ANSWERS);
+    old.judge(now + ALLOWED.mul_f64(TRIAL_END));
     let at = now + ALLOWED.mul_f64(0.7);
     let restarted = running(at);
     assert!(share(&restarted, at) < 0.2);
