--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -350,4 +350,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,9 +4,11 @@
 use crate::{
     clock::SystemClock,
     route::{InputLimits, RouteTable, TableVersion},
+    unit::Mbps,
 };
 
-const SETTINGS: &str = "[vm]\nid = vm-0\ndata_hall = hall-a\n[listen]\n\
+/// The least that the settings of a VM hold.
+pub(crate) const SETTINGS: &str = "[vm]\nid = vm-0\ndata_hall = hall-a\n[listen]\n\
     callers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n\
     peers = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[cluster]\n\
     key = 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n\
@@ -34,3 +36,15 @@
     assert!(!gateway.may_accept_keys(after(4_900)));
     assert!(!gateway.may_accept_keys(after(60_000)));
 }
+
+#[test]
+fn the_rate_of_the_link_is_read_and_may_be_unknown() {
+    let link = |text: &str| {
+        let settings = SETTINGS.replace("data_hall", text);
+        GatewaySettings::from_ini(&settings).map(|settings| settings.link)
+    };
+    assert_eq!(link("data_hall"), Ok(Mbps(0)));
+    assert_eq!(link("link_mbps = 20.0\ndata_hall"), Ok(Mbps(20)));
+    assert!(link("link_mbps = fast\ndata_hall").is_err());
+    assert!(link("link_mbps = -1\ndata_hall").is_err());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 mod claims;
 pub mod cli;
 pub mod clock;
+pub mod comparison;
 pub mod configuration;
 mod configuration_sync;
 pub mod decision;
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -3,14 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::*;
-use crate::{clock::SystemClock, pool::Work};
-
-const SETTINGS: &str = "[vm]\nid = vm-0\ndata_hall = hall-a\n[listen]\n\
-    callers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n\
-    peers = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[cluster]\n\
-    key = 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n\
-    [platform]\nstore = 127.0.0.1:5\n[keys]\nrevoke_ms = 5000\n\
-    [retries]\nshare = 1\nextra = 1\nwindow_s = 10\n[stop]\ngrace_s = 8\n";
+use crate::{clock::SystemClock, gateway::tests::SETTINGS, pool::Work};
 
 fn gateway() -> Arc<Gateway> {
     let settings = GatewaySettings::from_ini(SETTINGS).expect("settings");
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    comparison::{Answers, is_worse},
     health::Verdict,
     id::{ServiceId, VersionId},
     message::ShortHash,
@@ -70,25 +71,6 @@
 /// stopped, if nobody has yet.
 const RECORD_ANYWAY: Duration = Duration::from_millis(700);
 
-/// Bad answers on one route that are enough to judge a version by.
-const BAD_ANSWERS: u32 = 4;
-
-/// How much larger than the old version's a new version's share of bad
-/// answers may be.
-const SHARE_MARGIN: f64 = 0.2;
-
-/// Lost answers on one route that are enough to judge a version by.
-const LOST_ANSWERS: u32 = 20;
-
-/// Share of lost answers above which a version is worse.
-const LOST_SHARE: f64 = 0.5;
-
-/// How many times the old version's share of lost answers that must be.
-const LOST_RATIO: f64 = 5.0;
-
-/// Answers of the old version from which its share is known.
-const KNOWN_ANSWERS: u32 = 10;
-
 /// Time without requests after which a session is over.
 const SESSION_LIFETIME: Duration = Duration::from_secs(6);
 
@@ -144,35 +126,6 @@
     pub progress: Progress,
 }
 
-/// How answers were, of one version on one route.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
-)]
-pub struct Answers {
-    /// All that came.
-    pub all: u32,
-    /// Those of them that were failures or came much too late.
-    pub bad: u32,
-    /// Those that did not come, or not whole.
-    pub lost: u32,
-}
-
-impl Answers {
-    fn bad_share(self) -> f64 {
-        f64::from(self.bad) / f64::from(self.all.max(1))
-    }
-
-    fn lost_share(self) -> f64 {
-        f64::from(self.lost) / f64::from((self.all + self.lost).max(1))
-    }
-
-    fn add(&mut self, other: Answers) {
-        self.all += other.all;
-        self.bad += other.bad;
-        self.lost += other.lost;
-    }
-}
-
 /// What one VM knows of a roll-out, told to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -727,23 +680,5 @@
     now.saturating_duration_since(at) < SESSION_LIFETIME
 }
 
-/// Whether a new version is worse than the old one.
-///
-/// An answer that is lost says first of all that a machine or a way to it is:
-/// a few machines are lost on most days, and a new version has few. So it
-/// takes many of them, and an old version that loses hardly any.
-fn is_worse(old: Answers, new: Answers) -> bool {
-    let usual = match old.all >= KNOWN_ANSWERS {
-        true => old.bad_share(),
-        false => 0.0,
-    };
-    let fails =
-        new.bad >= BAD_ANSWERS && new.bad_share() > usual + SHARE_MARGIN;
-    let vanishes = new.lost >= LOST_ANSWERS
-        && new.lost_share() > LOST_SHARE
-        && old.lost_share() < new.lost_share() / LOST_RATIO;
-    fails || vanishes
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::comparison::BAD_ANSWERS;
 
 const ALLOWED: Duration = Duration::from_secs(20);
 
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -40,18 +40,25 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        let value: f64 = text.parse().map_err(|_| {
-            Error::new(ErrorKind::InvalidInput)
-                .context(format!("`{text}` is not an amount"))
-        })?;
-        if !(0.0..1e12).contains(&value) {
-            return Err(Error::new(ErrorKind::InvalidInput)
-                .context(format!("amount `{text}` is out of range")));
-        }
+        let value = parse_below(text, "an amount", 1e12)?;
         Ok(MicroCost((value * 1e6).round() as u64))
     }
 }
 
+/// Reads a number from 0 up to, but not including, `limit`; `what` names it in
+/// the error.
+fn parse_below(text: &str, what: &str, limit: f64) -> Result<f64, Error> {
+    let invalid =
+        |reason: String| Error::new(ErrorKind::InvalidInput).context(reason);
+    let value: f64 = text
+        .parse()
+        .map_err(|_| invalid(format!("`{text}` is not {what}")))?;
+    match (0.0..limit).contains(&value) {
+        true => Ok(value),
+        false => Err(invalid(format!("`{text}` is out of range for {what}"))),
+    }
+}
+
 /// The rate of a network link, in megabits a second.
 #[derive(
     Clone,
@@ -78,14 +85,7 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        let value: f64 = text.parse().map_err(|_| {
-            Error::new(ErrorKind::InvalidInput)
-                .context(format!("`{text}` is not a rate"))
-        })?;
-        if !(0.0..1e9).contains(&value) {
-            return Err(Error::new(ErrorKind::InvalidInput)
-                .context(format!("rate `{text}` is out of range")));
-        }
+        let value = parse_below(text, "a rate", 1e9)?;
         Ok(Mbps(value.round() as u32))
     }
 }
