--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -3,12 +3,13 @@
 
 use std::{fs, path::PathBuf};
 
-use lupinseam::gateway::settings::GatewaySettings;
+use lupinseam::{gateway::settings::GatewaySettings, unit::Mbps};
 
 /// The platform's fields that the template uses, as they may look.
 const FIELDS: &[(&str, &str)] = &[
     ("node_name", "edge-plateau-1"),
     ("zone", "plateau"),
+    ("limits.link_mbps", "20.0"),
     ("ip", "10.1.0.40"),
     ("listen.frontend", "10.1.0.40:8227"),
     ("listen.readiness", "10.1.0.40:8220"),
@@ -46,6 +47,7 @@
     let settings = GatewaySettings::from_ini(&text).expect("no fault");
     assert_eq!(settings.vm.as_str(), "edge-plateau-1");
     assert_eq!(settings.peers.to_string(), "10.1.0.40:7340");
+    assert_eq!(settings.link, Mbps(20));
     let seeds: Vec<String> =
         settings.seeds.iter().map(ToString::to_string).collect();
     // Other VMs listen for each other on the same port as this one.
