--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -26,8 +26,8 @@
 
 /// How many times as long a VM waits that is not one of the first of its data
 /// hall: they tell it when the store is back, and each call has its price.
-/// With a factor of 4, 283 such VMs make 80 calls a second to a store that is
-/// silent; with 10, 40.
+/// Worked out from these limits, 283 such VMs make 79 calls a second to a store
+/// that is silent with a factor of 4, and 39 with 10.
 const RETRY_FACTOR_OTHERS: f64 = 10.0;
 
 /// Pause between two watches. Records of upstreams often change together, and
