--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -26,8 +26,8 @@
 
 /// How many times as long a VM waits that is not one of the first of its data
 /// hall: they tell it when the store is back, and each call has its price.
-/// Worked out from these limits, 283 such VMs make 79 calls a second to a store
-/// that is silent with a factor of 4, and 39 with 10.
+/// Worked out from these limits, 283 such VMs make 79 calls a second to a
+/// store that is silent with a factor of 4, and 39 with 10.
 const RETRY_FACTOR_OTHERS: f64 = 10.0;
 
 /// Pause between two watches. Records of upstreams often change together, and
@@ -234,7 +234,8 @@
 
 /// Proves the configuration current for as long as it is polled.
 ///
-/// A watch proves it only when it ends; meanwhile a single read does.
+/// A watch proves it only when it ends; meanwhile one that is not waited for
+/// does.
 pub(crate) async fn prove_loop(gateway: Arc<Gateway>) {
     let mut backoff = Backoff::new(PROVE_RETRY_LEAST, PROVE_RETRY_MOST);
     loop {
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -1,12 +1,12 @@
 //! Roll-outs of a service's software: which requests a new version gets, and
 //! whether it is kept.
 //!
-//! An operator orders a version and allows a time for it. In the first part
-//! of that time a small share of the requests goes to it, and none of a
-//! session that began on the old one. That lasts until enough answers have
-//! come to judge it by, or hardly any time is left. If its answers are as good as the old
-//! version's, all requests go to it, and the roll-out is completed once the
-//! old version has nothing left to do. If they are worse, it gets nothing
+//! An operator orders a version and allows a time for it. In the first part of
+//! that time a small share of the requests goes to it, and none of a session
+//! that began on the old one. That lasts until enough answers have come to
+//! judge it by, or hardly any time is left. If its answers are as good as the
+//! old version's, all requests go to it, and the roll-out is completed once
+//! the old version has nothing left to do. If they are worse, it gets nothing
 //! more and the roll-out is reverted.
 //!
 //! Every VM judges by the evidence of all VMs and stops by itself; the share
