Send nothing to the upstreams of a data hall that is evacuated

It is now a fact like the others: same watch, same version, told to the hall, carried to VMs that start, ended by a key that is gone, also when history is lost. The choice of an upstream leaves such halls out before anything else, so first attempts, retries, larger models and resumed streams are all bound; what runs there goes on to its end. With all halls evacuated callers are refused at once as not run.

With it a fault found by reading: news that was long on its way brought back a key that had been removed since (an evacuation taken back, an upstream that is gone). What is no newer than the version up to which everything is known, and not there, is old.

Tests: the choice, the knowledge, and a VM before the stand-in platform with two halls, a VM that starts during the evacuation and a silent store.

--- a/src/event.rs
+++ b/src/event.rs
@@ -114,6 +114,10 @@
     UpstreamUnfit = 45, Warn, "An upstream fails too often and is left alone for a while.";
     /// An upstream is fit again.
     UpstreamFit = 46, Info, "An upstream that was left alone answers again.";
+    /// The upstreams of a data hall get no requests.
+    EvacuationOrdered = 47, Info, "The operator asked that the upstreams of a data hall get no requests; this VM sends none there from now on.";
+    /// The upstreams of a data hall get requests again.
+    EvacuationOver = 48, Info, "The operator took back that the upstreams of a data hall get no requests.";
     /// A claim slot was taken over.
     SlotTaken = 50, Info, "This VM took over a claim slot.";
     /// A claim slot was lost to another VM.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -213,6 +213,8 @@
         let member = picked.map_err(|no_member| match no_member {
             NoMember::Unknown => Error::new(ErrorKind::NoUpstream)
                 .context(format!("no upstream of {}", self.service)),
+            NoMember::Evacuated => Error::new(ErrorKind::NoUpstream)
+                .context(format!("all of {} is evacuated", self.service)),
             NoMember::Full => Error::new(ErrorKind::Overloaded)
                 .context(format!("{} is full", self.service))
                 .with_retry_after(RETRY_AFTER_FULL),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -300,6 +300,18 @@
                     })));
                 }
             }
+            Fact::EvacuationOrdered(hall) => {
+                if self.pool.evacuate(&hall) {
+                    Event::EvacuationOrdered
+                        .record(fields(json!({ "data_hall": hall })));
+                }
+            }
+            Fact::EvacuationOver(hall) => {
+                if self.pool.end_evacuation(&hall) {
+                    Event::EvacuationOver
+                        .record(fields(json!({ "data_hall": hall })));
+                }
+            }
             Fact::RolloutOver(service) => self.rollouts.forget(&service),
             Fact::RolloutStatus(service, status) => {
                 self.rollouts.set_status(&service, &status);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -55,6 +55,10 @@
     RolloutOver(ServiceId),
     /// How far a roll-out is.
     RolloutStatus(ServiceId, Status),
+    /// The upstreams of a data hall are to get no requests.
+    EvacuationOrdered(DataHallId),
+    /// They may get requests again.
+    EvacuationOver(DataHallId),
     /// An upstream is there, or its record changed.
     Upstream(UpstreamEntry),
     /// The record of an upstream is gone.
@@ -306,6 +310,12 @@
         if held.is_some_and(|held| item.version <= held) {
             return;
         }
+        if held.is_none() && item.value.is_some() && item.version <= self.as_of
+        {
+            // Everything up to there is known, so the key was removed since:
+            // news that was long on its way must not bring it back.
+            return;
+        }
         if let Some(held) = held {
             self.digest ^= digest(&item.key, held);
         }
--- a/src/knowledge/tests.rs
+++ b/src/knowledge/tests.rs
@@ -145,3 +145,30 @@
     knowledge.prove(now);
     assert_eq!(knowledge.proof_age(now + second * 3), Some(second * 2));
 }
+
+#[test]
+fn a_key_that_was_removed_does_not_come_back_with_late_news() {
+    let knowledge = Knowledge::default();
+    let key = "op/evacuate/hall-a";
+    let ordered = items(vec![item(key, Some(b"{}".to_vec()), 5)], 5);
+    let news = knowledge.take_changes(ordered.clone());
+    assert!(matches!(news.facts[..], [Fact::EvacuationOrdered(_)]));
+    let digest_before = knowledge.digest();
+    let over = items(vec![item(key, None, 8)], 8);
+    let news = knowledge.take_changes(over);
+    assert!(matches!(news.facts[..], [Fact::EvacuationOver(_)]));
+    assert!(knowledge.take_told(digest_before, ordered).facts.is_empty());
+    // The operator may ask again.
+    let again = items(vec![item(key, Some(b"{}".to_vec()), 9)], 9);
+    assert_eq!(knowledge.take_changes(again).facts.len(), 1);
+}
+
+#[test]
+fn an_evacuation_ends_with_its_key_also_when_history_is_lost() {
+    let knowledge = Knowledge::default();
+    let key = "op/evacuate/hall-a";
+    let ordered = items(vec![item(key, Some(b"{}".to_vec()), 5)], 5);
+    knowledge.take_changes(ordered);
+    let news = knowledge.take_all(items(Vec::new(), 30));
+    assert!(matches!(news.facts[..], [Fact::EvacuationOver(_)]));
+}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -6,7 +6,7 @@
 //! changes, so that a choice looks at one state of things.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, RwLock,
@@ -272,6 +272,8 @@
 pub enum NoMember {
     /// None is known that may take it.
     Unknown,
+    /// All are in data halls whose upstreams are to get no requests.
+    Evacuated,
     /// All are full.
     Full,
 }
@@ -287,13 +289,20 @@
 pub struct Pool {
     data_hall: DataHallId,
     members: RwLock<Arc<Members>>,
+    /// Data halls whose upstreams are to get no requests.
+    evacuated: RwLock<HashSet<DataHallId>>,
     ways: Mutex<HashMap<DataHallId, Arc<HallWay>>>,
 }
 
 impl Pool {
     /// Creates an empty pool for a VM in `data_hall`.
     pub fn new(data_hall: DataHallId) -> Pool {
-        Pool { data_hall, members: RwLock::default(), ways: Mutex::default() }
+        Pool {
+            data_hall,
+            members: RwLock::default(),
+            evacuated: RwLock::default(),
+            ways: Mutex::default(),
+        }
     }
 
     /// Takes in the record of an upstream, new or changed.
@@ -362,6 +371,19 @@
         self.way(hall).note_beat(now);
     }
 
+    /// Sends no more requests to the upstreams of a data hall; returns
+    /// whether that is news. What they have begun goes on to its end.
+    pub fn evacuate(&self, hall: &DataHallId) -> bool {
+        let mut evacuated = self.evacuated.write().expect("halls lock");
+        evacuated.insert(hall.clone())
+    }
+
+    /// Lets the upstreams of a data hall have requests again; returns whether
+    /// that is news.
+    pub fn end_evacuation(&self, hall: &DataHallId) -> bool {
+        self.evacuated.write().expect("halls lock").remove(hall)
+    }
+
     fn way(&self, hall: &DataHallId) -> Arc<HallWay> {
         let mut ways = self.ways.lock().expect("ways lock");
         ways.entry(hall.clone()).or_default().clone()
@@ -425,6 +447,16 @@
             .filter(|member| member.takes_requests(now))
             .filter(|member| !want.tried.contains(&member.entry.id))
             .collect();
+        let evacuated = self.evacuated.read().expect("halls lock");
+        let is_evacuated = |member: &&Arc<Member>| {
+            evacuated.contains(&member.entry.data_hall)
+        };
+        if !open.is_empty() && open.iter().all(is_evacuated) {
+            return Err(NoMember::Evacuated);
+        }
+        let open: Vec<&Arc<Member>> =
+            open.into_iter().filter(|m| !is_evacuated(m)).collect();
+        drop(evacuated);
         let open = by_rule(open, &want.rule);
         let sound: Vec<&Arc<Member>> = open
             .iter()
--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -204,3 +204,30 @@
     pool.note_hall_heard(&far, silent);
     assert_eq!(picks(&pool, &Want::default(), silent), ["i-2"]);
 }
+
+#[test]
+fn a_hall_that_is_evacuated_gets_nothing_whatever_asks() {
+    let now = Instant::now();
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v2")];
+    let pool = pool(&entries, now);
+    let (near, far) = ("a".parse().unwrap(), "b".parse().unwrap());
+    let old: VersionId = "v1".parse().unwrap();
+    let prompt =
+        SharedPrompt { subject: 7, worth_waiting: Duration::from_secs(1) };
+    assert!(pool.evacuate(&near));
+    assert!(!pool.evacuate(&near), "it is known already");
+    for rule in [VersionRule::Any, VersionRule::Prefer(old.clone())] {
+        let want = Want { rule, prompt: Some(prompt), ..Want::default() };
+        assert_eq!(picks(&pool, &want, now), ["i-2"]);
+    }
+    // Also when nothing else is well.
+    let other = pool.member(&"i-2".parse().unwrap()).unwrap();
+    other.health.record(Verdict::Unreachable, now);
+    assert_eq!(picks(&pool, &Want::default(), now), ["i-2"]);
+    assert!(pool.evacuate(&far));
+    let service = "writers".parse().unwrap();
+    let picked = pool.pick(&service, &Want::default(), now);
+    assert_eq!(picked.unwrap_err(), NoMember::Evacuated);
+    assert!(pool.end_evacuation(&near));
+    assert_eq!(picks(&pool, &Want::default(), now), ["i-1"]);
+}
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -134,6 +134,32 @@
         self.store.put(&format!("servers/{}", upstream.id), &record);
     }
 
+    /// Records an upstream in the store, in a data hall and with the time for
+    /// which it is still cold.
+    pub fn list_in(
+        &self,
+        upstream: &Upstream,
+        service: &str,
+        hall: &str,
+        warm_up_left: Duration,
+    ) {
+        let mut record =
+            upstream_record(upstream.address, service, "v1", "ready");
+        record["zone"] = json!(hall);
+        record["warmup_left_ms"] = json!(warm_up_left.as_millis() as u64);
+        self.store.put(&format!("servers/{}", upstream.id), &record);
+    }
+
+    /// Asks that the upstreams of a data hall get no requests.
+    pub fn evacuate(&self, hall: &str) {
+        self.store.put(&format!("op/evacuate/{hall}"), &json!({}));
+    }
+
+    /// Takes that back.
+    pub fn end_evacuation(&self, hall: &str) {
+        self.store.remove(&format!("op/evacuate/{hall}"));
+    }
+
     /// Starts another VM and waits until it is ready.
     ///
     /// # Panics
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -11,8 +11,8 @@
 use serde_json::json;
 use standins::{
     gateway_site::{
-        KEY, MODELS, PLAIN, Site, configuration, configuration_with, request,
-        stream_request, wait_until,
+        KEY, MODELS, PLAIN, Site, SiteVm, configuration, configuration_with,
+        request, stream_request, wait_until,
     },
     http_raw::{RawRequest, answer, chunk},
     platform_store::Mood,
@@ -525,6 +525,50 @@
     assert_eq!(two.received().len(), 20);
 }
 
+/// Asks a VM for twenty plain answers; returns how many could not be had.
+fn ask_twenty(vm: &SiteVm, prefix: &str) -> usize {
+    let asks = (0..20).map(|number| {
+        let id = format!("{prefix}-{number}");
+        vm.ask(&request("GET", "/read/x", &id, "")).status
+    });
+    asks.filter(|status| *status != 200).count()
+}
+
+#[test]
+fn an_evacuated_hall_gets_nothing_until_that_is_taken_back() {
+    let _alone = alone();
+    let near = Upstream::start("i-1", answers(200, "hello"));
+    let far = Upstream::start("i-2", answers(200, "hello"));
+    let mut site = site_with(&[(&near, PLAIN)]);
+    site.list_in(&far, PLAIN, "hall-b", Duration::ZERO);
+    site.evacuate("hall-a");
+    wait_until("the VM knows of the evacuation", || {
+        !site.vms[0].lines("E047").is_empty()
+    });
+    let before = near.received().len();
+    assert_eq!(ask_twenty(&site.vms[0], "known"), 0);
+    // One that starts meanwhile is told with everything else.
+    site.start_vm();
+    assert_eq!(ask_twenty(&site.vms[1], "started"), 0);
+    // A store that is away changes nothing.
+    site.store.set_mood(Mood::Silent);
+    assert_eq!(ask_twenty(&site.vms[0], "silent"), 0);
+    site.store.set_mood(Mood::Well);
+    assert_eq!(near.received().len(), before);
+    // With both halls evacuated, callers are told at once that nothing ran.
+    site.evacuate("hall-b");
+    wait_until("nothing is left to send to", || {
+        let got = site.vms[0].ask(&request("GET", "/read/x", "none", ""));
+        got.status == 503 && !got.header("retry-after").is_empty()
+    });
+    site.end_evacuation("hall-b");
+    site.end_evacuation("hall-a");
+    wait_until("the hall gets requests again", || {
+        ask_twenty(&site.vms[1], "over");
+        near.received().len() > before
+    });
+}
+
 #[test]
 fn a_planned_stop_ends_what_was_begun() {
     let _alone = alone();
