Share what a cold upstream bears among the VMs that own it

Cause: the state of being cold was decoded and read by nobody.

Three VMs of the upstream's data hall own it while it is cold, found by hashing among the VMs that the store records; each may send a quarter of the bound, so that a fourth that takes itself for an owner does no harm. An upstream is cold by its record, and for the whole warm-up after its hall is given back, since its record says so up to a heartbeat later.

Weighed: an equal part for each VM (a fraction of one request a second with 84 VMs: nothing, or 84 at once); permits lent by one VM (a message and a wait for each request). Replayed in a test: 21 VMs send three times what eight cold upstreams bear; without the bound one gets more than 18 within a second, with it none does and at least 200 of 600 are sent.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -215,6 +215,9 @@
                 .context(format!("no upstream of {}", self.service)),
             NoMember::Evacuated => Error::new(ErrorKind::NoUpstream)
                 .context(format!("all of {} is evacuated", self.service)),
+            NoMember::Cold => Error::new(ErrorKind::Overloaded)
+                .context(format!("all of {} is cold", self.service))
+                .with_retry_after(RETRY_AFTER_FULL),
             NoMember::Full => Error::new(ErrorKind::Overloaded)
                 .context(format!("{} is full", self.service))
                 .with_retry_after(RETRY_AFTER_FULL),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -121,7 +121,11 @@
             http: HttpClient::new(CONNECT_LIMIT),
             store: PlatformStore::new(settings.store),
             knowledge: Knowledge::default(),
-            pool: Pool::new(settings.data_hall.clone()),
+            pool: Pool::new(
+                settings.vm.as_str(),
+                settings.data_hall.clone(),
+                settings.warm_up_slack,
+            ),
             rollouts: Rollouts::default(),
             read_times: ReadTimes::default(),
             peers: Peers::new(&settings, metrics.clone(), clock.now()),
@@ -265,7 +269,9 @@
             Fact::Configuration(table) => {
                 let version = table.version();
                 let routes = table.routes_len();
+                let warm_ups = table.warm_ups();
                 if self.knowledge.install(table) {
+                    self.pool.set_warm_ups(warm_ups);
                     Event::ConfigurationInForce.record(fields(json!({
                         "table": version.0,
                         "routes": routes,
@@ -278,6 +284,7 @@
                     "service": entry.service,
                     "software": entry.software,
                     "leaving": entry.state == UpstreamState::Leaving,
+                    "cold_ms": entry.warm_up_left.as_millis() as u64,
                 })));
                 self.pool.set(entry, now);
             }
@@ -307,7 +314,7 @@
                 }
             }
             Fact::EvacuationOver(hall) => {
-                if self.pool.end_evacuation(&hall) {
+                if self.pool.end_evacuation(&hall, now) {
                     Event::EvacuationOver
                         .record(fields(json!({ "data_hall": hall })));
                 }
@@ -321,8 +328,14 @@
                     "progress": status.progress.to_string(),
                 })));
             }
-            Fact::Peer(vm, record) => self.peers.learn(&vm, &record),
-            Fact::PeerGone(vm) => self.peers.unrecord(&vm),
+            Fact::Peer(vm, record) => {
+                self.pool.add_vm(&vm, &record.data_hall);
+                self.peers.learn(&vm, &record);
+            }
+            Fact::PeerGone(vm) => {
+                self.pool.remove_vm(&vm);
+                self.peers.unrecord(&vm);
+            }
         }
     }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -11,6 +11,7 @@
     secret::ClusterKey,
     settings::{Fault, Key, Reader, read_file, read_ini},
     unit::Mbps,
+    warm_up::WarmUpSlack,
 };
 
 const fn key(
@@ -104,6 +105,19 @@
         "Attempts that all VMs may send a service besides.",
     ),
     key("retries", "window_s", None, "Time over which both are counted."),
+    key(
+        "warm_up",
+        "overshoot",
+        Some("1"),
+        "Requests that all VMs may send within a second to an upstream that \
+         is cold, as a factor on what the configuration says it bears.",
+    ),
+    key(
+        "warm_up",
+        "tolerance",
+        Some("0"),
+        "Requests that all VMs may send it besides.",
+    ),
     key("stop", "grace_s", None, "Longest planned stop."),
     key("log", "level", Some("info"), "Least severe level written."),
 ];
@@ -142,6 +156,8 @@
     pub fail_closed: bool,
     /// How many attempts beyond the first are allowed.
     pub retries: RetryBound,
+    /// What upstreams that are cold may have beyond what they bear.
+    pub warm_up_slack: WarmUpSlack,
     /// Longest planned stop.
     pub grace: Duration,
     /// The least severe level that is logged.
@@ -186,6 +202,7 @@
     let revoke = r.millis("keys", "revoke_ms");
     let fail_closed = r.value("keys", "fail_closed");
     let retries = read_retries(r);
+    let warm_up_slack = read_warm_up_slack(r);
     let grace = r.seconds("stop", "grace_s");
     let log_level = r.value("log", "level");
     Some(GatewaySettings {
@@ -204,11 +221,18 @@
         revoke: revoke?,
         fail_closed: fail_closed?,
         retries: retries?,
+        warm_up_slack: warm_up_slack?,
         grace: grace?,
         log_level: log_level?,
     })
 }
 
+fn read_warm_up_slack(r: &mut Reader<'_>) -> Option<WarmUpSlack> {
+    let overshoot = r.number("warm_up", "overshoot", 0.0, 100.0);
+    let tolerance = r.number("warm_up", "tolerance", 0.0, 100_000.0);
+    Some(WarmUpSlack { overshoot: overshoot?, tolerance: tolerance? })
+}
+
 fn read_retries(r: &mut Reader<'_>) -> Option<RetryBound> {
     let share = r.number("retries", "share", 0.0, 10.0);
     let extra = r.number("retries", "extra", 0.0, 100_000.0);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -133,3 +133,4 @@
 pub mod upstream;
 pub mod view;
 mod vm;
+pub mod warm_up;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -24,6 +24,7 @@
     message::ShortHash,
     rendezvous,
     upstream::{Serves, Upstream, UpstreamRecord},
+    warm_up::{Roster, SentLately, WarmUp, WarmUpSlack},
 };
 
 /// Added to the fill of an upstream in another data hall: the way there
@@ -78,7 +79,7 @@
     pub slots: u16,
     /// Whether it takes new requests.
     pub state: UpstreamState,
-    /// How much longer it is slow from its start.
+    /// How much longer it is cold.
     pub warm_up_left: Duration,
 }
 
@@ -123,6 +124,8 @@
     counts: Mutex<HashMap<String, PeerCount>>,
     vanished_at: Mutex<Option<Instant>>,
     heard_at: Mutex<Instant>,
+    cold_until: Mutex<Option<Instant>>,
+    sent_cold: Mutex<SentLately>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -151,6 +154,8 @@
             counts: Mutex::default(),
             vanished_at: Mutex::new(None),
             heard_at: Mutex::new(now),
+            cold_until: Mutex::new(Some(now + entry.warm_up_left)),
+            sent_cold: Mutex::default(),
             entry,
         }
     }
@@ -174,6 +179,18 @@
         f64::from(self.requests()) / f64::from(self.entry.slots.max(1))
     }
 
+    /// Whether it bears only few requests for now.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        let until = *self.cold_until.lock().expect("cold lock");
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that it is cold until then, if not for longer already.
+    fn note_cold(&self, until: Instant) {
+        let mut held = self.cold_until.lock().expect("cold lock");
+        *held = Some(held.map_or(until, |held| held.max(until)));
+    }
+
     /// Notes that something came from it.
     pub fn note_heard(&self, now: Instant) {
         *self.heard_at.lock().expect("heard lock") = now;
@@ -274,6 +291,8 @@
     Unknown,
     /// All are in data halls whose upstreams are to get no requests.
     Evacuated,
+    /// All are cold, and have as many requests as they bear.
+    Cold,
     /// All are full.
     Full,
 }
@@ -287,7 +306,12 @@
 /// The upstreams of all services.
 #[derive(Debug)]
 pub struct Pool {
+    vm: String,
     data_hall: DataHallId,
+    slack: WarmUpSlack,
+    /// How the upstreams of each service that has a bound warm up.
+    warm_ups: RwLock<HashMap<ServiceId, WarmUp>>,
+    roster: RwLock<Roster>,
     members: RwLock<Arc<Members>>,
     /// Data halls whose upstreams are to get no requests.
     evacuated: RwLock<HashSet<DataHallId>>,
@@ -296,9 +320,13 @@
 
 impl Pool {
     /// Creates an empty pool for a VM in `data_hall`.
-    pub fn new(data_hall: DataHallId) -> Pool {
+    pub fn new(vm: &str, data_hall: DataHallId, slack: WarmUpSlack) -> Pool {
         Pool {
+            vm: vm.to_owned(),
             data_hall,
+            slack,
+            warm_ups: RwLock::default(),
+            roster: RwLock::default(),
             members: RwLock::default(),
             evacuated: RwLock::default(),
             ways: Mutex::default(),
@@ -311,6 +339,7 @@
         match held {
             Some(member) if member.entry.address == entry.address => {
                 *member.vanished_at.lock().expect("vanished lock") = None;
+                member.note_cold(now + entry.warm_up_left);
                 if entry.state == UpstreamState::Leaving {
                     member.upstream.mark_leaving();
                 }
@@ -380,8 +409,60 @@
 
     /// Lets the upstreams of a data hall have requests again; returns whether
     /// that is news.
-    pub fn end_evacuation(&self, hall: &DataHallId) -> bool {
-        self.evacuated.write().expect("halls lock").remove(hall)
+    ///
+    /// They may have turned cold just before, and their records say so up to
+    /// a heartbeat later: until then they are taken for cold.
+    pub fn end_evacuation(&self, hall: &DataHallId, now: Instant) -> bool {
+        let is_news = self.evacuated.write().expect("halls lock").remove(hall);
+        if is_news {
+            let members = self.all();
+            let there = members.iter().filter(|m| m.entry.data_hall == *hall);
+            for member in there {
+                if let Some(warm_up) = self.warm_up(&member.entry.service) {
+                    member.note_cold(now + warm_up.time);
+                }
+            }
+        }
+        is_news
+    }
+
+    /// Takes in how the upstreams of each service warm up, where the operators
+    /// state a bound.
+    pub fn set_warm_ups(&self, warm_ups: HashMap<ServiceId, WarmUp>) {
+        *self.warm_ups.write().expect("warm-up lock") = warm_ups;
+    }
+
+    fn warm_up(&self, service: &ServiceId) -> Option<WarmUp> {
+        let warm_ups = self.warm_ups.read().expect("warm-up lock");
+        warm_ups.get(service).copied()
+    }
+
+    /// Notes that the store records a VM.
+    pub fn add_vm(&self, vm: &str, hall: &DataHallId) {
+        if *hall == self.data_hall {
+            self.roster.write().expect("roster lock").add(vm);
+        }
+    }
+
+    /// Notes that the store no longer records a VM.
+    pub fn remove_vm(&self, vm: &str) {
+        self.roster.write().expect("roster lock").remove(vm);
+    }
+
+    /// Whether an upstream that is cold may have one more request of this VM.
+    fn has_cold_room(
+        &self,
+        member: &Member,
+        warm_up: WarmUp,
+        now: Instant,
+    ) -> bool {
+        if member.entry.data_hall != self.data_hall {
+            return false;
+        }
+        let roster = self.roster.read().expect("roster lock");
+        let short = member.upstream.short;
+        let part = roster.part(&self.vm, short, warm_up, self.slack);
+        member.sent_cold.lock().expect("sent lock").has_room(part, now)
     }
 
     fn way(&self, hall: &DataHallId) -> Arc<HallWay> {
@@ -457,6 +538,11 @@
         let open: Vec<&Arc<Member>> =
             open.into_iter().filter(|m| !is_evacuated(m)).collect();
         drop(evacuated);
+        let all_are_open = !open.is_empty();
+        let open = self.without_cold(open, service, now);
+        if open.is_empty() && all_are_open {
+            return Err(NoMember::Cold);
+        }
         let open = by_rule(open, &want.rule);
         let sound: Vec<&Arc<Member>> = open
             .iter()
@@ -475,9 +561,27 @@
             Some(prompt) => self.soonest(prompt, &open),
             None => self.emptiest(&open),
         };
+        if chosen.is_cold(now) {
+            chosen.sent_cold.lock().expect("sent lock").count(now);
+        }
         Ok(chosen.clone())
     }
 
+    /// Leaves out the upstreams that are cold and not to get one more request
+    /// of this VM.
+    fn without_cold<'a>(
+        &self,
+        open: Vec<&'a Arc<Member>>,
+        service: &ServiceId,
+        now: Instant,
+    ) -> Vec<&'a Arc<Member>> {
+        let Some(warm_up) = self.warm_up(service) else { return open };
+        let may_take = |member: &&Arc<Member>| {
+            !member.is_cold(now) || self.has_cold_room(member, warm_up, now)
+        };
+        open.into_iter().filter(may_take).collect()
+    }
+
     /// The least full, another data hall counting as a little fuller.
     fn emptiest<'a>(&self, open: &[&'a Arc<Member>]) -> &'a Arc<Member> {
         let fill = |member: &Arc<Member>| {
--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use crate::{hall_way::CUT_PAUSE, health::Verdict};
 
+const SLACK: WarmUpSlack = WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
+
 fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.parse().unwrap(),
@@ -15,7 +17,7 @@
 }
 
 fn pool(entries: &[UpstreamEntry], now: Instant) -> Pool {
-    let pool = Pool::new("a".parse().unwrap());
+    let pool = Pool::new("vm-1", "a".parse().unwrap(), SLACK);
     for entry in entries {
         pool.set(entry.clone(), now);
     }
@@ -228,6 +230,6 @@
     let service = "writers".parse().unwrap();
     let picked = pool.pick(&service, &Want::default(), now);
     assert_eq!(picked.unwrap_err(), NoMember::Evacuated);
-    assert!(pool.end_evacuation(&near));
+    assert!(pool.end_evacuation(&near, now));
     assert_eq!(picks(&pool, &Want::default(), now), ["i-1"]);
 }
--- a/src/route.rs
+++ b/src/route.rs
@@ -5,7 +5,10 @@
 
 use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
 
-use crate::id::{ModelId, OrganisationId, ServiceId};
+use crate::{
+    id::{ModelId, OrganisationId, ServiceId},
+    warm_up::WarmUp,
+};
 
 /// The number of a configuration; later ones are greater.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -125,6 +128,8 @@
     pub connections_most: Option<u32>,
     /// What runs on it, if its upstreams are model replicas.
     pub engine: Option<Engine>,
+    /// How its upstreams warm up, if they bear few requests meanwhile.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Who holds a key.
@@ -223,6 +228,15 @@
         self.services.get(id)
     }
 
+    /// How the upstreams of each service warm up, where that is bounded.
+    pub fn warm_ups(&self) -> HashMap<ServiceId, WarmUp> {
+        let services = self.services.values();
+        let bounded = services.filter_map(|service| {
+            service.warm_up.map(|warm_up| (service.id.clone(), warm_up))
+        });
+        bounded.collect()
+    }
+
     /// What callers may send.
     pub fn limits(&self) -> InputLimits {
         self.limits
--- /dev/null
+++ b/src/warm_up/tests.rs
@@ -0,0 +1,189 @@
+//! Many VMs before upstreams that turn cold, by themselves and together.
+
+use std::collections::HashMap;
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::*;
+use crate::pool::{Pool, UpstreamEntry, UpstreamState, Want};
+
+const SLACK: WarmUpSlack = WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
+
+const WARM_UP: WarmUp = WarmUp { time: Duration::from_secs(3), per_s: 8.8 };
+
+fn roster(vms: &[String]) -> Roster {
+    let mut roster = Roster::default();
+    for vm in vms {
+        roster.add(vm);
+    }
+    roster
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("vm-{n}")).collect()
+}
+
+#[test]
+fn the_parts_of_all_vms_are_within_the_bound() {
+    for count in [0, 1, 2, 3, 5, 21, 80] {
+        let vms = names(count);
+        let roster = roster(&vms);
+        for upstream in 0..200 {
+            let part = |vm: &String| {
+                roster.part(vm, ShortHash(upstream), WARM_UP, SLACK)
+            };
+            let parts: Vec<usize> = vms.iter().map(part).collect();
+            assert!(parts.iter().sum::<usize>() <= 18);
+            let owners = parts.iter().filter(|part| **part > 0).count();
+            assert_eq!(owners, count.min(OWNERS));
+        }
+    }
+}
+
+#[test]
+fn a_vm_that_is_not_recorded_owns_nothing() {
+    let vms = names(5);
+    let roster = roster(&vms);
+    let part = roster.part("vm-new", ShortHash(7), WARM_UP, SLACK);
+    assert_eq!(part, 0);
+}
+
+/// One VM in three has not heard of a new record, and one that of another
+/// which is gone.
+#[test]
+fn vms_that_know_different_records_stay_within_the_bound() {
+    let vms = names(22);
+    let (old, new) = (roster(&vms[..21]), roster(&vms));
+    let mut newest = roster(&vms);
+    newest.remove("vm-3");
+    for upstream in 0..2000 {
+        let parts = vms.iter().enumerate().map(|(n, vm)| {
+            let knows = match n {
+                21 => &new,
+                _ if n % 3 == 0 => &old,
+                _ if n == 7 => &newest,
+                _ => &new,
+            };
+            knows.part(vm, ShortHash(upstream), WARM_UP, SLACK)
+        });
+        assert!(parts.sum::<usize>() <= 18, "upstream {upstream}");
+    }
+}
+
+#[test]
+fn what_was_sent_counts_for_a_second() {
+    let start = Instant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    let mut sent = SentLately::default();
+    for ms in [0, 100, 200] {
+        assert!(sent.has_room(3, after(ms)));
+        sent.count(after(ms));
+    }
+    assert!(!sent.has_room(3, after(999)));
+    assert!(sent.has_room(3, after(1000)));
+    assert!(!sent.has_room(0, after(5000)));
+}
+
+fn cold(id: usize) -> UpstreamEntry {
+    UpstreamEntry {
+        id: format!("i-{id}").parse().unwrap(),
+        service: "writers".parse().unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_hall: "a".parse().unwrap(),
+        software: "v1".parse().unwrap(),
+        slots: 16,
+        state: UpstreamState::Ready,
+        warm_up_left: WARM_UP.time,
+    }
+}
+
+/// The pools of the VMs of one data hall, before cold upstreams.
+fn hall(vms: &[String], upstreams: usize, now: Instant) -> Vec<Pool> {
+    let pool = |vm: &String| {
+        let pool = Pool::new(vm, "a".parse().unwrap(), SLACK);
+        let service = "writers".parse().unwrap();
+        pool.set_warm_ups(HashMap::from([(service, WARM_UP)]));
+        for known in vms {
+            pool.add_vm(known, &"a".parse().unwrap());
+        }
+        for id in 0..upstreams {
+            pool.set(cold(id), now);
+        }
+        pool
+    };
+    vms.iter().map(pool).collect()
+}
+
+/// The load after a data hall is given back: all of its upstreams are empty
+/// and cold, and its VMs send three times what they bear, for three seconds.
+///
+/// Returns how many requests found an upstream, and the most that one got
+/// within a second.
+fn replay(pools: &[Pool], start: Instant) -> (usize, usize) {
+    let service = "writers".parse().unwrap();
+    let mut random = StdRng::seed_from_u64(7);
+    let mut sent: HashMap<String, Vec<u64>> = HashMap::new();
+    for ms in (0..3000).step_by(5) {
+        let now = start + Duration::from_millis(ms);
+        let pool = &pools[random.random_range(0..pools.len())];
+        if let Ok(member) = pool.pick(&service, &Want::default(), now) {
+            let id = member.entry.id.to_string();
+            sent.entry(id).or_default().push(ms);
+        }
+    }
+    let busiest = |times: &Vec<u64>| {
+        let within = |from: &u64| {
+            let window = *from..*from + 1000;
+            times.iter().filter(|at| window.contains(at)).count()
+        };
+        times.iter().map(within).max()
+    };
+    let most = sent.values().filter_map(busiest).max();
+    (sent.values().map(Vec::len).sum(), most.unwrap_or(0))
+}
+
+#[test]
+fn no_cold_upstream_gets_more_than_it_may_within_any_second() {
+    let start = Instant::now();
+    let pools = hall(&names(21), 8, start);
+    let (served, most) = replay(&pools, start);
+    assert!(most <= 18, "{most}");
+    // What they bear is used: 8.8 a second for each of eight.
+    assert!(served >= 200, "{served}");
+    let service = "writers".parse().unwrap();
+    let later = start + WARM_UP.time;
+    let picked = pools[0].pick(&service, &Want::default(), later);
+    assert!(picked.is_ok(), "they are warm");
+    // Without a bound the same load breaks it.
+    let unbounded = hall(&names(21), 8, start);
+    for pool in &unbounded {
+        pool.set_warm_ups(HashMap::new());
+    }
+    assert!(replay(&unbounded, start).1 > 18);
+}
+
+#[test]
+fn a_hall_that_is_given_back_is_cold_until_its_records_can_say_so() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(60);
+    let vms = names(21);
+    let pool = &hall(&vms, 1, start)[0];
+    let member = pool.member(&"i-0".parse().unwrap()).unwrap();
+    let hall = "a".parse().unwrap();
+    pool.evacuate(&hall);
+    assert!(!member.is_cold(later));
+    pool.end_evacuation(&hall, later);
+    assert!(member.is_cold(later));
+    assert!(!member.is_cold(later + WARM_UP.time));
+}
+
+#[test]
+fn one_that_turns_cold_again_says_so_in_its_record() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(60);
+    let pool = &hall(&names(3), 1, start)[0];
+    let member = pool.member(&"i-0".parse().unwrap()).unwrap();
+    assert!(!member.is_cold(later));
+    pool.set(cold(0), later);
+    assert!(member.is_cold(later + Duration::from_secs(2)));
+}
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -22,6 +22,8 @@
     ("bounds.retry_budget_ratio", "0.9"),
     ("bounds.retry_min_extra", "58"),
     ("bounds.retry_window_s", "10"),
+    ("bounds.warmup_overshoot", "1.5"),
+    ("bounds.warmup_tolerance", "5"),
 ];
 
 fn file(name: &str) -> String {
