Count the retry window in tenths of a second and use nearly all of the bound

Cause: after a quarter of the engines crash in a burst, 83 of 84 VMs run out of further attempts for eight seconds and pass on 524 doubtful answers, while the fleet has used 6,200 of 7,377 attempts allowed. The parts of half a second and the 8 in 100 held back for their edges were the difference. Since nearly all VMs run out together, lending between them was left: there is little to lend. The property test now slides its window by steps that do not meet the parts.

--- a/src/retry_window.rs
+++ b/src/retry_window.rs
@@ -11,14 +11,14 @@
 };
 
 /// Parts that a window is counted in.
-const PARTS: u64 = 20;
+const PARTS: u64 = 100;
 
 /// Part of the allowed share that is used; the rest covers a window that
 /// begins within a part.
-const USED_SHARE: f64 = 0.92;
+const USED_SHARE: f64 = 0.98;
 
 /// Part of the allowed extra attempts that is used, for the same reason.
-const USED_EXTRA: f64 = 0.7;
+const USED_EXTRA: f64 = 0.9;
 
 /// What a platform allows.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,7 +49,11 @@
 impl RetryWindow {
     /// Creates a window in which nothing has happened yet.
     pub fn new(bound: RetryBound, now: Instant) -> RetryWindow {
-        RetryWindow { bound, since: now, parts: Mutex::default() }
+        RetryWindow {
+            bound,
+            since: now,
+            parts: Mutex::new([Part::default(); PARTS as usize + 1]),
+        }
     }
 
     /// Counts a request.
--- a/src/retry_window/tests.rs
+++ b/src/retry_window/tests.rs
@@ -30,7 +30,7 @@
         let within = |at: &&u64| (from..from + 10_000).contains(*at);
         times.iter().filter(within).count() as f64
     };
-    for from in (10_000..50_000).step_by(100) {
+    for from in (10_000..50_000).step_by(37) {
         let windows = [from, from - 5_000, from - 10_000];
         let asked = windows.map(|from| count(&requests, from));
         let asked = asked.into_iter().fold(0.0, f64::max);
