Give src/ a folder for each thing that has a way through the VMs

They now lie by what goes through them: a request before the platform (gateway), the decisions on it (placing), a fact (facts), a new version (rollouts), an agreement (chains) and the own interface (chat_face); what all use stays beside them.

--- a/src/chain.rs
+++ b/src/chains/chain.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::store::{
+use crate::chains::store::{
     Condition, Store, StoreError, StoredEntry, Written, list_all,
 };
 
@@ -184,7 +184,7 @@
     use smol::block_on;
 
     use super::*;
-    use crate::memory_store::{Fault, MemoryStore};
+    use crate::chains::memory_store::{Fault, MemoryStore};
 
     fn batch(write: u64, content: u32) -> Batch<u32> {
         Batch { write: WriteId(write), content }
--- a/src/claims.rs
+++ b/src/chains/claims.rs
@@ -12,17 +12,16 @@
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 
 use crate::{
-    claim::{ClaimOutcome, ClaimRequest, ClaimVerdict, VmLife},
+    chains::{
+        claim::{ClaimOutcome, ClaimRequest, ClaimVerdict, VmLife},
+        slot::{HoldRequest, Slot, SlotPeers, redirect},
+    },
+    chat_face::{membership::Life, silent::Silent, view::Peer, vm::Vm},
     id::{DataHallId, VmId},
-    membership::Life,
     message::{PeerReply, PeerRequest},
     peer::PeerError,
     rendezvous,
-    silent::Silent,
-    slot::{HoldRequest, Slot, SlotPeers, redirect},
     task::{self, within},
-    view::Peer,
-    vm::Vm,
 };
 
 /// Longest time that one VM is asked for a verdict.
--- a/src/configuration.rs
+++ b/src/chains/configuration.rs
@@ -13,10 +13,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    chat_face::template::{Template, VersionEntry},
     error::{Error, ErrorKind},
     id::{ModelId, OrganisationId, Revision, VersionId, VmId},
     secret::KeyHash,
-    template::{Template, VersionEntry},
 };
 
 /// What one change does.
@@ -342,7 +342,7 @@
     use proptest::prelude::*;
 
     use super::*;
-    use crate::template::VersionState;
+    use crate::chat_face::template::VersionState;
     use crate::unit::{MicroCost, Share};
 
     fn template(name: &str, key: &str) -> Edit {
--- a/src/configuration_sync.rs
+++ b/src/chains/configuration_sync.rs
@@ -7,16 +7,17 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    chain::{self, Appended, Batch, WriteId},
-    configuration::{Change, Configuration, Edit, Expected},
+    chains::{
+        chain::{self, Appended, Batch, WriteId},
+        configuration::{Change, Configuration, Edit, Expected},
+        store::{Backoff, Condition, StoreError},
+    },
+    chat_face::{view::Peer, vm::Vm},
     error::{Error, ErrorKind},
     event::Event,
     id::Revision,
     message::{PeerReply, PeerRequest},
-    store::{Backoff, Condition, StoreError},
     task::{self, within},
-    view::Peer,
-    vm::Vm,
 };
 
 const PREFIX: &str = "config";
@@ -166,7 +167,7 @@
     let vm = vm.clone();
     // The rest of the hall should not wait for its watch or a round.
     task::spawn(async move {
-        crate::gossip::Gossiper::tell_hall(&vm).await;
+        crate::chat_face::gossip::Gossiper::tell_hall(&vm).await;
     })
     .detach();
 }
--- a/src/lease.rs
+++ b/src/chains/lease.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
+use crate::chains::{
     claim::VmLife,
     store::{Condition, Store, StoreError, StoreVersion, Stored, Written},
 };
@@ -207,7 +207,7 @@
         stored: &Stored,
         since: Instant,
     ) -> Result<(), StoreError> {
-        let record: LeaseRecord = crate::chain::decode(&stored.value)?;
+        let record: LeaseRecord = crate::chains::chain::decode(&stored.value)?;
         if record.holder.as_ref() != Some(&self.me) {
             self.held_from = None;
         }
@@ -268,7 +268,7 @@
         record: &LeaseRecord,
         condition: Condition,
     ) -> Result<Written, StoreError> {
-        let value = crate::chain::encode(record)?;
+        let value = crate::chains::chain::encode(record)?;
         store.put(&self.key, &value, condition).await
     }
 }
@@ -282,8 +282,8 @@
 
     use super::*;
     use crate::{
+        chains::memory_store::{Fault, MemoryStore},
         id::Incarnation,
-        memory_store::{Fault, MemoryStore},
     };
 
     const TTL: Duration = Duration::from_secs(6);
--- a/src/ledger.rs
+++ b/src/chains/ledger.rs
@@ -17,19 +17,18 @@
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
-    bill::{Bill, BillState, merge_all},
-    chain::{self, Appended, Batch, WriteId},
+    chains::{
+        bill::{Bill, BillState, merge_all},
+        chain::{self, Appended, Batch, WriteId},
+        store::{StoreError, list_all},
+    },
+    chat_face::{membership::Life, silent::Silent, vm::Vm},
     error::{Error, ErrorKind},
     event::Event,
     id::{OrganisationId, RequestId, VmId},
-    membership::Life,
     message::{PeerReply, PeerRequest},
-    rendezvous,
-    silent::Silent,
-    store::{StoreError, list_all},
-    task,
+    rendezvous, task,
     unit::MicroCost,
-    vm::Vm,
 };
 
 /// Bills sent to a writer at once.
--- a/src/memory_store.rs
+++ b/src/chains/memory_store.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 
-use crate::store::{
+use crate::chains::store::{
     Condition, Store, StoreError, StoreVersion, Stored, StoredEntry, Written,
 };
 
--- a/src/slot.rs
+++ b/src/chains/slot.rs
@@ -21,16 +21,18 @@
 };
 
 use crate::{
-    chain::{self, Appended, Batch, WriteId},
-    claim::{
-        ClaimOutcome, ClaimRecord, ClaimRequest, ClaimVerdict, OfflineClaim,
-        Ownership, SlotState, VmLife,
+    chains::{
+        chain::{self, Appended, Batch, WriteId},
+        claim::{
+            ClaimOutcome, ClaimRecord, ClaimRequest, ClaimVerdict,
+            OfflineClaim, Ownership, SlotState, VmLife,
+        },
+        store::{Condition, SharedStore, StoreError, VALUE_LIMIT_BYTES},
     },
     clock::SharedClock,
     event::Event,
     id::VmId,
     settings::ClaimSettings,
-    store::{Condition, SharedStore, StoreError, VALUE_LIMIT_BYTES},
 };
 
 /// Times that a batch is tried against batches of others.
--- a/src/slot/tests.rs
+++ b/src/chains/slot/tests.rs
@@ -15,11 +15,13 @@
 
 use super::*;
 use crate::{
-    claim::{BodyHash, ClaimKey},
+    chains::{
+        claim::{BodyHash, ClaimKey},
+        memory_store::{Fault, MemoryStore},
+        store::{Store, Stored, StoredEntry, Written},
+    },
     clock::Clock,
     id::{Incarnation, OrganisationId, RequestId},
-    memory_store::{Fault, MemoryStore},
-    store::{Store, Stored, StoredEntry, Written},
 };
 
 const VMS: usize = 3;
--- a/src/callers.rs
+++ b/src/chat_face/callers.rs
@@ -12,13 +12,15 @@
 
 use crate::{
     answer::{Answer, Header},
-    dispatch::{ServiceTarget, is_passed_on},
+    chat_face::{
+        dispatch::{ServiceTarget, is_passed_on},
+        request::{Arrived, CallHeaders, Request},
+        template::VersionState,
+        vm::Vm,
+    },
     error::{Error, ErrorKind},
-    request::{Arrived, CallHeaders, Request},
     secret::KeyHash,
     task,
-    template::VersionState,
-    vm::Vm,
 };
 
 const CHAT_PATH: &str = "/v1/chat/completions";
--- a/src/chat.rs
+++ b/src/chat_face/chat.rs
@@ -3,10 +3,10 @@
 use serde_json::{Map, Value};
 
 use crate::{
+    chat_face::template::{Priority, VersionEntry},
     error::{Error, ErrorKind},
     id::ModelId,
     rendezvous,
-    template::{Priority, VersionEntry},
 };
 
 /// The name by which a caller leaves the model to the router.
--- a/src/choose.rs
+++ b/src/chat_face/choose.rs
@@ -13,16 +13,20 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    configuration::Configuration,
-    decision::{Candidate, Dropped, Preferred, SessionUse, UpstreamChoice},
+    chains::configuration::Configuration,
+    chat_face::{
+        decision::{
+            Candidate, Dropped, Preferred, SessionUse, UpstreamChoice,
+        },
+        estimate::{self, Chance, USUAL_OUTPUT_TOKENS, version_hash},
+        tally::Tallies,
+        template::{Template, VersionEntry, VersionState},
+    },
     error::{Error, ErrorKind},
-    estimate::{self, Chance, USUAL_OUTPUT_TOKENS, version_hash},
     id::{ModelId, UpstreamId, VersionId},
     message::ShortHash,
-    tally::Tallies,
-    template::{Template, VersionEntry, VersionState},
+    placing::upstream::UpstreamFacts,
     unit::MicroCost,
-    upstream::UpstreamFacts,
 };
 
 /// Share of open choices that try another model, to keep learning.
--- a/src/decision.rs
+++ b/src/chat_face/decision.rs
@@ -13,12 +13,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    chat_face::template::Priority,
     error::{ErrorKind, Run},
     id::{
         ModelId, OrganisationId, RequestId, Revision, ServiceId, UpstreamId,
         VersionId,
     },
-    template::Priority,
     unit::MicroCost,
 };
 
--- a/src/dispatch.rs
+++ b/src/chat_face/dispatch.rs
@@ -13,28 +13,34 @@
 
 use crate::{
     answer::{Answer, Header},
-    chat::{TokenUse, answer_text},
-    choose::{Step, UpstreamWish, pick_upstream},
-    claim::{BodyHash, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict},
-    claims::{Claims, GRANT_LIFETIME, verdict_label},
-    decision::{Attempt, AttemptEnd, UpstreamChoice, Verdict},
+    chains::{
+        claim::{
+            BodyHash, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict,
+        },
+        claims::{Claims, GRANT_LIFETIME, verdict_label},
+    },
+    chat_face::{
+        chat::{TokenUse, answer_text},
+        choose::{Step, UpstreamWish, pick_upstream},
+        decision::{Attempt, AttemptEnd, UpstreamChoice, Verdict},
+        estimate::{evidence_key, version_hash},
+        rating::{self, RatingRequest},
+        relay,
+        request::{Admitted, Core, Outcome, Planned, Request, ServiceCall},
+        tally::{Tally, evidence},
+        template::VersionEntry,
+        vm::Vm,
+    },
     error::{Error, ErrorKind},
-    estimate::{evidence_key, version_hash},
     event::Event,
     http_client::{
         Call, Exchange, HOP_HEADERS, Reuse, SendError, WholeAnswer,
     },
     id::UpstreamId,
     message::ShortHash,
-    rating::{self, RatingRequest},
-    relay,
-    request::{Admitted, Core, Outcome, Planned, Request, ServiceCall},
-    tally::{Tally, evidence},
+    placing::upstream::{BreakerChange, InFlight, Upstream},
     task::{self, within},
-    template::VersionEntry,
     unit::{MicroCost, Share},
-    upstream::{BreakerChange, InFlight, Upstream},
-    vm::Vm,
 };
 
 /// Time after which a repeatable service call is tried elsewhere.
@@ -194,13 +200,17 @@
     fn estimate(&self) -> MicroCost {
         let entry = &self.state.plan.steps[0].entry;
         let chat = &self.state.admitted.call.chat;
-        let output =
-            chat.output_tokens.unwrap_or(crate::estimate::USUAL_OUTPUT_TOKENS);
+        let output = chat
+            .output_tokens
+            .unwrap_or(crate::chat_face::estimate::USUAL_OUTPUT_TOKENS);
         entry.price(chat.input_tokens, output)
     }
 
     /// Asks the planned versions in order until an answer is good enough.
-    async fn cascade(&mut self, pass: crate::queue::Pass) -> Outcome {
+    async fn cascade(
+        &mut self,
+        pass: crate::chat_face::queue::Pass,
+    ) -> Outcome {
         let steps = self.state.plan.steps.clone();
         let mut pass = Some(pass);
         let mut best = None;
@@ -236,7 +246,7 @@
     async fn ask_step(
         &mut self,
         step: &Step,
-        pass: &mut Option<crate::queue::Pass>,
+        pass: &mut Option<crate::chat_face::queue::Pass>,
     ) -> Result<WholeAnswer, Error> {
         let repeatable = self.state.repeatable;
         let mut tried: Vec<UpstreamId> = Vec::new();
@@ -396,7 +406,7 @@
     ) {
         let is_rolling = matches!(
             entry.state,
-            crate::template::VersionState::RollingOut { .. }
+            crate::chat_face::template::VersionState::RollingOut { .. }
         );
         if !is_rolling && rand::random::<f64>() >= LEARN_SHARE {
             return;
--- a/src/estimate.rs
+++ b/src/chat_face/estimate.rs
@@ -8,9 +8,11 @@
 use std::time::Instant;
 
 use crate::{
+    chat_face::{
+        tally::{Tallies, Tally, TallyKey, evidence},
+        template::VersionEntry,
+    },
     message::ShortHash,
-    tally::{Tallies, Tally, TallyKey, evidence},
-    template::VersionEntry,
 };
 
 /// Ratings that the prior counts for.
--- a/src/gossip.rs
+++ b/src/chat_face/gossip.rs
@@ -15,14 +15,16 @@
 use smol::net::UdpSocket;
 
 use crate::{
+    chat_face::{
+        view::{Peer, log_life_changes},
+        vm::Vm,
+    },
     event::Event,
     frame::{DATAGRAM_LIMIT_BYTES, FrameFault},
     id::VmId,
     message::{Beat, Datagram, Gossip, ShortHash},
+    placing::upstream::Upstream,
     task,
-    upstream::Upstream,
-    view::{Peer, log_life_changes},
-    vm::Vm,
 };
 
 /// Signs of life in one datagram.
--- a/src/guard.rs
+++ b/src/chat_face/guard.rs
@@ -13,18 +13,22 @@
 };
 
 use crate::{
-    configuration::{Configuration, Edit, Expected},
-    configuration_sync,
+    chains::{
+        configuration::{Configuration, Edit, Expected},
+        configuration_sync,
+        store::Backoff,
+    },
+    chat_face::{
+        estimate::version_hash,
+        tally::{Tallies, Tally, TallyKey, evidence},
+        template::{VersionEntry, VersionState},
+        vm::Vm,
+    },
     error::ErrorKind,
-    estimate::version_hash,
     event::Event,
     id::{ModelId, Revision},
     message::ShortHash,
-    store::Backoff,
-    tally::{Tallies, Tally, TallyKey, evidence},
     task,
-    template::{VersionEntry, VersionState},
-    vm::Vm,
 };
 
 /// Time between two looks at the evidence.
--- a/src/limit.rs
+++ b/src/chat_face/limit.rs
@@ -16,11 +16,13 @@
 
 use crate::{
     bucket::Bucket,
+    chat_face::{
+        tally::{Tallies, Tally, TallyKey, usage},
+        template::Template,
+    },
     error::{Error, ErrorKind},
     id::OrganisationId,
     message::ShortHash,
-    tally::{Tallies, Tally, TallyKey, usage},
-    template::Template,
     unit::MicroCost,
 };
 
--- a/src/load.rs
+++ b/src/chat_face/load.rs
@@ -7,12 +7,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    gossip::{Gossiper, log_leaving},
+    chat_face::{
+        gossip::{Gossiper, log_leaving},
+        vm::Vm,
+    },
     http_client::Call,
     message::ShortHash,
+    placing::upstream::Upstream,
     task,
-    upstream::Upstream,
-    vm::Vm,
 };
 
 /// Longest time that one report may take.
--- a/src/operators.rs
+++ b/src/chat_face/operators.rs
@@ -7,18 +7,22 @@
 use trillium::{Conn, Handler, KnownHeaderName, Method, async_trait};
 
 use crate::{
-    bill::Bill,
-    callers::{bearer, ready, send_error, send_json},
-    configuration::{Configuration, Edit, Expected, Versioned},
-    configuration_sync,
-    decision::Decision,
+    chains::{
+        bill::Bill,
+        configuration::{Configuration, Edit, Expected, Versioned},
+        configuration_sync,
+        ledger::{self, BillQuery},
+    },
+    chat_face::{
+        callers::{bearer, ready, send_error, send_json},
+        decision::Decision,
+        guard,
+        template::{Template, VersionEntry, VersionState},
+        vm::{Vm, slot_state},
+    },
     error::{Error, ErrorKind},
-    guard,
     id::{ModelId, OrganisationId, RequestId, Revision, VersionId},
-    ledger::{self, BillQuery},
     secret::KeyHash,
-    template::{Template, VersionEntry, VersionState},
-    vm::{Vm, slot_state},
 };
 
 /// Largest body of an operator's request.
--- a/src/platform_list.rs
+++ b/src/chat_face/platform_list.rs
@@ -6,10 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    chains::store::split_url,
     http_client::{Call, HttpClient},
     id::{DataHallId, ModelId, ServiceId, UpstreamId, VmId},
-    store::split_url,
-    upstream::{Serves, UpstreamRecord},
+    placing::upstream::{Serves, UpstreamRecord},
 };
 
 const LIST_LIMIT_BYTES: u64 = 4 << 20;
--- a/src/queue.rs
+++ b/src/chat_face/queue.rs
@@ -14,12 +14,11 @@
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
-    choose::Room,
+    chat_face::{choose::Room, template::Priority},
     clock::SharedClock,
     error::{Error, ErrorKind},
     id::{ModelId, OrganisationId},
     task::within,
-    template::Priority,
 };
 
 /// Fill of a model's slots up to which interactive work is let through.
--- a/src/rating.rs
+++ b/src/chat_face/rating.rs
@@ -6,9 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    chains::store::split_url,
     http_client::{Call, HttpClient},
     id::{ModelId, OrganisationId, VersionId},
-    store::split_url,
     unit::Share,
 };
 
--- a/src/relay.rs
+++ b/src/chat_face/relay.rs
@@ -15,19 +15,21 @@
     answer::{
         Answer, BrokenOff, Header, StreamBody, StreamPart, refusal_json,
     },
-    chat::TokenUse,
-    claim::ClaimOutcome,
-    decision::AttemptEnd,
-    dispatch::{AttemptFault, Chosen, fault_of},
+    chains::claim::ClaimOutcome,
+    chat_face::{
+        chat::TokenUse,
+        decision::AttemptEnd,
+        dispatch::{AttemptFault, Chosen, fault_of},
+        queue::Pass,
+        request::{Planned, Request},
+        template::VersionEntry,
+    },
     error::{Error, ErrorKind},
     event::Event,
     http_client::Exchange,
     id::UpstreamId,
-    queue::Pass,
-    request::{Planned, Request},
     sse::{self, Splitter},
     task::{self, within},
-    template::VersionEntry,
     unit::MicroCost,
 };
 
--- a/src/request.rs
+++ b/src/chat_face/request.rs
@@ -13,24 +13,32 @@
 
 use crate::{
     answer::{Answer, Header},
-    bill::{Bill, BillPart, BillState},
-    chat::ChatRequest,
-    choose::{self, Knowledge, NoPlan, Plan, RequestFacts, Room, any_usable},
-    claim::{ClaimOutcome, ClaimRequest},
-    claims::Claims,
-    decision::{Asked, Attempt, AttemptEnd, Decision, SessionUse, Verdict},
+    chains::{
+        bill::{Bill, BillPart, BillState},
+        claim::{ClaimOutcome, ClaimRequest},
+        claims::Claims,
+    },
+    chat_face::{
+        chat::ChatRequest,
+        choose::{
+            self, Knowledge, NoPlan, Plan, RequestFacts, Room, any_usable,
+        },
+        decision::{
+            Asked, Attempt, AttemptEnd, Decision, SessionUse, Verdict,
+        },
+        estimate::version_hash,
+        limit::InUse,
+        queue::{Entry, Pass},
+        session::Session,
+        template::{Priority, ServiceRule, Template, VersionEntry},
+        vm::{InFlightRequest, Vm},
+    },
     error::{Error, ErrorKind, Run},
-    estimate::version_hash,
     id::OrganisationId,
-    limit::InUse,
     message::ShortHash,
     metrics::OTHER,
-    queue::{Entry, Pass},
     secret::KeyHash,
-    session::Session,
-    template::{Priority, ServiceRule, Template, VersionEntry},
     unit::MicroCost,
-    vm::{InFlightRequest, Vm},
 };
 
 /// The longest `Idempotency-Key`, in bytes.
--- a/src/server.rs
+++ b/src/chat_face/server.rs
@@ -12,22 +12,22 @@
 use trillium_server_common::ServerHandle;
 
 use crate::{
-    callers::Callers,
+    chains::{configuration_sync, ledger::Ledger},
+    chat_face::{
+        callers::Callers,
+        gossip::{Gossiper, log_leaving},
+        guard, load,
+        operators::Operators,
+        platform_list::ListReader,
+        steward::Steward,
+        vm::{Parts, Vm},
+    },
     clock::{SharedClock, SystemClock},
-    configuration_sync,
     error::{Error, ErrorKind},
     event::Event,
-    gossip::{Gossiper, log_leaving},
-    guard,
-    ledger::Ledger,
-    load,
-    operators::Operators,
     peer,
-    platform_list::ListReader,
     settings::Settings,
-    steward::Steward,
     task::{self, Task, within},
-    vm::{Parts, Vm},
 };
 
 /// Largest head of a request that is read at all.
--- a/src/steward.rs
+++ b/src/chat_face/steward.rs
@@ -14,16 +14,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    claim::VmLife,
-    estimate::version_hash,
+    chains::{
+        claim::VmLife,
+        lease::{Epoch, Lease, LeaseChange},
+    },
+    chat_face::{estimate::version_hash, template::VersionState, vm::Vm},
     event::Event,
     http_client::{Call, SendError},
-    lease::{Epoch, Lease, LeaseChange},
     message::ShortHash,
+    placing::upstream::{Serves, Upstream},
     task,
-    template::VersionState,
-    upstream::{Serves, Upstream},
-    vm::Vm,
 };
 
 /// Steps of the lease and looks at the upstreams, by share of the lease.
--- a/src/view.rs
+++ b/src/chat_face/view.rs
@@ -14,14 +14,16 @@
 use rand::seq::IndexedRandom;
 
 use crate::{
+    chat_face::{
+        membership::{Life, LifeChange, Membership},
+        platform_list::{ListedRole, ListedState, ListedVm},
+    },
     event::Event,
     id::{DataHallId, Incarnation, ModelId, ServiceId, UpstreamId, VmId},
-    membership::{Life, LifeChange, Membership},
     message::{Beat, LoadEntry, ShortHash},
-    platform_list::{ListedRole, ListedState, ListedVm},
+    placing::upstream::{Serves, Upstream},
     rendezvous,
     settings::PeerSettings,
-    upstream::{Serves, Upstream},
 };
 
 /// Load figures of the own hall older than this are not passed on.
--- a/src/vm.rs
+++ b/src/chat_face/vm.rs
@@ -13,36 +13,40 @@
 use smol::channel::{Receiver, Sender};
 
 use crate::{
-    bill::Bill,
-    choose::Room,
-    claim::VmLife,
-    claims::{self, Claims},
+    chains::{
+        bill::Bill,
+        claim::VmLife,
+        claims::{self, Claims},
+        configuration::{Change, ConfigurationCell},
+        configuration_sync::{RECENT_LIMIT, changes_after},
+        ledger::Ledger,
+        slot::HoldRequest,
+        store::{HttpStore, SharedStore, StoreCounts},
+    },
+    chat_face::{
+        choose::Room,
+        decision::{Decision, DecisionLog},
+        gossip::Gossiper,
+        guard::Guard,
+        limit::Limits,
+        membership::Life,
+        queue::Gate,
+        session::SessionKeys,
+        steward::Steward,
+        tally::Tallies,
+        view::View,
+    },
     clock::SharedClock,
-    configuration::{Change, ConfigurationCell},
-    configuration_sync::{RECENT_LIMIT, changes_after},
-    decision::{Decision, DecisionLog},
     event::Event,
     frame::FrameCodec,
-    gossip::Gossiper,
-    guard::Guard,
     http_client::HttpClient,
     id::{Incarnation, ModelId, OrganisationId, RequestId, VmId},
-    ledger::Ledger,
-    limit::Limits,
-    membership::Life,
     message::{PeerReply, PeerRequest, ShortHash},
     metrics::Metrics,
     peer::{PeerClient, PeerError, PeerService},
-    queue::Gate,
+    placing::upstream::UpstreamFacts,
     retry::RetryBudget,
-    session::SessionKeys,
     settings::Settings,
-    slot::HoldRequest,
-    steward::Steward,
-    store::{HttpStore, SharedStore, StoreCounts},
-    tally::Tallies,
-    upstream::UpstreamFacts,
-    view::View,
 };
 
 /// Counts things that are under way and not to be cut by a planned stop.
@@ -315,7 +319,7 @@
         if let Some(bill) = self.ledger.find(id) {
             return Some(bill);
         }
-        crate::ledger::search(self, id).await.ok().flatten()
+        crate::chains::ledger::search(self, id).await.ok().flatten()
     }
 
     /// Brings the gauges up to date.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -12,15 +12,17 @@
 use serde_json::{Value, json};
 
 use crate::{
+    chat_face::{
+        server::{Addresses, Server},
+        template::VersionState,
+    },
     error::Error,
     gateway::{self, settings::GatewaySettings},
     http_client::{Call, HttpClient, WholeAnswer},
     logging,
-    server::{Addresses, Server},
     settings::Settings,
     story::Story,
     task,
-    template::VersionState,
 };
 
 /// Where operators' commands go unless told otherwise.
--- a/src/knowledge.rs
+++ b/src/facts/knowledge.rs
@@ -18,17 +18,19 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    chains::store::StoreVersion,
+    facts::{
+        knowledge_pack,
+        route::{RouteTable, TableVersion},
+    },
     id::{DataHallId, ServiceId, UpstreamId},
-    knowledge_pack,
+    placing::pool::UpstreamEntry,
     platform::{
         document,
         store::{Item, Items},
     },
-    pool::UpstreamEntry,
     rendezvous,
-    rollout::{Order, Status},
-    route::{RouteTable, TableVersion},
-    store::StoreVersion,
+    rollouts::rollout::{Order, Status},
     unit::Mbps,
 };
 
--- a/src/mesh.rs
+++ b/src/facts/mesh.rs
@@ -13,15 +13,14 @@
 use smol::net::UdpSocket;
 
 use crate::{
+    chains::store::StoreVersion,
     event::Event,
+    facts::{knowledge::ChangedItem, knowledge_pack},
     gateway::{Gateway, fields},
-    knowledge::ChangedItem,
-    knowledge_pack,
     message::{PeerReply, PeerRequest, VmBeat},
     metrics::Metrics,
     peer::PeerService,
     platform::store::{Item, Items},
-    store::StoreVersion,
     task,
 };
 
--- a/src/peers.rs
+++ b/src/facts/peers.rs
@@ -13,16 +13,18 @@
 };
 
 use crate::{
-    agreement::{self, Agreement},
+    facts::{
+        agreement::{self, Agreement},
+        knowledge::PeerRecord,
+        route::TableVersion,
+    },
     frame::FrameCodec,
     gateway::{Gateway, settings::GatewaySettings},
     id::{DataHallId, Incarnation},
-    knowledge::PeerRecord,
     message::{Echo, VmBeat},
     metrics::Metrics,
     peer::PeerClient,
     rendezvous,
-    route::TableVersion,
     unit::Mbps,
 };
 
--- a/src/peers/tests.rs
+++ b/src/facts/peers/tests.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use super::*;
-use crate::{clock::SystemClock, gateway::tests::SETTINGS, pool::Work};
+use crate::{
+    clock::SystemClock, gateway::tests::SETTINGS, placing::pool::Work,
+};
 
 fn gateway() -> Arc<Gateway> {
     let settings = GatewaySettings::from_ini(SETTINGS).expect("settings");
--- a/src/route.rs
+++ b/src/facts/route.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     id::{ModelId, OrganisationId, ServiceId},
-    warm_up::WarmUp,
+    placing::warm_up::WarmUp,
 };
 
 /// The number of a configuration; later ones are greater.
--- a/src/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,20 +15,24 @@
 use hyper::{HeaderMap, StatusCode};
 
 use crate::{
-    admission,
     error::{Error, ErrorKind},
-    gateway::Gateway,
-    health::Verdict,
+    facts::route::{Organisation, Repeat, Route},
+    gateway::{
+        Gateway,
+        inbound::{AttemptHead, Inbound},
+        relay_events::EventRelay,
+        trace::{End, Trace},
+    },
     http_client::{Call, Exchange, Reuse, SendError},
     id::{ModelId, ServiceId, UpstreamId},
-    inbound::{AttemptHead, Inbound},
+    placing::{
+        admission,
+        health::Verdict,
+        pool::{Member, NoMember, Reading, SharedPrompt, VersionRule, Want},
+        upstream::InFlight,
+    },
     platform::headers::{self, AnswerHead},
-    pool::{Member, NoMember, Reading, SharedPrompt, VersionRule, Want},
-    relay_events::EventRelay,
-    route::{Organisation, Repeat, Route},
     task,
-    trace::{End, Trace},
-    upstream::InFlight,
 };
 
 /// Time left below which no further attempt is made: it could not answer.
--- a/src/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -23,16 +23,18 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
-    cascade::first_model,
     error::{Error, ErrorKind},
-    forward::{Job, Reply, ReplyBody, refuse},
-    gateway::Gateway,
-    inbound::Inbound,
+    facts::route::{Organisation, RouteTable},
+    gateway::{
+        Gateway,
+        forward::{Job, Reply, ReplyBody, refuse},
+        inbound::Inbound,
+        relay_events::{self, BrokenOff},
+        trace::Trace,
+    },
+    placing::cascade::first_model,
     platform::headers,
-    relay_events::{self, BrokenOff},
-    route::{Organisation, RouteTable},
     task,
-    trace::Trace,
 };
 
 /// Added to the longest rest of a connection before it is closed, so that the
@@ -224,7 +226,7 @@
 
 struct Admitted {
     table: Arc<RouteTable>,
-    route: Arc<crate::route::Route>,
+    route: Arc<crate::facts::route::Route>,
     organisation: Option<Organisation>,
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,25 +18,35 @@
 use serde_json::{Map, Value, json};
 
 use crate::{
-    admission::ServiceTimes,
-    cascade::ReadTimes,
     clock::SharedClock,
     event::Event,
-    health::{HealthChange, Verdict},
+    facts::{
+        knowledge::{Fact, Knowledge, News},
+        peers::{Peers, WatchRole},
+    },
     http_client::HttpClient,
     id::{Incarnation, ServiceId, VersionId},
-    knowledge::{Fact, Knowledge, News},
     metrics::Metrics,
-    peers::{Peers, WatchRole},
+    placing::{
+        admission::ServiceTimes,
+        cascade::ReadTimes,
+        health::{HealthChange, Verdict},
+        pool::{Member, Pool, UpstreamState},
+        retry_window::RetryWindow,
+    },
     platform::store::PlatformStore,
-    pool::{Member, Pool, UpstreamState},
-    retry_window::RetryWindow,
-    rollout::Rollouts,
+    rollouts::rollout::Rollouts,
     task::Wake,
 };
 
 pub mod settings;
 
+pub(crate) mod forward;
+pub mod inbound;
+pub(crate) mod ingress;
+pub(crate) mod relay_events;
+pub(crate) mod trace;
+
 pub(crate) mod record;
 pub(crate) mod server;
 pub(crate) mod steward;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -14,14 +14,14 @@
 use serde_json::json;
 
 use crate::{
+    chains::store::{Backoff, StoreError},
     event::Event,
+    facts::knowledge::PeerRecord,
     gateway::{Gateway, fields},
-    knowledge::PeerRecord,
     platform::{
         document,
         store::{Committed, NewValue, WRITES_MOST},
     },
-    store::{Backoff, StoreError},
     task,
 };
 
--- a/src/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -11,15 +11,19 @@
 use futures_lite::FutureExt;
 
 use crate::{
-    cascade::{Doubt, Kept, larger_model},
-    forward::{Attempt, Fault, Job, Reply, ReplyBody},
-    health::Verdict,
+    gateway::{
+        forward::{Attempt, Fault, Job, Reply, ReplyBody},
+        trace::{End, Trace},
+    },
     http_client::Exchange,
     id::ModelId,
+    placing::{
+        cascade::{Doubt, Kept, larger_model},
+        health::Verdict,
+    },
     platform::headers::{self, AnswerHead},
     sse::Splitter,
     task,
-    trace::{End, Trace},
     unit::Percent,
 };
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -22,10 +22,12 @@
 use crate::{
     clock::SystemClock,
     event::Event,
+    facts::mesh,
     gateway::{
-        Gateway, fields, record, settings::GatewaySettings, steward, watch,
+        Gateway, fields, ingress, record, settings::GatewaySettings, steward,
+        watch,
     },
-    ingress, logging, mesh,
+    logging,
     platform::headers::READY_PATH,
     task::{self, Task},
 };
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,11 +7,10 @@
 
 use crate::{
     id::{DataHallId, VmId},
-    retry_window::RetryBound,
+    placing::{retry_window::RetryBound, warm_up::WarmUpSlack},
     secret::ClusterKey,
     settings::{Fault, Key, Reader, read_file, read_ini},
     unit::Mbps,
-    warm_up::WarmUpSlack,
 };
 
 const fn key(
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -10,14 +10,14 @@
 use serde_json::json;
 
 use crate::{
+    chains::store::{Backoff, StoreError},
     event::Event,
     gateway::{Gateway, fields},
     platform::{
         document,
         store::{Committed, NewValue},
     },
-    rollout::{Due, Progress, Status},
-    store::{Backoff, StoreError},
+    rollouts::rollout::{Due, Progress, Status},
     task,
 };
 
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::{
     clock::SystemClock,
-    route::{InputLimits, RouteTable, TableVersion},
+    facts::route::{InputLimits, RouteTable, TableVersion},
     unit::Mbps,
 };
 
--- a/src/trace.rs
+++ b/src/gateway/trace.rs
@@ -11,14 +11,13 @@
 use serde_json::{Map, Value, json};
 
 use crate::{
-    cascade::Kept,
     clock::SharedClock,
     event::Event,
+    facts::route::{Route, TableVersion},
+    gateway::inbound::Inbound,
     id::{ModelId, OrganisationId},
-    inbound::Inbound,
     metrics::{Metrics, OTHER},
-    pool::Member,
-    route::{Route, TableVersion},
+    placing::{cascade::Kept, pool::Member},
     unit::Percent,
 };
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -5,15 +5,14 @@
 use serde_json::json;
 
 use crate::{
+    chains::store::{Backoff, StoreError},
     event::Event,
+    facts::{mesh, peers::WatchRole},
     gateway::{Gateway, fields},
-    mesh,
-    peers::WatchRole,
     platform::{
         document::{self, EVERYTHING},
         store::{Recency, Watched},
     },
-    store::{Backoff, StoreError},
     task,
 };
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,38 +7,28 @@
 //! # Finding your way
 //!
 //! The router has two faces. One is its own interface, of chat completions
-//! and templates; the other stands before a platform, whose names and formats
-//! [`platform`] translates. Three paths go through the first:
+//! and templates, in [`chat_face`]; the other stands before a platform, whose
+//! names and formats [`platform`] translates, in [`gateway`]. Both stand on
+//! the same folders, one for each thing that has a way through the VMs:
 //!
-//! * The **request path**: [`callers`](crate) read a request, `request` admits
-//!   it and plans, [`choose`] decides as a pure function, `dispatch` and
-//!   `relay` carry it out, and it is settled into a [`decision`] and a
-//!   [`bill`].
-//! * The **view**: what one VM believes about the fleet, in [`view`],
-//!   [`upstream`], [`membership`] and [`tally`], fed by the platform's list,
-//!   load reports and gossip. It is always usable and never waited for.
-//! * The **agreement**: what must be agreed or kept, through the platform's
-//!   key-value service behind [`store::Store`]. Everything there is a
-//!   [`chain`]: the [`configuration`], the [`claim`]s and the bills.
-//!
-//! Before a platform the same three are:
-//!
-//! * the **request path**: `ingress` reads a request into an
-//!   [`inbound::Inbound`], finds its [`route`] and key, and `forward` makes
-//!   attempts at members of the [`pool`]; `relay_events` relays streams and
-//!   resumes them, `cascade` chooses the model, [`retry_window`] bounds
-//!   further attempts, and `trace` writes the one line that explains it;
-//! * the **view**: [`knowledge`] of the platform's store with its proof of
-//!   freshness, followed by [`gateway`], and [`health`] of upstreams;
-//! * the **agreement**: [`rollout`]s, judged on the evidence that `mesh` pools
-//!   and recorded in the store under a condition.
+//! * The way of a **request** before a platform: [`gateway`] reads it
+//!   (`ingress`), carries it out (`forward`), relays its events
+//!   (`relay_events`) and writes the one line that explains it (`trace`).
+//!   Where it goes, how it waits and when it is turned away is decided in
+//!   [`placing`], without input or output.
+//! * The way of a **fact**: [`facts`] follows the platform's store and tells
+//!   the other VMs what it says, with a proof of how fresh that is.
+//! * The way of an **agreement**: what must be agreed or kept goes through
+//!   the platform's key-value service; [`chains`] has the own interface's
+//!   configuration, claims and bills, and [`rollouts`] how a new version is
+//!   brought in.
 //!
 //! # Example
 //!
 //! A template is checked when it is read:
 //!
 //! ```
-//! use lupinseam::{secret::KeyHash, template::Template};
+//! use lupinseam::{chat_face::template::Template, secret::KeyHash};
 //!
 //! let text = format!(
 //!     r#"{{"organisation": "petitions", "key_hashes": ["{}"],
@@ -52,86 +42,33 @@
 
 #![warn(missing_docs)]
 
-mod admission;
-mod agreement;
 mod answer;
-pub mod bill;
 mod bucket;
-mod callers;
-mod cascade;
-pub mod chain;
-mod chat;
-pub mod choose;
-pub mod claim;
-mod claims;
+pub mod chains;
+pub mod chat_face;
 pub mod cli;
 pub mod clock;
-pub mod comparison;
-pub mod configuration;
-mod configuration_sync;
-pub mod decision;
-mod dispatch;
 pub mod error;
-pub mod estimate;
 pub mod event;
-mod forward;
+pub mod facts;
 mod frame;
 pub mod gateway;
-mod gossip;
-pub mod guard;
-pub mod hall_way;
-pub mod health;
 pub mod http_client;
 pub mod id;
-pub mod inbound;
-mod ingress;
-pub mod knowledge;
-mod knowledge_pack;
-mod lease;
-mod ledger;
-mod limit;
-mod load;
 mod log_queue;
 mod logging;
-pub mod membership;
-#[cfg(test)]
-mod memory_store;
-mod mesh;
 pub mod message;
 pub mod metrics;
-mod operators;
 mod peer;
-mod peers;
+pub mod placing;
 #[path = "../platform/mod.rs"]
 pub mod platform;
-mod platform_list;
-pub mod pool;
-mod queue;
-mod rating;
-mod relay;
-mod relay_events;
 mod rendezvous;
-mod request;
 mod retry;
-pub mod retry_window;
-pub mod rollout;
-pub mod route;
+pub mod rollouts;
 pub mod secret;
-pub mod server;
-pub mod session;
 pub mod settings;
-mod silent;
-mod slot;
 mod sse;
-mod steward;
-pub mod store;
 mod story;
-pub mod tally;
 mod task;
-pub mod template;
-mod trace;
 pub mod unit;
-pub mod upstream;
-pub mod view;
-mod vm;
-pub mod warm_up;
--- a/src/message.rs
+++ b/src/message.rs
@@ -9,15 +9,19 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    bill::Bill,
-    claim::{ClaimOutcome, ClaimRequest, ClaimVerdict, OfflineClaim},
-    configuration::Change,
-    decision::Decision,
+    chains::{
+        bill::Bill,
+        claim::{ClaimOutcome, ClaimRequest, ClaimVerdict, OfflineClaim},
+        configuration::Change,
+    },
+    chat_face::{
+        decision::Decision,
+        tally::{Tally, TallyKey},
+    },
+    facts::knowledge::ChangedItem,
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
-    knowledge::ChangedItem,
-    pool::{StatedLoad, ToldFailure, Work},
-    rollout::Evidence,
-    tally::{Tally, TallyKey},
+    placing::pool::{StatedLoad, ToldFailure, Work},
+    rollouts::rollout::Evidence,
     unit::Mbps,
 };
 
@@ -260,7 +264,7 @@
     Knowledge {
         /// The version of the store up to which it holds.
         as_of: u64,
-        /// The values, as [`crate::knowledge_pack`] packs them.
+        /// The values, as [`crate::facts::knowledge_pack`] packs them.
         packed: Vec<u8>,
         /// The age of the proof that they are current.
         proof_age_ms: u32,
--- a/src/cascade.rs
+++ b/src/placing/cascade.rs
@@ -14,9 +14,9 @@
 };
 
 use crate::{
+    facts::route::Route,
+    gateway::inbound::{Inbound, ModelWish},
     id::ModelId,
-    inbound::{Inbound, ModelWish},
-    route::Route,
     unit::Percent,
 };
 
--- a/src/cascade/tests.rs
+++ b/src/placing/cascade/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::route::{Repeat, Target};
+use crate::facts::route::{Repeat, Target};
 
 fn route() -> Route {
     Route {
--- /dev/null
+++ b/src/placing/mod.rs
@@ -0,0 +1,19 @@
+//! Where a request goes, how it waits, and when it is turned away.
+//!
+//! * [`pool`]: the upstreams as this VM sees them, and the choice among them.
+//! * [`admission`]: how long the line at an upstream may be.
+//! * [`cascade`]: which model answers.
+//! * [`retry_window`]: how many further attempts are left.
+//! * [`warm_up`]: what an upstream gets while it is cold.
+//! * [`health`], [`hall_way`]: whether an upstream, or the way to a data hall,
+//!   is fit for requests.
+//! * [`upstream`]: the load of one upstream.
+
+pub(crate) mod admission;
+pub(crate) mod cascade;
+pub mod hall_way;
+pub mod health;
+pub mod pool;
+pub mod retry_window;
+pub mod upstream;
+pub mod warm_up;
--- a/src/pool.rs
+++ b/src/placing/pool.rs
@@ -18,13 +18,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    hall_way::HallWay,
-    health::{Health, Verdict},
     id::{DataHallId, ServiceId, UpstreamId, VersionId},
     message::ShortHash,
+    placing::{
+        hall_way::HallWay,
+        health::{Health, Verdict},
+        upstream::{Serves, Upstream, UpstreamRecord},
+        warm_up::{Roster, SentLately, WarmUp, WarmUpSlack},
+    },
     rendezvous,
-    upstream::{Serves, Upstream, UpstreamRecord},
-    warm_up::{Roster, SentLately, WarmUp, WarmUpSlack},
 };
 
 /// Added to the fill of an upstream in another data hall: the way there
--- a/src/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::{hall_way::CUT_PAUSE, health::Verdict};
+use crate::placing::{hall_way::CUT_PAUSE, health::Verdict};
 
 pub(super) const SLACK: WarmUpSlack =
     WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
--- a/src/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::*;
-use crate::pool::{Pool, UpstreamEntry, UpstreamState, Want};
+use crate::placing::pool::{Pool, UpstreamEntry, UpstreamState, Want};
 
 const SLACK: WarmUpSlack = WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
 
--- /dev/null
+++ b/src/rollouts/mod.rs
@@ -0,0 +1,7 @@
+//! Bringing a new version of a service's software in, or taking it back.
+//!
+//! * [`rollout`]: which requests it gets, and how far it is.
+//! * [`comparison`]: whether its answers are worse than the old one's.
+
+pub mod comparison;
+pub mod rollout;
--- a/src/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -23,12 +23,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    comparison::{Answers, is_worse},
-    health::Verdict,
     id::{ServiceId, VersionId},
     message::ShortHash,
-    pool::VersionRule,
+    placing::{health::Verdict, pool::VersionRule},
     rendezvous,
+    rollouts::comparison::{Answers, is_worse},
 };
 
 /// Share of the requests that a new version gets on trial; the platform
--- a/src/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::comparison::BAD_ANSWERS;
+use crate::rollouts::comparison::BAD_ANSWERS;
 
 const ALLOWED: Duration = Duration::from_secs(20);
 
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -13,10 +13,10 @@
 use hdrhistogram::Histogram;
 use hyper::Method;
 use lupinseam::{
-    choose::{UpstreamWish, pick_upstream},
+    chat_face::choose::{UpstreamWish, pick_upstream},
     http_client::{Call, HttpClient, Reuse},
     message::ShortHash,
-    upstream::UpstreamFacts,
+    placing::upstream::UpstreamFacts,
 };
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
