--- a/src/facts/route.rs
+++ b/src/facts/route.rs
@@ -93,41 +93,11 @@
     }
 }
 
-/// A model that a service's engines can run.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SizedModel {
-    /// Its name.
-    pub id: ModelId,
-    /// What a thousand tokens written cost; tokens read cost a quarter.
-    pub cost_per_1k_tokens: f64,
-}
-
-/// What a service of model replicas runs on.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Engine {
-    /// Tokens that a replica's memory holds, of prompts and answers.
-    pub memory_tokens: u64,
-    /// Its models.
-    pub models: Vec<SizedModel>,
-}
-
-impl Engine {
-    /// What a thousand tokens of a model's answer cost.
-    pub fn cost_per_1k_tokens(&self, model: &ModelId) -> Option<f64> {
-        let found = self.models.iter().find(|known| known.id == *model);
-        found.map(|known| known.cost_per_1k_tokens)
-    }
-}
-
 /// A service: upstreams that answer alike.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Its name.
     pub id: ServiceId,
-    /// Connections that each of its upstreams takes from all VMs.
-    pub connections_most: Option<u32>,
-    /// What runs on it, if its upstreams are model replicas.
-    pub engine: Option<Engine>,
     /// How its upstreams warm up, if they bear few requests meanwhile.
     pub warm_up: Option<WarmUp>,
 }
@@ -148,8 +118,6 @@
     pub head_bytes: usize,
     /// The largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a head to arrive.
-    pub head_time: Duration,
     /// Longest rest between requests on a connection.
     pub idle_time: Duration,
 }
@@ -160,7 +128,6 @@
         InputLimits {
             head_bytes: 16 << 10,
             body_bytes: 4 << 20,
-            head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         }
     }
@@ -223,11 +190,6 @@
         self.keys.is_some()
     }
 
-    /// A service.
-    pub fn service(&self, id: &ServiceId) -> Option<&Arc<Service>> {
-        self.services.get(id)
-    }
-
     /// How the upstreams of each service warm up, where that is bounded.
     pub fn warm_ups(&self) -> HashMap<ServiceId, WarmUp> {
         let services = self.services.values();
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -31,8 +31,6 @@
     pub last_event: Option<u64>,
     /// The session that the request belongs to.
     pub session: Option<String>,
-    /// The caller's guess at the length of the answer, often far off.
-    pub length_hint_tokens: Option<u64>,
     /// The headers that go on to an upstream unchanged.
     pub headers: HeaderMap,
 }
@@ -58,8 +56,6 @@
 pub struct TokenCounts {
     /// Tokens of the prompt.
     pub prompt: u64,
-    /// The most that the answer may have.
-    pub output_most: u64,
 }
 
 /// A part of a prompt; requests with the same first parts share them.
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -70,8 +70,6 @@
     pub running: u32,
     /// Requests that wait there.
     pub waiting: u32,
-    /// Requests that it can work on at once.
-    pub slots: u32,
 }
 
 /// One upstream, with its record and what this VM has seen of it.
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -509,7 +509,6 @@
                 let load = LoadReport {
                     running: told.running.into(),
                     waiting: told.waiting.into(),
-                    slots: member.entry.slots.into(),
                 };
                 if member.note_stated(load, each, at) {
                     member.health.hear(Verdict::Good, now);
--- a/src/placing/pool/replay.rs
+++ b/src/placing/pool/replay.rs
@@ -120,7 +120,6 @@
             let stated = LoadReport {
                 running: 0,
                 waiting: left.div_ceil(READING_MS) as u32,
-                slots: 200,
             };
             let id = format!("i-{}", ended.engine).parse().unwrap();
             let pool = &vms[ended.vm].pool;
@@ -232,7 +231,7 @@
             member.health.record(verdict, now);
             pool.note_verdict(&member, verdict, now);
             if !fails {
-                let load = LoadReport { running: 1, waiting: 0, slots: 200 };
+                let load = LoadReport { running: 1, waiting: 0 };
                 pool.note_load(&member, load, now);
             }
         }
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -245,7 +245,7 @@
     here.note_reading(Duration::from_millis(100));
     there.note_reading(Duration::from_millis(100));
     let member = |pool: &Pool| pool.member(&"i-1".parse().unwrap()).unwrap();
-    let load = LoadReport { running: 2, waiting: 6, slots: 10 };
+    let load = LoadReport { running: 2, waiting: 6 };
     here.note_load(&member(&here), load, now);
     assert_eq!(member(&here).requests(now), 8);
     assert_eq!(member(&here).reading(now), Duration::from_millis(600));
@@ -260,7 +260,7 @@
     assert_eq!(member(&there).reading(later), Duration::from_millis(100));
     assert_eq!(member(&there).requests(after(5000)), 0);
     // What is older than the last word changes nothing.
-    let free = LoadReport { running: 0, waiting: 0, slots: 10 };
+    let free = LoadReport { running: 0, waiting: 0 };
     there.note_load(&member(&there), free, later);
     there.hear_stated(&told, after(600));
     assert_eq!(member(&there).requests(later), 0);
