--- a/src/facts/mesh.rs
+++ b/src/facts/mesh.rs
@@ -144,7 +144,7 @@
         return;
     }
     let now = gateway.clock.now();
-    let knows_more = gateway.peers.hear(gateway, beat);
+    let knows_more = gateway.peers.hear(beat, &gateway.knowledge, now);
     if beat.digest == gateway.knowledge.digest() {
         gateway.peers.note_agreed(&beat.vm, now);
     }
--- a/src/facts/peers.rs
+++ b/src/facts/peers.rs
@@ -15,11 +15,11 @@
 use crate::{
     facts::{
         agreement::{self, Agreement},
-        knowledge::PeerRecord,
+        knowledge::{Knowledge, PeerRecord},
         route::TableVersion,
     },
     frame::FrameCodec,
-    gateway::{Gateway, settings::GatewaySettings},
+    gateway::settings::GatewaySettings,
     id::{DataHallId, Incarnation},
     message::{Echo, VmBeat},
     metrics::Metrics,
@@ -193,6 +193,8 @@
     seeds: Vec<SocketAddr>,
     /// The place of this VM among them, if it is one.
     seed_place: Option<usize>,
+    /// This VM's life.
+    incarnation: Incarnation,
     started_at: Instant,
     /// In the order of their names, so that each has its turn.
     known: Mutex<BTreeMap<String, Peer>>,
@@ -215,6 +217,7 @@
     /// Creates the list with nobody on it but the seeds.
     pub(crate) fn new(
         settings: &GatewaySettings,
+        incarnation: Incarnation,
         metrics: Arc<Metrics>,
         now: Instant,
     ) -> Peers {
@@ -227,6 +230,7 @@
             data_hall: settings.data_hall.clone(),
             seed_place: settings.seeds.iter().position(|seed| *seed == own),
             seeds: seeds.filter(|seed| *seed != own).collect(),
+            incarnation,
             started_at: now,
             known: Mutex::default(),
             sent: Mutex::default(),
@@ -321,14 +325,16 @@
     /// Whether this VM is the one that keeps the records of roll-outs: the
     /// first, in a fixed order, of those that hear each other and know the
     /// store well.
-    pub(crate) fn is_steward(&self, gateway: &Gateway) -> bool {
-        let now = gateway.clock.now();
+    pub(crate) fn is_steward(
+        &self,
+        own_proof: Option<Duration>,
+        now: Instant,
+    ) -> bool {
         let is_able = |proven_at: Option<Instant>| {
             proven_at.is_some_and(|at| {
                 now.saturating_duration_since(at) <= STEWARD_PROOF
             })
         };
-        let own_proof = gateway.knowledge.proof_age(now);
         if own_proof.is_none_or(|age| age > STEWARD_PROOF) {
             return false;
         }
@@ -542,9 +548,14 @@
         others.map(|peer| peer.address).collect()
     }
 
-    /// Takes in a beat; returns whether its sender knows more than this VM.
-    pub(crate) fn hear(&self, gateway: &Gateway, beat: &VmBeat) -> bool {
-        let now = gateway.clock.now();
+    /// Takes in a beat, and what it proves of what this VM knows; returns
+    /// whether its sender knows more.
+    pub(crate) fn hear(
+        &self,
+        beat: &VmBeat,
+        knowledge: &Knowledge,
+        now: Instant,
+    ) -> bool {
         let mut known = self.known.lock().expect("peers lock");
         let peer = known.entry(beat.vm.clone()).or_insert_with(|| Peer {
             address: beat.peers,
@@ -558,7 +569,7 @@
         }
         peer.address = beat.peers;
         peer.link = beat.link_mbps;
-        let proven_at = self.proven_at(gateway, beat);
+        let proven_at = self.proven_at(beat);
         peer.heard = Some(Heard {
             at: now,
             incarnation: beat.incarnation,
@@ -568,7 +579,6 @@
             proven_at,
         });
         drop(known);
-        let knowledge = &gateway.knowledge;
         if let Some(proven_at) = proven_at
             && knowledge.table_version() == Some(TableVersion(beat.table))
         {
@@ -583,9 +593,9 @@
     ///
     /// The beat was made once the echoed one had been there for as long as it
     /// says, and the echoed one arrived after it was sent from here.
-    fn proven_at(&self, gateway: &Gateway, beat: &VmBeat) -> Option<Instant> {
+    fn proven_at(&self, beat: &VmBeat) -> Option<Instant> {
         let echo = beat.echo?;
-        if echo.incarnation != gateway.incarnation {
+        if echo.incarnation != self.incarnation {
             return None;
         }
         let sent_at = self.sent_at(echo.number)?;
--- a/src/facts/peers/tests.rs
+++ b/src/facts/peers/tests.rs
@@ -3,7 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use super::*;
-use crate::{clock::SystemClock, gateway::tests::SETTINGS, message::Work};
+use crate::{
+    clock::SystemClock,
+    gateway::{Gateway, tests::SETTINGS},
+    message::Work,
+};
 
 fn gateway() -> Arc<Gateway> {
     let settings = GatewaySettings::from_ini(SETTINGS).expect("settings");
@@ -32,12 +36,18 @@
     }
 }
 
+/// Lets a VM hear a beat.
+fn hear(gateway: &Gateway, beat: &VmBeat) {
+    let now = gateway.clock.now();
+    gateway.peers.hear(beat, &gateway.knowledge, now);
+}
+
 /// A VM that hears `count` others, spread over the halls.
 fn hearing(count: usize, halls: &[&str]) -> Arc<Gateway> {
     let gateway = gateway();
     for vm in 1..=count {
         let hall = halls[vm % halls.len()];
-        gateway.peers.hear(&gateway, &beat(vm, hall, 1, 1));
+        hear(&gateway, &beat(vm, hall, 1, 1));
     }
     gateway
 }
@@ -53,8 +63,8 @@
     let peers = &gateway.peers;
     // The time of day was ahead when this life began, and was set back
     // before the next.
-    peers.hear(&gateway, &beat(1, "hall-b", 900, 50));
-    peers.hear(&gateway, &beat(1, "hall-b", 100, 1));
+    hear(&gateway, &beat(1, "hall-b", 900, 50));
+    hear(&gateway, &beat(1, "hall-b", 100, 1));
     let heard = || {
         let known = peers.known.lock().unwrap();
         known["vm-1"].heard.clone().unwrap().incarnation
@@ -64,9 +74,9 @@
     let mut known = peers.known.lock().unwrap();
     known.get_mut("vm-1").unwrap().heard.as_mut().unwrap().at = earlier;
     drop(known);
-    peers.hear(&gateway, &beat(1, "hall-b", 900, 49));
+    hear(&gateway, &beat(1, "hall-b", 900, 49));
     assert_eq!(heard(), Incarnation(900), "an old beat of the same life");
-    peers.hear(&gateway, &beat(1, "hall-b", 100, 2));
+    hear(&gateway, &beat(1, "hall-b", 100, 2));
     assert_eq!(heard(), Incarnation(100));
 }
 
@@ -89,7 +99,7 @@
     let number = first.strip_prefix("vm-").unwrap().parse().unwrap();
     let hall = hall(first).to_string();
     let turned_away = VmBeat { can_watch: false, ..beat(number, &hall, 1, 2) };
-    peers.hear(&gateway, &turned_away);
+    hear(&gateway, &turned_away);
     let after = peers.find_watchers(gateway.clock.now());
     assert_eq!(after.len(), WATCHERS);
     assert!(!after.contains(first));
@@ -117,7 +127,7 @@
     for vm in [3, 42] {
         let mut fast = beat(vm, "hall-a", 1, 2);
         fast.link_mbps = Mbps(200);
-        gateway.peers.hear(&gateway, &fast);
+        hear(&gateway, &fast);
     }
     let mut watchers = gateway.peers.find_watchers(now).to_vec();
     watchers.sort();
@@ -174,7 +184,7 @@
     let peers = &gateway.peers;
     assert!(peers.is_seed());
     for vm in 1..=90 {
-        peers.hear(&gateway, &beat(vm, "hall-a", 1, 1));
+        hear(&gateway, &beat(vm, "hall-a", 1, 1));
     }
     let now = gateway.clock.now();
     let own = peers.unrecorded(false, now).len();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -128,7 +128,7 @@
         settings: GatewaySettings,
         clock: SharedClock,
     ) -> Arc<Gateway> {
-        let started_us = clock.unix_ms() * 1000;
+        let incarnation = Incarnation(clock.unix_ms() * 1000);
         let metrics = Arc::new(Metrics::new());
         Arc::new(Gateway {
             http: HttpClient::new(CONNECT_LIMIT),
@@ -142,11 +142,16 @@
             rollouts: Rollouts::default(),
             read_times: ReadTimes::default(),
             service_times: ServiceTimes::default(),
-            peers: Peers::new(&settings, metrics.clone(), clock.now()),
+            peers: Peers::new(
+                &settings,
+                incarnation,
+                metrics.clone(),
+                clock.now(),
+            ),
             metrics,
             in_flight: InFlightCount::default(),
             early_beat: Wake::default(),
-            incarnation: Incarnation(started_us),
+            incarnation,
             retries: Mutex::default(),
             store_ill_at: Mutex::new(None),
             is_stopping: AtomicBool::new(false),
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -54,7 +54,8 @@
         if now < record_from {
             continue;
         }
-        let is_steward = gateway.peers.is_steward(&gateway);
+        let own_proof = gateway.knowledge.proof_age(now);
+        let is_steward = gateway.peers.is_steward(own_proof, now);
         let old = |service: &_, target: &_| {
             gateway.in_flight_at_old(service, target)
         };
