--- a/src/chat_face/mod.rs
+++ b/src/chat_face/mod.rs
@@ -1,7 +1,7 @@
 //! The product's own interface: chats and service calls by templates.
 //!
-//! A request goes `callers → request → choose → dispatch → relay`; the other
-//! modules are what those steps know and keep.
+//! A request goes `callers → request → choose → dispatch → relay`; the rest
+//! is what those steps know and keep.
 
 pub(crate) mod callers;
 pub(crate) mod chat;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -512,9 +512,10 @@
     ) {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
-        let is_own_fault = gateway.pool.is_alone_suspect(&attempt.member, now);
+        let says_nothing_of_version = verdict == Verdict::Failed
+            && gateway.pool.is_alone_suspect(&attempt.member, now);
         gateway.judge_upstream(&attempt.member, verdict);
-        if verdict == Verdict::Failed && is_own_fault {
+        if says_nothing_of_version {
             return;
         }
         gateway.rollouts.record(
--- a/src/placing/admission.rs
+++ b/src/placing/admission.rs
@@ -38,7 +38,7 @@
 
 /// Requests for each slot up to which none is turned away, whatever is known:
 /// what other VMs have there is known late, and may have ended.
-const FILL_LEAST: f64 = 1.25;
+pub(super) const FILL_LEAST: f64 = 1.25;
 
 /// Requests for each slot from which all are turned away, whatever is known:
 /// upstreams hold a line of a few requests for each slot.
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -17,6 +17,7 @@
     id::{DataHallId, ServiceId, UpstreamId, VersionId},
     message::{ShortHash, StatedLoad, ToldFailure, Work},
     placing::{
+        admission::FILL_LEAST,
         hall_way::HallWay,
         health::Verdict,
         member::{
@@ -102,7 +103,7 @@
             rule: VersionRule::Any,
             prompt: None,
             tried: &[],
-            most_fill: 1.25,
+            most_fill: FILL_LEAST,
         }
     }
 }
@@ -352,38 +353,8 @@
     ) -> Result<Arc<Member>, NoMember> {
         let members = self.read();
         let all = members.by_service.get(service);
-        let open: Vec<&Arc<Member>> = all
-            .into_iter()
-            .flatten()
-            .filter(|member| member.takes_requests(now))
-            .filter(|member| !want.tried.contains(&member.entry.id))
-            .collect();
-        let evacuated = self.evacuated.read().expect("halls lock");
-        let is_evacuated = |member: &&Arc<Member>| {
-            evacuated.contains(&member.entry.data_hall)
-        };
-        if !open.is_empty() && open.iter().all(is_evacuated) {
-            return Err(NoMember::Evacuated);
-        }
-        let open: Vec<&Arc<Member>> =
-            open.into_iter().filter(|m| !is_evacuated(m)).collect();
-        drop(evacuated);
-        let all_are_open = !open.is_empty();
-        let open = self.without_cold(open, service, now);
-        if open.is_empty() && all_are_open {
-            return Err(NoMember::Cold);
-        }
-        let open = by_rule(open, &want.rule);
-        let sound: Vec<&Arc<Member>> = open
-            .iter()
-            .filter(|member| member.health.is_sound(now))
-            .filter(|member| !self.is_cut_off(member, now))
-            .copied()
-            .collect();
-        let open = if sound.is_empty() { open } else { sound };
-        if open.is_empty() {
-            return Err(NoMember::Unknown);
-        }
+        let all = all.map_or(&[][..], Vec::as_slice);
+        let open = self.open_to(all, service, want, now)?;
         if open.iter().all(|member| member.fill(now) >= want.most_fill) {
             return Err(NoMember::Full);
         }
@@ -397,6 +368,53 @@
         Ok(chosen.clone())
     }
 
+    /// The upstreams of `all` that may take a request, the sound ones if there
+    /// are any.
+    fn open_to<'a>(
+        &self,
+        all: &'a [Arc<Member>],
+        service: &ServiceId,
+        want: &Want<'_>,
+        now: Instant,
+    ) -> Result<Vec<&'a Arc<Member>>, NoMember> {
+        let is_open = |member: &&Arc<Member>| {
+            member.takes_requests(now)
+                && !want.tried.contains(&member.entry.id)
+        };
+        let open: Vec<&Arc<Member>> = all.iter().filter(is_open).collect();
+        if open.is_empty() {
+            return Err(NoMember::Unknown);
+        }
+        let open = self.without_evacuated(open);
+        if open.is_empty() {
+            return Err(NoMember::Evacuated);
+        }
+        let open = self.without_cold(open, service, now);
+        if open.is_empty() {
+            return Err(NoMember::Cold);
+        }
+        let open = by_rule(open, &want.rule);
+        let is_sound = |member: &&Arc<Member>| {
+            member.health.is_sound(now) && !self.is_cut_off(member, now)
+        };
+        let sound: Vec<&Arc<Member>> =
+            open.iter().copied().filter(is_sound).collect();
+        let open = if sound.is_empty() { open } else { sound };
+        if open.is_empty() { Err(NoMember::Unknown) } else { Ok(open) }
+    }
+
+    /// Leaves out the upstreams of data halls that are evacuated.
+    fn without_evacuated<'a>(
+        &self,
+        open: Vec<&'a Arc<Member>>,
+    ) -> Vec<&'a Arc<Member>> {
+        let evacuated = self.evacuated.read().expect("halls lock");
+        let is_left = |member: &&Arc<Member>| {
+            !evacuated.contains(&member.entry.data_hall)
+        };
+        open.into_iter().filter(is_left).collect()
+    }
+
     /// Leaves out the upstreams that are cold and not to get one more request
     /// of this VM.
     fn without_cold<'a>(
