--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -28,7 +28,7 @@
     gateway::{
         Gateway,
         forward::{Job, Reply, ReplyBody, refuse},
-        inbound::Inbound,
+        inbound::{Inbound, ModelWish},
         relay_events::{self, BrokenOff},
         trace::Trace,
     },
@@ -206,7 +206,10 @@
     };
     let route = admitted.route;
     let time = inbound.time_left.unwrap_or(USUAL_TIME).min(route.time_limit);
-    let model = first_model(&inbound, &route);
+    let model = match inbound.model {
+        Some(ModelWish::Any) => first_model(&route),
+        _ => None,
+    };
     let job = Job {
         gateway: gateway.clone(),
         service: route.target(rand::random()).clone(),
--- a/src/placing/cascade.rs
+++ b/src/placing/cascade.rs
@@ -13,12 +13,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{
-    facts::route::Route,
-    gateway::inbound::{Inbound, ModelWish},
-    id::ModelId,
-    unit::Percent,
-};
+use crate::{facts::route::Route, id::ModelId, unit::Percent};
 
 /// Confidence from which an answer of a smaller model is passed on.
 ///
@@ -95,14 +90,8 @@
 }
 
 /// The first model to ask, where the caller leaves the choice.
-pub(crate) fn first_model(
-    inbound: &Inbound,
-    route: &Route,
-) -> Option<ModelId> {
-    match inbound.model {
-        Some(ModelWish::Any) => route.sizes.first().cloned(),
-        _ => None,
-    }
+pub(crate) fn first_model(route: &Route) -> Option<ModelId> {
+    route.sizes.first().cloned()
 }
 
 /// What decides whether a larger model is asked.
