Take a beat in without a look at every upstream; wait where nobody else is left

It now touches those that the sender tells of, or told of before: 285 to 10 µs a beat before 3,000 upstreams (loop in a release build).

Whether another upstream is left is now asked first; the new test a_late_answer_is_waited_for_where_nobody_else_can_be_asked fails without. a_stream_that_may_not_be_resumed_ends_visibly_broken: the last events before a break did not go out. By reading: a body that fails in the same turn that brought data has the HTTP library drop it unsent; the failure now comes a turn later. Not reproduced in six runs of the old code beside load, so this cause is not proved.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -488,6 +488,15 @@
         self.route.repeat == Repeat::Any
             && self.sent + 1 < self.route.attempts
             && self.gateway.has_retry(&self.service)
+            && self.has_other_upstream()
+    }
+
+    /// Whether an upstream is left that was not asked: without one, a silent
+    /// attempt that is given up ends as a failure, where waiting may still
+    /// bring its answer.
+    fn has_other_upstream(&self) -> bool {
+        let now = self.gateway.clock.now();
+        self.gateway.pool.has_other(&self.service, &self.tried, now)
     }
 
     /// Whether the rest of a stream that broke off may be asked for.
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -467,7 +467,12 @@
                 Some((Ok(frame), Some((relay, held))))
             }
             Ok(None) => None,
-            Err(broken) => Some((Err(broken), None)),
+            Err(broken) => {
+                // An error in the turn that brought the last events would
+                // have the HTTP library drop them unsent.
+                futures_lite::future::yield_now().await;
+                Some((Err(broken), None))
+            }
         }
     })
 }
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -294,6 +294,18 @@
         } else {
             counts.insert(vm.to_owned(), PeerCount { work, at: now });
         }
+        self.sum_up(&mut counts, now);
+    }
+
+    /// Leaves out what was told too long ago.
+    pub(super) fn forget_old_work(&self, now: Instant) {
+        let mut counts = self.counts.lock().expect("counts lock");
+        if !counts.is_empty() {
+            self.sum_up(&mut counts, now);
+        }
+    }
+
+    fn sum_up(&self, counts: &mut HashMap<String, PeerCount>, now: Instant) {
         counts.retain(|_, count| {
             now.saturating_duration_since(count.at) < PEER_COUNT_LIFETIME
         });
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -57,6 +57,9 @@
 /// slot.
 const FAILURE_FILL: f64 = 1.0;
 
+/// Time between two looks for what VMs have told that fell silent since.
+const FORGET_PERIOD: Duration = Duration::from_millis(500);
+
 /// Weight of one more prompt in the mean time that one takes to be read.
 const MEAN_READING_WEIGHT: f64 = 0.05;
 
@@ -128,6 +131,28 @@
     by_short: HashMap<ShortHash, Arc<Member>>,
 }
 
+/// Where each other VM has told that it has work, so that what it tells next
+/// is taken in without a look at every upstream: before 3,000 of them, a beat
+/// is taken in within 10 µs in place of 285 (loop in a release build).
+#[derive(Debug, Default)]
+struct ToldWork {
+    at: HashMap<String, Vec<ShortHash>>,
+    forgotten_at: Option<Instant>,
+}
+
+impl ToldWork {
+    /// Whether what is old is to be forgotten once more.
+    fn is_due(&mut self, now: Instant) -> bool {
+        let is_due = self.forgotten_at.is_none_or(|at| {
+            now.saturating_duration_since(at) >= FORGET_PERIOD
+        });
+        if is_due {
+            self.forgotten_at = Some(now);
+        }
+        is_due
+    }
+}
+
 /// The upstreams of all services.
 #[derive(Debug)]
 pub struct Pool {
@@ -145,6 +170,7 @@
     mean_reading_us: AtomicU32,
     /// What the other VMs are to hear of.
     seen: Mutex<SeenLately>,
+    told: Mutex<ToldWork>,
 }
 
 impl Pool {
@@ -161,6 +187,7 @@
             ways: Mutex::default(),
             mean_reading_us: AtomicU32::new(0),
             seen: Mutex::default(),
+            told: Mutex::default(),
         }
     }
 
@@ -403,6 +430,23 @@
         if open.is_empty() { Err(NoMember::Unknown) } else { Ok(open) }
     }
 
+    /// Whether an upstream that is not among `tried` may take a request.
+    pub fn has_other(
+        &self,
+        service: &ServiceId,
+        tried: &[UpstreamId],
+        now: Instant,
+    ) -> bool {
+        let members = self.read();
+        let all = members.by_service.get(service);
+        let evacuated = self.evacuated.read().expect("halls lock");
+        all.into_iter().flatten().any(|member| {
+            member.takes_requests(now)
+                && !tried.contains(&member.entry.id)
+                && !evacuated.contains(&member.entry.data_hall)
+        })
+    }
+
     /// Leaves out the upstreams of data halls that are evacuated.
     fn without_evacuated<'a>(
         &self,
@@ -611,10 +655,27 @@
         work: &[(ShortHash, Work)],
         now: Instant,
     ) {
-        let work: HashMap<ShortHash, Work> = work.iter().copied().collect();
-        for member in self.read().by_id.values() {
-            let there = work.get(&member.upstream.short).copied();
-            member.set_peer_work(vm, there.unwrap_or_default(), now);
+        let members = self.read();
+        let mut told = self.told.lock().expect("told lock");
+        let set = |upstream: &ShortHash, there: Work| {
+            if let Some(member) = members.by_short.get(upstream) {
+                member.set_peer_work(vm, there, now);
+            }
+        };
+        for (upstream, there) in work {
+            set(upstream, *there);
+        }
+        let upstreams: HashSet<ShortHash> =
+            work.iter().map(|(upstream, _)| *upstream).collect();
+        let before = told.at.get(vm).map_or(&[][..], Vec::as_slice);
+        for upstream in before.iter().filter(|u| !upstreams.contains(u)) {
+            set(upstream, Work::default());
+        }
+        told.at.insert(vm.to_owned(), upstreams.into_iter().collect());
+        if told.is_due(now) {
+            for member in members.by_id.values() {
+                member.forget_old_work(now);
+            }
         }
     }
 
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -279,3 +279,30 @@
     member(1).health.record(Verdict::Failed, now);
     assert!(!pool.is_alone_suspect(&member(0), now), "half of them fail");
 }
+
+#[test]
+fn whether_another_upstream_is_left_is_known() {
+    let now = Instant::now();
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v1")];
+    let pool = pool(&entries, now);
+    let service = "writers".parse().unwrap();
+    let first = ["i-1".parse().unwrap()];
+    assert!(pool.has_other(&service, &first, now));
+    pool.evacuate(&"b".parse().unwrap());
+    assert!(!pool.has_other(&service, &first, now));
+    assert!(pool.has_other(&service, &[], now));
+}
+
+#[test]
+fn what_a_vm_no_longer_tells_of_is_taken_back() {
+    let now = Instant::now();
+    let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1")];
+    let pool = pool(&entries, now);
+    let member = |id: &str| pool.member(&id.parse().unwrap()).unwrap();
+    let short = |id: &str| member(id).upstream.short;
+    let work = Work { requests: 3, reading_ms: 40 };
+    pool.set_peer_work("vm-2", &[(short("i-1"), work)], now);
+    pool.set_peer_work("vm-2", &[(short("i-2"), work)], now);
+    assert_eq!(member("i-1").requests(now), 0);
+    assert_eq!(member("i-2").requests(now), 3);
+}
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -525,6 +525,22 @@
     assert_eq!(two.received().len(), 20);
 }
 
+#[test]
+fn a_late_answer_is_waited_for_where_nobody_else_can_be_asked() {
+    let _alone = alone();
+    // The route's aim is 500 ms, and with another upstream it would be asked
+    // after 300.
+    let late = Box::new(|request: &RawRequest| {
+        let whole = answer(200, &stamped(request, &[]), "late");
+        vec![Act::Wait(Duration::from_millis(450)), Act::Send(whole)]
+    });
+    let upstream = Upstream::start("i-1", late);
+    let site = site_with(&[(&upstream, PLAIN)]);
+    let got = site.vms[0].ask(&request("GET", "/read/x", "r-1", ""));
+    assert_eq!((got.status, got.body.as_str()), (200, "late"), "{got:?}");
+    assert_eq!(upstream.received().len(), 1);
+}
+
 /// Asks a VM for twenty plain answers; returns how many could not be had.
 fn ask_twenty(vm: &SiteVm, prefix: &str) -> usize {
     let asks = (0..20).map(|number| {
