One rule each for who is open, how long an answer is awaited, what a watch proves

Found on reading the whole change again; behaviour stays. has_other repeated the first filter of the choice: both ask is_open. The limit of an attempt stood twice with the same branch: Job::limit. A watch and a proof took changes in by the same three steps: take_in. What decoding less had left over goes: a map of shared services that only serves as a list, and a struct around the one count of tokens that is read.

--- a/src/facts/route.rs
+++ b/src/facts/route.rs
@@ -138,7 +138,7 @@
 pub struct RouteTable {
     version: TableVersion,
     by_host: HashMap<String, Vec<Arc<Route>>>,
-    services: HashMap<ServiceId, Arc<Service>>,
+    services: Vec<Service>,
     keys: Option<HashMap<String, Organisation>>,
     limits: InputLimits,
 }
@@ -161,10 +161,6 @@
             let length = |route: &Arc<Route>| route.path_prefix.len();
             routes.sort_by_key(|route| std::cmp::Reverse(length(route)));
         }
-        let services = services
-            .into_iter()
-            .map(|service| (service.id.clone(), Arc::new(service)))
-            .collect();
         RouteTable { version, by_host, services, keys, limits }
     }
 
@@ -192,8 +188,7 @@
 
     /// How the upstreams of each service warm up, where that is bounded.
     pub fn warm_ups(&self) -> HashMap<ServiceId, WarmUp> {
-        let services = self.services.values();
-        let bounded = services.filter_map(|service| {
+        let bounded = self.services.iter().filter_map(|service| {
             service.warm_up.map(|warm_up| (service.id.clone(), warm_up))
         });
         bounded.collect()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -250,7 +250,7 @@
             let rollouts = &self.gateway.rollouts;
             rollouts.note_session(&self.service, session, software, now);
         }
-        let tokens = self.inbound.tokens.map_or(0, |tokens| tokens.prompt);
+        let tokens = self.inbound.prompt_tokens.unwrap_or(0);
         let read_before = member.reading(now);
         let read_most = member.reading_most(now);
         let fill_before = member.fill(now);
@@ -424,15 +424,10 @@
         attempt: &Attempt,
         trace: &mut Trace,
     ) -> Result<Reply, Fault> {
-        let left = self.left(attempt.began_at);
-        let limit = match self.can_try_again() {
-            true => {
-                let takes = self.gateway.service_times.of(&self.service);
-                let line = admission::wait_at(attempt.fill_before, takes);
-                (self.route.aim.mul_f64(RETRY_AFTER_AIM) + line).min(left)
-            }
-            false => left,
-        };
+        let takes = self.gateway.service_times.of(&self.service);
+        let line = admission::wait_at(attempt.fill_before, takes);
+        let patience = self.route.aim.mul_f64(RETRY_AFTER_AIM) + line;
+        let limit = self.limit(attempt, patience);
         let (mut exchange, _) = self.send(attempt, None, limit).await?;
         exchange.allow_end_at_close();
         let headers = headers::answer_headers(&exchange.headers);
@@ -474,13 +469,18 @@
     /// is asked, since an answer can get lost although its upstream is well;
     /// where none can be asked, to the end.
     pub(crate) fn head_limit(&self, attempt: &Attempt) -> Duration {
+        let busy = attempt.read_most + attempt.expected;
+        self.limit(attempt, HEAD_LEAST + busy.mul_f64(HEAD_FACTOR))
+    }
+
+    /// How long an attempt's answer is waited for: with patience where another
+    /// could be made, else to the end.
+    fn limit(&self, attempt: &Attempt, patience: Duration) -> Duration {
         let left = self.left(attempt.began_at);
-        if !self.can_try_again() {
-            return left;
+        match self.can_try_again() {
+            true => patience.min(left),
+            false => left,
         }
-        let busy = attempt.read_most + attempt.expected;
-        let patience = HEAD_LEAST + busy.mul_f64(HEAD_FACTOR);
-        patience.min(left)
     }
 
     /// Whether another attempt could be made if the one under way failed.
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -23,8 +23,8 @@
     pub time_left: Option<Duration>,
     /// The model that the caller wants, if the request is for a model.
     pub model: Option<ModelWish>,
-    /// The sizes of prompt and answer, if the request is for a model.
-    pub tokens: Option<TokenCounts>,
+    /// The tokens of the prompt, if the request is for a model.
+    pub prompt_tokens: Option<u64>,
     /// The parts of the prompt in order; the last is the request's own.
     pub prompt: Vec<PromptPart>,
     /// The last event that the caller has of a stream it takes up again.
@@ -51,13 +51,6 @@
     Named(String),
 }
 
-/// How many tokens a request is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TokenCounts {
-    /// Tokens of the prompt.
-    pub prompt: u64,
-}
-
 /// A part of a prompt; requests with the same first parts share them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -111,7 +111,7 @@
 
     /// Notes what its head says.
     pub(crate) fn of(&mut self, inbound: &Inbound) {
-        self.prompt_tokens = inbound.tokens.map(|tokens| tokens.prompt);
+        self.prompt_tokens = inbound.prompt_tokens;
         self.session.clone_from(&inbound.session);
     }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,6 +1,9 @@
 //! Following the platform's store: one read of everything, then one watch.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use serde_json::json;
 
@@ -11,7 +14,7 @@
     gateway::{Gateway, fields},
     platform::{
         document::{self, EVERYTHING},
-        store::{Recency, Watched},
+        store::{Items, Recency, Watched},
     },
     task,
 };
@@ -170,9 +173,7 @@
                     if gateway.knowledge.lacks_any(&changes) {
                         mesh::tell_news(gateway, digest, &changes);
                     }
-                    let news = gateway.knowledge.take_changes(changes);
-                    gateway.take_news(news);
-                    gateway.knowledge.prove(asked_at);
+                    take_in(gateway, changes, asked_at);
                     self.answered();
                     task::sleep(gather_time(&self.gateway)).await;
                 }
@@ -284,9 +285,7 @@
     let store = &gateway.store;
     match store.watch(EVERYTHING, since, Duration::ZERO).await? {
         Watched::Changes(changes) => {
-            let news = gateway.knowledge.take_changes(changes);
-            gateway.take_news(news);
-            gateway.knowledge.prove(asked_at);
+            take_in(gateway, changes, asked_at);
             gateway.peers.note_looked(asked_at);
             Ok(Proof::Everything)
         }
@@ -297,6 +296,14 @@
     }
 }
 
+/// Takes in all changes since what is known, which is current as of when they
+/// were asked for.
+fn take_in(gateway: &Gateway, changes: Items, asked_at: Instant) {
+    let news = gateway.knowledge.take_changes(changes);
+    gateway.take_news(news);
+    gateway.knowledge.prove(asked_at);
+}
+
 /// Reads the configuration, which is then known to be current.
 async fn prove_by_reading(gateway: &Gateway) -> Result<(), StoreError> {
     let asked_at = gateway.clock.now();
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -404,11 +404,8 @@
         want: &Want<'_>,
         now: Instant,
     ) -> Result<Vec<&'a Arc<Member>>, NoMember> {
-        let is_open = |member: &&Arc<Member>| {
-            member.takes_requests(now)
-                && !want.tried.contains(&member.entry.id)
-        };
-        let open: Vec<&Arc<Member>> = all.iter().filter(is_open).collect();
+        let open: Vec<&Arc<Member>> =
+            all.iter().filter(|m| is_open(m, want.tried, now)).collect();
         if open.is_empty() {
             return Err(NoMember::Unknown);
         }
@@ -441,8 +438,7 @@
         let all = members.by_service.get(service);
         let evacuated = self.evacuated.read().expect("halls lock");
         all.into_iter().flatten().any(|member| {
-            member.takes_requests(now)
-                && !tried.contains(&member.entry.id)
+            is_open(member, tried, now)
                 && !evacuated.contains(&member.entry.data_hall)
         })
     }
@@ -703,6 +699,11 @@
     }
 }
 
+/// Whether an upstream takes requests and was not asked.
+fn is_open(member: &Member, tried: &[UpstreamId], now: Instant) -> bool {
+    member.takes_requests(now) && !tried.contains(&member.entry.id)
+}
+
 /// Keeps the upstreams whose software may answer.
 fn by_rule<'a>(
     open: Vec<&'a Arc<Member>>,
