One rule for what is new, asked before telling and before taking in

The rule that a key removed since does not come back stood in Mirror::take alone, and lacks_any, which decides whether others are told, had the older one beside it. Both ask Mirror::is_new.

--- a/src/facts/knowledge.rs
+++ b/src/facts/knowledge.rs
@@ -229,14 +229,7 @@
     /// Whether any of these changes is new.
     pub fn lacks_any(&self, changes: &Items) -> bool {
         let mirror = self.mirror.lock().expect("mirror lock");
-        changes.items.iter().any(|item| {
-            let held = mirror.items.get(&item.key);
-            match (&item.value, held) {
-                (_, Some((_, version))) => *version < item.version,
-                (Some(_), None) => true,
-                (None, None) => false,
-            }
-        })
+        changes.items.iter().any(|item| mirror.is_new(item))
     }
 
     /// Takes in changes that a watch brought.
@@ -307,19 +300,25 @@
         news
     }
 
-    fn take(&mut self, item: Item, news: &mut News) {
-        let held = self.items.get(&item.key).map(|(_, version)| *version);
-        if held.is_some_and(|held| item.version <= held) {
-            return;
+    /// Whether an item changes what is known.
+    fn is_new(&self, item: &Item) -> bool {
+        let held = self.items.get(&item.key);
+        match (&item.value, held) {
+            (_, Some((_, version))) => item.version > *version,
+            // Everything up to `as_of` is known, so a key that is not there
+            // was removed since: news that was long on its way must not bring
+            // it back.
+            (Some(_), None) => item.version > self.as_of,
+            (None, None) => false,
         }
-        if held.is_none() && item.value.is_some() && item.version <= self.as_of
-        {
-            // Everything up to there is known, so the key was removed since:
-            // news that was long on its way must not bring it back.
+    }
+
+    fn take(&mut self, item: Item, news: &mut News) {
+        if !self.is_new(&item) {
             return;
         }
-        if let Some(held) = held {
-            self.digest ^= digest(&item.key, held);
+        if let Some((_, held)) = self.items.get(&item.key) {
+            self.digest ^= digest(&item.key, *held);
         }
         let Some(value) = item.value else {
             if self.items.remove(&item.key).is_some() {
