Sight: a request's line says which version was wanted during a roll-out, by what, and how old the news of its session was

Until now the line gave the version that was chosen only, so that a session unknown to its VM, one forgotten too early and a rule that gave way looked alike. Behaviour as before; all fields only while a roll-out is known.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,10 +29,11 @@
         admission,
         health::Verdict,
         member::{Member, Reading},
-        pool::{NoMember, SharedPrompt, VersionRule, Want},
+        pool::{NoMember, SharedPrompt, Want},
         upstream::InFlight,
     },
     platform::headers::{self, AnswerHead},
+    rollouts::rollout::VersionChoice,
     task,
 };
 
@@ -206,7 +207,7 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    fn rule(&self, now: Instant) -> VersionRule {
+    fn version_choice(&self, now: Instant) -> VersionChoice {
         let session = self.inbound.session.as_deref();
         let id = &self.inbound.id;
         self.gateway.rollouts.rule(&self.service, session, id, now)
@@ -220,8 +221,9 @@
     ) -> Result<Attempt, Error> {
         let prompt = self.shared_prompt();
         let takes = self.gateway.service_times.of(&self.service);
+        let version = self.version_choice(now);
         let want = Want {
-            rule: self.rule(now),
+            rule: version.rule.clone(),
             prompt,
             tried: &self.tried,
             most_fill: admission::fill_limit(self.route.aim, takes),
@@ -244,6 +246,7 @@
         })?;
         let model = self.model.clone();
         trace.begin(&member, model.clone(), now);
+        trace.note_version(&version);
         self.tried.push(member.entry.id.clone());
         if let Some(session) = &self.inbound.session {
             let software = &member.entry.software;
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -17,7 +17,8 @@
     gateway::inbound::Inbound,
     id::{ModelId, OrganisationId},
     metrics::{Metrics, OTHER},
-    placing::{cascade::Kept, member::Member},
+    placing::{cascade::Kept, member::Member, pool::VersionRule},
+    rollouts::rollout::{ChoiceReason, VersionChoice},
     unit::Percent,
 };
 
@@ -26,6 +27,8 @@
 struct AttemptTrace {
     upstream: String,
     software: String,
+    /// The version that was wanted during a roll-out, and why.
+    version: Option<(&'static str, ChoiceReason)>,
     model: Option<ModelId>,
     requests_there: u32,
     reading_there_ms: u64,
@@ -130,6 +133,7 @@
         self.attempts.push(AttemptTrace {
             upstream: member.entry.id.to_string(),
             software: member.entry.software.to_string(),
+            version: None,
             model,
             requests_there: member.requests(now),
             reading_there_ms: member.reading(now).as_millis() as u64,
@@ -141,6 +145,18 @@
         });
     }
 
+    /// Notes which version the last attempt was to go to during a roll-out.
+    pub(crate) fn note_version(&mut self, choice: &VersionChoice) {
+        let wanted = match choice.rule {
+            VersionRule::Any => return,
+            VersionRule::Prefer(_) => "new",
+            VersionRule::Avoid(_) | VersionRule::Never(_) => "old",
+        };
+        if let Some(last) = self.attempts.last_mut() {
+            last.version = choice.reason.map(|reason| (wanted, reason));
+        }
+    }
+
     /// Notes what the model thinks of its answer, and why it is passed on if
     /// it is.
     pub(crate) fn note_confidence(
@@ -268,6 +284,14 @@
         let mut fields = Map::new();
         fields.insert("upstream".into(), self.upstream.as_str().into());
         fields.insert("software".into(), self.software.as_str().into());
+        if let Some((wanted, reason)) = self.version {
+            fields.insert("version_wanted".into(), wanted.into());
+            fields.insert("version_by".into(), reason.as_str().into());
+            if let Some(age) = reason.session_age() {
+                let age_ms = age.as_millis() as u64;
+                fields.insert("session_age_ms".into(), age_ms.into());
+            }
+        }
         if let Some(model) = &self.model {
             fields.insert("model".into(), model.as_str().into());
         }
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -95,6 +95,53 @@
     pub time_allowed: Duration,
 }
 
+/// Which version may answer a request, and what decided so.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionChoice {
+    /// Which version may answer it.
+    pub rule: VersionRule,
+    /// What decided so; `None` without a roll-out.
+    pub reason: Option<ChoiceReason>,
+}
+
+/// What decided which version may answer a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceReason {
+    /// The new version was stopped or reverted.
+    Stopped,
+    /// The new version has everything.
+    Completed,
+    /// Nothing is known of its session, or it has none, so it was drawn.
+    Drawn,
+    /// The last request of its session that this VM had, so long ago.
+    OwnSession(Duration),
+    /// What another VM told of its session, so long ago.
+    ToldSession(Duration),
+}
+
+impl ChoiceReason {
+    /// How the log calls it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ChoiceReason::Stopped => "stopped",
+            ChoiceReason::Completed => "completed",
+            ChoiceReason::Drawn => "drawn",
+            ChoiceReason::OwnSession(_) => "own_session",
+            ChoiceReason::ToldSession(_) => "told_session",
+        }
+    }
+
+    /// The age of what was known of its session.
+    pub fn session_age(self) -> Option<Duration> {
+        match self {
+            ChoiceReason::OwnSession(age) | ChoiceReason::ToldSession(age) => {
+                Some(age)
+            }
+            _ => None,
+        }
+    }
+}
+
 /// How far a roll-out is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -231,12 +278,13 @@
         session: Option<&str>,
         request_id: &str,
         now: Instant,
-    ) -> VersionRule {
+    ) -> VersionChoice {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let Some(rollout) = rollouts.get_mut(service) else {
-            return VersionRule::Any;
+            return VersionChoice::default();
         };
-        rollout.rule(session, request_id, now)
+        let (rule, reason) = rollout.rule(session, request_id, now);
+        VersionChoice { rule, reason: Some(reason) }
     }
 
     /// Notes which version a session's request went to.
@@ -442,15 +490,15 @@
         session: Option<&str>,
         request_id: &str,
         now: Instant,
-    ) -> VersionRule {
+    ) -> (VersionRule, ChoiceReason) {
         let target = self.order.target.clone();
         if self.stopped_at.is_some()
             || self.progress == Some(Progress::Reverted)
         {
-            return VersionRule::Never(target);
+            return (VersionRule::Never(target), ChoiceReason::Stopped);
         }
         if self.progress == Some(Progress::Completed) {
-            return VersionRule::Prefer(target);
+            return (VersionRule::Prefer(target), ChoiceReason::Completed);
         }
         let subject = ShortHash::of(session.unwrap_or(request_id));
         let side = match self.draw(subject) < self.share(now) {
@@ -459,15 +507,16 @@
         };
         let is_trial = self.trial_ended.is_none();
         let held = session.and_then(|_| self.session(subject, now));
-        let side = match held {
-            Some(VersionSide::New) => VersionSide::New,
-            Some(VersionSide::Old) if is_trial => VersionSide::Old,
-            _ => side,
+        let (side, reason) = match held {
+            Some((VersionSide::New, by)) => (VersionSide::New, by),
+            Some((VersionSide::Old, by)) if is_trial => (VersionSide::Old, by),
+            _ => (side, ChoiceReason::Drawn),
         };
-        match side {
+        let rule = match side {
             VersionSide::New => VersionRule::Prefer(target),
             VersionSide::Old => VersionRule::Avoid(target),
-        }
+        };
+        (rule, reason)
     }
 
     /// A number in `0..=1` for a subject, the same on every VM.
@@ -486,15 +535,16 @@
         &self,
         session: ShortHash,
         now: Instant,
-    ) -> Option<VersionSide> {
+    ) -> Option<(VersionSide, ChoiceReason)> {
+        let age = |at: Instant| now.saturating_duration_since(at);
         let own = self.sessions.get(&session);
-        let told = self.told_old.get(&session);
-        own.filter(|(_, at)| is_recent(*at, now))
-            .map(|(side, _)| *side)
-            .or_else(|| {
-                let is_told = told.is_some_and(|at| is_recent(*at, now));
-                is_told.then_some(VersionSide::Old)
-            })
+        let own = own.filter(|(_, at)| is_recent(*at, now));
+        if let Some((side, at)) = own {
+            return Some((*side, ChoiceReason::OwnSession(age(*at))));
+        }
+        let told = self.told_old.get(&session).copied();
+        let told = told.filter(|at| is_recent(*at, now))?;
+        Some((VersionSide::Old, ChoiceReason::ToldSession(age(told))))
     }
 
     fn note_session(
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -24,8 +24,8 @@
 fn share(rollouts: &Rollouts, now: Instant) -> f64 {
     let new = (0..10_000).filter(|number| {
         let session = format!("session-{number}");
-        let rule = rollouts.rule(&service(), Some(&session), "r", now);
-        rule == VersionRule::Prefer(version("v2"))
+        let choice = rollouts.rule(&service(), Some(&session), "r", now);
+        choice.rule == VersionRule::Prefer(version("v2"))
     });
     new.count() as f64 / 10_000.0
 }
@@ -96,7 +96,7 @@
         let old = version("v1");
         rollouts.note_session(&service(), &session, &old, at);
         let later = at + Duration::from_secs(4);
-        let rule = rollouts.rule(&service(), Some(&session), "r", later);
+        let rule = rollouts.rule(&service(), Some(&session), "r", later).rule;
         assert_eq!(rule, VersionRule::Avoid(version("v2")));
     }
 }
@@ -120,7 +120,7 @@
     here.hear("vm-2", &told, now);
     let at = now + Duration::from_secs(3);
     for name in &names {
-        let rule = here.rule(&service(), Some(name), "r", at);
+        let rule = here.rule(&service(), Some(name), "r", at).rule;
         assert_eq!(rule, VersionRule::Avoid(version("v2")), "{name}");
     }
 }
@@ -144,13 +144,13 @@
     here.hear("vm-2", &there.evidence(|_, _| 0, now), now);
     assert_eq!(here.judge(now).len(), 1);
     let at = now + ALLOWED / 4;
-    let rule = here.rule(&service(), None, "r", at);
+    let rule = here.rule(&service(), None, "r", at).rule;
     assert_eq!(rule, VersionRule::Never(version("v2")));
     let due = here.due(true, |_, _| 0, now);
     assert_eq!(due[0].status.progress, Progress::Reverted);
     // The other VM stops as soon as it hears of it.
     there.hear("vm-1", &here.evidence(|_, _| 0, now), now);
-    let rule = there.rule(&service(), None, "r", at);
+    let rule = there.rule(&service(), None, "r", at).rule;
     assert_eq!(rule, VersionRule::Never(version("v2")));
 }
 
