A session lasts until its time after its last request has ended, as the operators state it

Cause: it was remembered for six seconds from the beginning of its last attempt, so that one whose stream took longer was drawn anew by the same VM. The deployment with `session_s` 8.5 forgot sessions after six in any case. Now each attempt counts as under way until it ends, and the time comes from the operators' bounds (`rollouts.session_s`). One table of sessions a service, whether or not a roll-out is known, in a module of its own.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,7 +24,7 @@
         trace::{End, Trace},
     },
     http_client::{Call, Exchange, Reuse, SendError},
-    id::{ModelId, ServiceId, UpstreamId},
+    id::{ModelId, ServiceId, UpstreamId, VersionId},
     placing::{
         admission,
         health::Verdict,
@@ -140,6 +140,22 @@
     /// Held until the first event is here.
     pub(crate) reading: Option<Reading>,
     _in_flight: InFlight,
+    _session: Option<SessionUse>,
+}
+
+/// An attempt of a session, which counts as under way while it lives.
+struct SessionUse {
+    gateway: Arc<Gateway>,
+    service: ServiceId,
+    session: String,
+}
+
+impl Drop for SessionUse {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        let rollouts = &self.gateway.rollouts;
+        rollouts.end_session(&self.service, &self.session, now);
+    }
 }
 
 /// Why an attempt brought no answer that ends the request.
@@ -248,11 +264,7 @@
         trace.begin(&member, model.clone(), now);
         trace.note_version(&version);
         self.tried.push(member.entry.id.clone());
-        if let Some(session) = &self.inbound.session {
-            let software = &member.entry.software;
-            let rollouts = &self.gateway.rollouts;
-            rollouts.note_session(&self.service, session, software, now);
-        }
+        let session = self.use_session(&member.entry.software, now);
         let tokens = self.inbound.prompt_tokens.unwrap_or(0);
         let read_before = member.reading(now);
         let read_most = member.reading_most(now);
@@ -268,6 +280,7 @@
         }
         Ok(Attempt {
             _in_flight: member.upstream.begin(),
+            _session: session,
             member,
             model,
             began_at: now,
@@ -280,6 +293,18 @@
         })
     }
 
+    /// Notes that an attempt of the request's session goes to a version.
+    fn use_session(
+        &self,
+        software: &VersionId,
+        now: Instant,
+    ) -> Option<SessionUse> {
+        let session = self.inbound.session.clone()?;
+        let (gateway, service) = (self.gateway.clone(), self.service.clone());
+        gateway.rollouts.begin_session(&service, &session, software, now);
+        Some(SessionUse { gateway, service, session })
+    }
+
     /// The part of the prompt that is shared with most later requests.
     fn shared_prompt(&self) -> Option<SharedPrompt> {
         let parts = &self.inbound.prompt;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -139,7 +139,7 @@
                 settings.data_hall.clone(),
                 settings.warm_up_slack,
             ),
-            rollouts: Rollouts::default(),
+            rollouts: Rollouts::new(settings.session_time),
             read_times: ReadTimes::default(),
             service_times: ServiceTimes::default(),
             peers: Peers::new(
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -117,6 +117,13 @@
         Some("0"),
         "Requests that all VMs may send it besides.",
     ),
+    key(
+        "rollouts",
+        "session_s",
+        Some("5"),
+        "Time after the end of a request in which the next one belongs to \
+         the same session, which keeps its version.",
+    ),
     key("stop", "grace_s", None, "Longest planned stop."),
     key("log", "level", Some("info"), "Least severe level written."),
 ];
@@ -157,6 +164,9 @@
     pub retries: RetryBound,
     /// What upstreams that are cold may have beyond what they bear.
     pub warm_up_slack: WarmUpSlack,
+    /// Time after the end of a request in which the next one belongs to the
+    /// same session.
+    pub session_time: Duration,
     /// Longest planned stop.
     pub grace: Duration,
     /// The least severe level that is logged.
@@ -202,6 +212,7 @@
     let fail_closed = r.value("keys", "fail_closed");
     let retries = read_retries(r);
     let warm_up_slack = read_warm_up_slack(r);
+    let session_s = r.number("rollouts", "session_s", 0.1, 3600.0);
     let grace = r.seconds("stop", "grace_s");
     let log_level = r.value("log", "level");
     Some(GatewaySettings {
@@ -221,6 +232,7 @@
         fail_closed: fail_closed?,
         retries: retries?,
         warm_up_slack: warm_up_slack?,
+        session_time: Duration::from_secs_f64(session_s?),
         grace: grace?,
         log_level: log_level?,
     })
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -27,7 +27,10 @@
     message::ShortHash,
     placing::{health::Verdict, pool::VersionRule},
     rendezvous,
-    rollouts::comparison::{Answers, is_worse},
+    rollouts::{
+        comparison::{Answers, is_worse},
+        sessions::Sessions,
+    },
 };
 
 /// Share of the requests that a new version gets on trial; the platform
@@ -70,11 +73,15 @@
 /// stopped, if nobody has yet.
 const RECORD_ANYWAY: Duration = Duration::from_millis(700);
 
-/// Time without requests after which a session is over.
-const SESSION_LIFETIME: Duration = Duration::from_secs(6);
+/// Time after the end of its last request in which a session goes on, where
+/// the operators state none.
+const SESSION_TIME: Duration = Duration::from_secs(5);
 
-/// Sessions remembered, with a version each; older ones are dropped first.
-const SESSIONS_MOST: usize = 20_000;
+/// Added to that time: a request may have waited at its caller's before.
+const SESSION_SLACK: Duration = Duration::from_secs(1);
+
+/// Age up to which counts that another VM told are used.
+const COUNT_LIFETIME: Duration = Duration::from_secs(6);
 
 /// Sessions told in one beat; a VM has a few at a time.
 const SESSIONS_TOLD_MOST: usize = 64;
@@ -196,6 +203,7 @@
 #[derive(Debug)]
 struct Rollout {
     order: Order,
+    session_lifetime: Duration,
     started_at: Instant,
     progress: Option<Progress>,
     stopped_at: Option<Instant>,
@@ -206,7 +214,6 @@
     own: HashMap<ShortHash, [Answers; 2]>,
     first_part_s: HashMap<ShortHash, f64>,
     others: HashMap<String, (Instant, Evidence)>,
-    sessions: HashMap<ShortHash, (VersionSide, Instant)>,
     told_old: HashMap<ShortHash, Instant>,
 }
 
@@ -225,17 +232,27 @@
     pub status: Status,
 }
 
-/// When each session of a service had its last request.
-type Recent = HashMap<ShortHash, Instant>;
-
 /// All roll-outs that this VM knows of.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Rollouts {
+    /// Time after the end of its last request in which a session goes on.
+    session_lifetime: Duration,
     running: Mutex<HashMap<ServiceId, Rollout>>,
-    recent: Mutex<HashMap<ServiceId, Recent>>,
+    /// Taken after `running` where both are.
+    sessions: Mutex<HashMap<ServiceId, Sessions>>,
 }
 
 impl Rollouts {
+    /// Creates a list without roll-outs; `session_time` is how long after the
+    /// end of a request the next one still belongs to its session.
+    pub fn new(session_time: Duration) -> Rollouts {
+        Rollouts {
+            session_lifetime: session_time + SESSION_SLACK,
+            running: Mutex::default(),
+            sessions: Mutex::default(),
+        }
+    }
+
     /// Takes in an order; returns whether it is a new one.
     pub fn order(
         &self,
@@ -248,11 +265,7 @@
         if held.is_some_and(|held| held.order == order) {
             return false;
         }
-        let mut rollout = Rollout::new(order, now);
-        let mut recent = self.recent.lock().expect("recent lock");
-        for (session, at) in recent.remove(&service).unwrap_or_default() {
-            rollout.sessions.insert(session, (VersionSide::Old, at));
-        }
+        let rollout = Rollout::new(order, self.session_lifetime, now);
         rollouts.insert(service, rollout);
         true
     }
@@ -283,7 +296,13 @@
         let Some(rollout) = rollouts.get_mut(service) else {
             return VersionChoice::default();
         };
-        let (rule, reason) = rollout.rule(session, request_id, now);
+        let sessions = self.sessions.lock().expect("sessions lock");
+        let own = session.and_then(|session| {
+            let of_service = sessions.get(service)?;
+            let session = ShortHash::of(session);
+            of_service.version(session, self.session_lifetime, now)
+        });
+        let (rule, reason) = rollout.rule(session, own, request_id, now);
         VersionChoice { rule, reason: Some(reason) }
     }
 
@@ -296,27 +315,38 @@
         now: Instant,
     ) {
         let session = ShortHash::of(session);
-        let mut rollouts = self.running.lock().expect("rollouts lock");
-        match rollouts.get_mut(service) {
-            Some(rollout) if rollout.is_running() => {
-                rollout.note_session(session, software, now);
-            }
-            _ => self.note_recent(service, session, now),
+        let mut sessions = self.sessions.lock().expect("sessions lock");
+        let of_service = sessions.entry(service.clone()).or_default();
+        of_service.note(session, software, self.session_lifetime, now);
+    }
+
+    /// The same, for as long as an attempt is under way: until
+    /// [`Rollouts::end_session`].
+    pub fn begin_session(
+        &self,
+        service: &ServiceId,
+        session: &str,
+        software: &VersionId,
+        now: Instant,
+    ) {
+        self.note_session(service, session, software, now);
+        let mut sessions = self.sessions.lock().expect("sessions lock");
+        if let Some(of_service) = sessions.get_mut(service) {
+            of_service.begin(ShortHash::of(session));
         }
     }
 
-    fn note_recent(
+    /// Notes that an attempt of a session has ended.
+    pub fn end_session(
         &self,
         service: &ServiceId,
-        session: ShortHash,
+        session: &str,
         now: Instant,
     ) {
-        let mut recent = self.recent.lock().expect("recent lock");
-        let sessions = recent.entry(service.clone()).or_default();
-        if sessions.len() >= SESSIONS_MOST {
-            sessions.retain(|_, at| is_recent(*at, now));
+        let mut sessions = self.sessions.lock().expect("sessions lock");
+        if let Some(of_service) = sessions.get_mut(service) {
+            of_service.end(ShortHash::of(session), now);
         }
-        sessions.insert(session, now);
     }
 
     /// Takes in how an answer of a version on a route was.
@@ -341,12 +371,14 @@
         now: Instant,
     ) -> Vec<Evidence> {
         let rollouts = self.running.lock().expect("rollouts lock");
+        let sessions = self.sessions.lock().expect("sessions lock");
         let running =
             rollouts.iter().filter(|(_, rollout)| rollout.is_running());
         running
             .map(|(service, rollout)| {
                 let old = old_in_flight(service, &rollout.order.target);
-                rollout.evidence(service, old, now)
+                let own = sessions.get(service);
+                rollout.evidence(service, own, old, now)
             })
             .collect()
     }
@@ -409,10 +441,17 @@
     }
 }
 
+impl Default for Rollouts {
+    fn default() -> Rollouts {
+        Rollouts::new(SESSION_TIME)
+    }
+}
+
 impl Rollout {
-    fn new(order: Order, now: Instant) -> Rollout {
+    fn new(order: Order, session_lifetime: Duration, now: Instant) -> Rollout {
         Rollout {
             order,
+            session_lifetime,
             started_at: now,
             progress: None,
             stopped_at: None,
@@ -420,7 +459,6 @@
             own: HashMap::new(),
             first_part_s: HashMap::new(),
             others: HashMap::new(),
-            sessions: HashMap::new(),
             told_old: HashMap::new(),
         }
     }
@@ -488,6 +526,7 @@
     fn rule(
         &mut self,
         session: Option<&str>,
+        own: Option<(&VersionId, Duration)>,
         request_id: &str,
         now: Instant,
     ) -> (VersionRule, ChoiceReason) {
@@ -506,7 +545,7 @@
             false => VersionSide::Old,
         };
         let is_trial = self.trial_ended.is_none();
-        let held = session.and_then(|_| self.session(subject, now));
+        let held = session.and_then(|_| self.session(subject, own, now));
         let (side, reason) = match held {
             Some((VersionSide::New, by)) => (VersionSide::New, by),
             Some((VersionSide::Old, by)) if is_trial => (VersionSide::Old, by),
@@ -534,43 +573,29 @@
     fn session(
         &self,
         session: ShortHash,
+        own: Option<(&VersionId, Duration)>,
         now: Instant,
     ) -> Option<(VersionSide, ChoiceReason)> {
-        let age = |at: Instant| now.saturating_duration_since(at);
-        let own = self.sessions.get(&session);
-        let own = own.filter(|(_, at)| is_recent(*at, now));
-        if let Some((side, at)) = own {
-            return Some((*side, ChoiceReason::OwnSession(age(*at))));
+        if let Some((software, idle)) = own {
+            let side = self.side(software);
+            return Some((side, ChoiceReason::OwnSession(idle)));
         }
-        let told = self.told_old.get(&session).copied();
-        let told = told.filter(|at| is_recent(*at, now))?;
-        Some((VersionSide::Old, ChoiceReason::ToldSession(age(told))))
-    }
-
-    fn note_session(
-        &mut self,
-        session: ShortHash,
-        software: &VersionId,
-        now: Instant,
-    ) {
-        if self.sessions.len() >= SESSIONS_MOST {
-            self.sessions.retain(|_, (_, at)| is_recent(*at, now));
-        }
-        let side = self.side(software);
-        self.sessions.insert(session, (side, now));
+        let told = self.told_old.get(&session).copied()?;
+        let age = now.saturating_duration_since(told);
+        (age < self.session_lifetime)
+            .then_some((VersionSide::Old, ChoiceReason::ToldSession(age)))
     }
 
     /// Sessions at the old version that the trial would take.
-    fn old_sessions(&self, now: Instant) -> Vec<ShortHash> {
+    fn old_sessions(&self, own: &Sessions, now: Instant) -> Vec<ShortHash> {
         if self.trial_ended.is_some() {
             return Vec::new();
         }
-        let old = self.sessions.iter().filter(|(session, (side, at))| {
-            *side == VersionSide::Old
-                && is_recent(*at, now)
-                && self.draw(**session) < TRIAL_SHARE
-        });
-        old.map(|(session, _)| *session).take(SESSIONS_TOLD_MOST).collect()
+        let target = &self.order.target;
+        let old = own.at_others(target, self.session_lifetime, now);
+        let old = old.map(|(session, _)| session);
+        let drawn = old.filter(|session| self.draw(*session) < TRIAL_SHARE);
+        drawn.take(SESSIONS_TOLD_MOST).collect()
     }
 
     fn side(&self, software: &VersionId) -> VersionSide {
@@ -630,6 +655,7 @@
     fn evidence(
         &self,
         service: &ServiceId,
+        own: Option<&Sessions>,
         old_in_flight: u32,
         now: Instant,
     ) -> Evidence {
@@ -641,7 +667,8 @@
             trial_ended_ms: self.trial_ended.map(|end| end.as_millis() as u32),
             stopped: self.stopped_at.is_some(),
             old_in_flight: old_in_flight.min(u32::from(u16::MAX)) as u16,
-            old_sessions: self.old_sessions(now),
+            old_sessions: own
+                .map_or_else(Vec::new, |own| self.old_sessions(own, now)),
             answers: self
                 .own
                 .iter()
@@ -711,7 +738,7 @@
             .others
             .values()
             .filter(|(at, _)| {
-                now.saturating_duration_since(*at) < SESSION_LIFETIME
+                now.saturating_duration_since(*at) < COUNT_LIFETIME
             })
             .map(|(_, told)| u32::from(told.old_in_flight))
             .sum();
@@ -725,9 +752,5 @@
     }
 }
 
-fn is_recent(at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(at) < SESSION_LIFETIME
-}
-
 #[cfg(test)]
 mod tests;
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -1,7 +1,7 @@
 //! The deploy files fit the program: what the platform makes of the template
 //! of settings is accepted, and every gap in it is one that is filled.
 
-use std::{fs, path::PathBuf};
+use std::{fs, path::PathBuf, time::Duration};
 
 use lupinseam::{gateway::settings::GatewaySettings, unit::Mbps};
 
@@ -24,6 +24,7 @@
     ("bounds.retry_window_s", "10"),
     ("bounds.warmup_overshoot", "1.5"),
     ("bounds.warmup_tolerance", "5"),
+    ("bounds.session_s", "8.5"),
 ];
 
 fn file(name: &str) -> String {
@@ -66,6 +67,18 @@
     assert!(settings.fail_closed);
 }
 
+#[test]
+fn a_session_lasts_for_as_long_as_the_operators_say() {
+    let text = rendered("");
+    let session_time = |text: &str| {
+        let settings = GatewaySettings::from_ini(text).expect("no fault");
+        settings.session_time
+    };
+    assert_eq!(session_time(&text), Duration::from_millis(8_500));
+    let unsaid = text.replace("session_s = 8.5", "session_s = ");
+    assert_eq!(session_time(&unsaid), Duration::from_secs(5));
+}
+
 #[test]
 fn a_vm_without_seeds_is_accepted() {
     let settings = GatewaySettings::from_ini(&rendered("")).expect("no fault");
