Split the roll-outs: all of them, one of them, and why a version is chosen; a test of a good version that is stopped, which fails

The test: slow answers count against the new version only, so that one whose times spread as the old one's do is stopped by its first four long prompts. Seen on a trial with a good version: stopped at second 11.7 by 4 of 19 answers, 0 of 317 of the old version.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -33,7 +33,7 @@
         upstream::InFlight,
     },
     platform::headers::{self, AnswerHead},
-    rollouts::rollout::VersionChoice,
+    rollouts::choice::VersionChoice,
     task,
 };
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,7 +36,7 @@
         retry_window::RetryWindow,
     },
     platform::store::PlatformStore,
-    rollouts::rollout::Rollouts,
+    rollouts::registry::Rollouts,
     task::Wake,
 };
 
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -21,7 +21,10 @@
         document,
         store::{Committed, NewValue},
     },
-    rollouts::rollout::{Due, Progress, Status},
+    rollouts::{
+        registry::Due,
+        rollout::{Progress, Status},
+    },
     task,
 };
 
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -18,7 +18,7 @@
     id::{ModelId, OrganisationId},
     metrics::{Metrics, OTHER},
     placing::{cascade::Kept, member::Member, pool::VersionRule},
-    rollouts::rollout::{ChoiceReason, VersionChoice},
+    rollouts::choice::{ChoiceReason, VersionChoice},
     unit::Percent,
 };
 
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::rollouts::comparison::BAD_ANSWERS;
+use crate::{
+    id::ServiceId,
+    rollouts::{comparison::BAD_ANSWERS, registry::Rollouts},
+};
 
 const ALLOWED: Duration = Duration::from_secs(20);
 
@@ -234,6 +237,33 @@
     assert_eq!(rollouts.judge(now).len(), 1);
 }
 
+/// Prompts differ in length, so a part of any version's answers takes far
+/// longer than the mean. Such answers counted as bad for the new version only,
+/// and a good one was stopped in one hall:
+///
+/// ```text
+/// E084 RolloutStopped "4 of 19 answers bad on one route, 0 of 317 of the old
+/// version"
+/// ```
+#[test]
+fn a_good_version_whose_times_spread_as_the_old_ones_do_is_kept() {
+    let now = Instant::now();
+    let rollouts = running(now);
+    let record = |name: &str, number: u64| {
+        let ms = if number.is_multiple_of(5) { 5000 } else { 50 };
+        let first_part = Some(Duration::from_millis(ms));
+        let (version, good) = (version(name), Verdict::Good);
+        rollouts.record(&service(), &version, "a", good, first_part);
+    };
+    for number in 0..317 {
+        record("v1", number);
+    }
+    for number in 0..19 {
+        record("v2", number);
+    }
+    assert_eq!(rollouts.judge(now), []);
+}
+
 #[test]
 fn completed_waits_for_the_old_versions_last_requests() {
     let now = Instant::now();
