An upstream that starts again under its name is another; an entry that cannot be read names none

A life is a name and a start (`UpstreamLife`). What VMs tell each other of an upstream goes by the hash of its life, so that news of an earlier one finds nothing at those that know the next. A later start ends the earlier life: its attempts end as cut, and count against neither version nor successor. Entries with a field missing are another writer's, as are two fixtures that lacked two.

--- a/src/event.rs
+++ b/src/event.rs
@@ -118,6 +118,8 @@
     EvacuationOrdered = 47, Info, "The operator asked that the upstreams of a data hall get no requests; this VM sends none there from now on.";
     /// The upstreams of a data hall get requests again.
     EvacuationOver = 48, Info, "The operator took back that the upstreams of a data hall get no requests.";
+    /// A value in the store cannot be read.
+    EntryUnreadable = 49, Warn, "A value in the platform's store cannot be read. An upstream whose entry it was gets no new work until it can; of everything else, what was known before holds. Of many at once the first twenty are logged, the last with the number `left_out`.";
     /// A claim slot was taken over.
     SlotTaken = 50, Info, "This VM took over a claim slot.";
     /// A claim slot was lost to another VM.
--- a/src/facts/knowledge.rs
+++ b/src/facts/knowledge.rs
@@ -65,6 +65,8 @@
     Upstream(UpstreamEntry),
     /// The record of an upstream is gone.
     UpstreamGone(UpstreamId),
+    /// The record of an upstream can no longer be read.
+    UpstreamUnreadable(UpstreamId),
     /// An entry VM is there.
     Peer(String, PeerRecord),
     /// The record of an entry VM is gone.
@@ -114,7 +116,7 @@
 pub struct News {
     /// What is new, in the order of the items.
     pub facts: Vec<Fact>,
-    /// Values that could not be read; what was known before stays.
+    /// Values that could not be read.
     pub unreadable: Vec<Unreadable>,
 }
 
@@ -326,15 +328,23 @@
             }
             return;
         };
-        match document::read_fact(&item.key, &value) {
-            Ok(fact) => news.facts.extend(fact),
-            Err(error) => news.unreadable.push(Unreadable {
-                key: item.key.clone(),
-                reason: error.to_string(),
-            }),
-        }
         self.digest ^= digest(&item.key, item.version);
-        self.items.insert(item.key, (value, item.version));
+        let held = match document::read_fact(&item.key, &value) {
+            Ok(fact) => {
+                news.facts.extend(fact);
+                value
+            }
+            Err(error) => {
+                news.facts.extend(document::read_unreadable(&item.key));
+                news.unreadable.push(Unreadable {
+                    key: item.key.clone(),
+                    reason: error.to_string(),
+                });
+                // Other VMs can read it no better, and it may be large.
+                Vec::new()
+            }
+        };
+        self.items.insert(item.key, (held, item.version));
     }
 }
 
--- a/src/facts/knowledge/tests.rs
+++ b/src/facts/knowledge/tests.rs
@@ -66,6 +66,7 @@
     let record = json!({
         "service": "portal", "address": "127.0.0.1:1", "zone": "a",
         "version": "v1", "capacity": 2, "state": "ready",
+        "warmup_left_ms": 0, "sequence": 1,
     });
     let record = record.to_string().into_bytes();
     let both = vec![
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -433,7 +433,7 @@
         loop {
             let now = gateway.clock.now();
             let waited = now.saturating_duration_since(since);
-            if waited >= most {
+            if waited >= most || member.is_over() {
                 return;
             }
             let is_dead = least.is_some_and(|least| {
@@ -552,7 +552,8 @@
         let says_nothing_of_version = verdict == Verdict::Failed
             && gateway.pool.is_alone_suspect(&attempt.member, now);
         gateway.judge_upstream(&attempt.member, verdict);
-        if says_nothing_of_version {
+        let ended = attempt.member.is_over() && verdict != Verdict::Good;
+        if says_nothing_of_version || ended {
             return;
         }
         gateway.rollouts.record(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,7 +21,7 @@
     clock::SharedClock,
     event::Event,
     facts::{
-        knowledge::{Fact, Knowledge, News},
+        knowledge::{Fact, Knowledge, News, Unreadable},
         peers::{Peers, WatchRole},
     },
     http_client::HttpClient,
@@ -72,6 +72,9 @@
 /// means that its upstream leaves; a live one is back within two seconds.
 const STORE_WELL: Duration = Duration::from_millis(2500);
 
+/// Values that cannot be read which are logged of those that come at once.
+const UNREADABLE_LOGGED: usize = 20;
+
 /// Counts the requests that this VM is working on.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InFlightCount(Arc<AtomicUsize>);
@@ -271,17 +274,30 @@
 
     /// Takes in what the store says.
     pub(crate) fn take_news(&self, news: News) {
-        for unreadable in news.unreadable {
-            Event::ConfigurationBroken.record(fields(json!({
-                "key": unreadable.key,
-                "reason": unreadable.reason,
-            })));
-        }
+        self.note_unreadable(&news.unreadable);
         for fact in news.facts {
             self.take_fact(fact);
         }
     }
 
+    /// Counts values that cannot be read, and logs them, of many at once the
+    /// first few.
+    fn note_unreadable(&self, unreadable: &[Unreadable]) {
+        let count = u64::try_from(unreadable.len()).unwrap_or(u64::MAX);
+        self.metrics.entries_unreadable.inc_by(count);
+        let left_out = unreadable.len().saturating_sub(UNREADABLE_LOGGED);
+        for (number, value) in
+            unreadable.iter().take(UNREADABLE_LOGGED).enumerate()
+        {
+            let is_last = number + 1 == UNREADABLE_LOGGED;
+            Event::EntryUnreadable.record(fields(json!({
+                "key": value.key,
+                "reason": value.reason,
+                "left_out": if is_last { left_out } else { 0 },
+            })));
+        }
+    }
+
     fn take_fact(&self, fact: Fact) {
         let now = self.clock.now();
         match fact {
@@ -304,9 +320,13 @@
                     "software": entry.software,
                     "leaving": entry.state == UpstreamState::Leaving,
                     "cold_ms": entry.warm_up_left.as_millis() as u64,
+                    "started": entry.started,
+                    "begins": self.pool.set(entry.clone(), now),
                 })));
-                self.pool.set(entry, now);
             }
+            // Whoever wrote it, it names nobody to send to. What was begun
+            // there goes on to its end.
+            Fact::UpstreamUnreadable(id) => self.pool.remove(&id, true, now),
             Fact::UpstreamGone(id) => {
                 let is_sure = self.is_store_well(now);
                 Event::UpstreamGone.record(fields(json!({
@@ -360,6 +380,10 @@
 
     /// Takes in how an attempt at an upstream ended.
     pub(crate) fn judge_upstream(&self, member: &Member, verdict: Verdict) {
+        // It failed because it ended; the one in its place has not.
+        if member.is_over() && verdict != Verdict::Good {
+            return;
+        }
         let now = self.clock.now();
         if verdict == Verdict::Unreachable {
             member.note_unreachable(now);
--- a/src/id.rs
+++ b/src/id.rs
@@ -255,3 +255,69 @@
         assert!("vm-1~5f~a~b".parse::<RequestId>().is_err());
     }
 }
+
+/// When an upstream started, in milliseconds since the Unix epoch by its own
+/// clock; of two starts under one name, the later has the greater one.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct StartMs(pub u64);
+
+impl fmt::Display for StartMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for StartMs {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<StartMs, Error> {
+        let number = text.parse().map_err(|error| {
+            Error::new(ErrorKind::InvalidInput)
+                .context(format!("start `{text}`: {error}"))
+        })?;
+        Ok(StartMs(number))
+    }
+}
+
+/// One life of an upstream, which may start again under its name: what is
+/// known or told of one life says nothing of another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct UpstreamLife {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// When the life began; `None` for one that tells no start.
+    pub started: Option<StartMs>,
+}
+
+impl fmt::Display for UpstreamLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started {
+            Some(started) => write!(f, "{}@{started}", self.id),
+            None => self.id.fmt(f),
+        }
+    }
+}
+
+impl FromStr for UpstreamLife {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<UpstreamLife, Error> {
+        let Some((id, started)) = text.split_once('@') else {
+            return Ok(UpstreamLife { id: text.parse()?, started: None });
+        };
+        let started = Some(started.parse()?);
+        Ok(UpstreamLife { id: id.parse()?, started })
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -44,6 +44,8 @@
     pub escalations: IntCounter,
     /// Frames from other VMs that were dropped, by fault.
     pub frames_dropped: IntCounterVec,
+    /// Values in the platform's store that could not be read.
+    pub entries_unreadable: IntCounter,
     /// Bytes sent to other VMs, by transport.
     pub peer_bytes: IntCounterVec,
     /// Store calls, by kind.
@@ -132,6 +134,10 @@
                 "Frames on the peer port that were dropped.",
                 &["fault"],
             ),
+            entries_unreadable: r.counter(
+                "lupinseam_entries_unreadable_total",
+                "Values in the platform's store that could not be read.",
+            ),
             peer_bytes: r.counters(
                 "lupinseam_peer_bytes_total",
                 "Bytes sent to other VMs.",
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -6,14 +6,16 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use crate::{
-    id::{DataHallId, ServiceId, UpstreamId, VersionId},
-    message::Work,
+    id::{
+        DataHallId, ServiceId, StartMs, UpstreamId, UpstreamLife, VersionId,
+    },
+    message::{ShortHash, Work},
     placing::{
         hall_way::HallWay,
         health::Health,
@@ -45,8 +47,10 @@
 /// An upstream as the platform records it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamEntry {
-    /// Its name, which no other upstream and no later life of it has.
+    /// Its name, which no other upstream has.
     pub id: UpstreamId,
+    /// When it started; `None` where upstreams do not tell that.
+    pub started: Option<StartMs>,
     /// The service it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -63,6 +67,51 @@
     pub warm_up_left: Duration,
 }
 
+/// How an entry stands to one that was told before under the same name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Succession {
+    /// It is of the same life.
+    Same,
+    /// It has changed what no life changes, or is ready again after it was
+    /// leaving, but tells no later start: what was begun may still end well.
+    Changed,
+    /// It is of a later life.
+    Later,
+    /// It is of an earlier life.
+    Earlier,
+}
+
+impl UpstreamEntry {
+    /// The life that it is of.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife { id: self.id.clone(), started: self.started }
+    }
+
+    /// How it stands to an entry that was told before.
+    pub(super) fn succession(&self, held: &UpstreamEntry) -> Succession {
+        if let (Some(own), Some(held)) = (self.started, held.started)
+            && own != held
+        {
+            return match own > held {
+                true => Succession::Later,
+                false => Succession::Earlier,
+            };
+        }
+        let is_back = self.started.is_none()
+            && held.state == UpstreamState::Leaving
+            && self.state == UpstreamState::Ready;
+        let is_alike = self.service == held.service
+            && self.address == held.address
+            && self.data_hall == held.data_hall
+            && self.software == held.software
+            && self.slots == held.slots;
+        match is_alike && !is_back {
+            true => Succession::Same,
+            false => Succession::Changed,
+        }
+    }
+}
+
 /// The load that an upstream states in its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -91,6 +140,8 @@
     cold_until: Mutex<Option<Instant>>,
     pub(super) sent_cold: Mutex<SentLately>,
     stated: Mutex<Option<Stated>>,
+    /// Whether a later life has taken its place.
+    is_over: AtomicBool,
 }
 
 /// Time that the prompts of the other VMs take to be read, as of some moment.
@@ -148,8 +199,10 @@
             slots: entry.slots,
             checks_fence: false,
         };
+        let short = ShortHash::of(&entry.life().to_string());
+        let upstream = Upstream::with_short(record, short, false, now);
         Member {
-            upstream: Arc::new(Upstream::new(record, false, now)),
+            upstream: Arc::new(upstream),
             health: Health::new(now),
             way,
             reading_ms: AtomicU32::new(0),
@@ -165,6 +218,7 @@
             cold_until: Mutex::new(Some(now + entry.warm_up_left)),
             sent_cold: Mutex::default(),
             stated: Mutex::default(),
+            is_over: AtomicBool::new(false),
             entry,
         }
     }
@@ -178,6 +232,37 @@
         is_there && !self.upstream.is_leaving()
     }
 
+    /// Its record with the state it is in by now.
+    pub(super) fn told(&self) -> UpstreamEntry {
+        let state = match self.upstream.is_leaving() {
+            true => UpstreamState::Leaving,
+            false => UpstreamState::Ready,
+        };
+        UpstreamEntry { state, ..self.entry.clone() }
+    }
+
+    /// Takes in a newer record of the same life.
+    pub(super) fn take(&self, entry: &UpstreamEntry, now: Instant) {
+        *self.vanished_at.lock().expect("vanished lock") = None;
+        self.note_cold(now + entry.warm_up_left);
+        if entry.state == UpstreamState::Leaving {
+            self.upstream.mark_leaving();
+        }
+    }
+
+    /// Notes that a later life has taken its place; returns whether it had not
+    /// been leaving.
+    pub(super) fn note_over(&self) -> bool {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.upstream.mark_leaving()
+    }
+
+    /// Whether a later life has taken its place: nothing more comes from it,
+    /// and what failed with it says nothing of its version.
+    pub fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
     /// Requests that it probably holds, of all VMs: those of the others by
     /// what they have told, or by what the upstream has stated as long as
     /// that is fresh.
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -21,7 +21,8 @@
         hall_way::HallWay,
         health::Verdict,
         member::{
-            LoadReport, Member, UpstreamEntry, UpstreamState, VANISHED_GRACE,
+            LoadReport, Member, Succession, UpstreamEntry, UpstreamState,
+            VANISHED_GRACE,
         },
         seen::SeenLately,
         warm_up::{Roster, WarmUp, WarmUpSlack},
@@ -191,29 +192,39 @@
         }
     }
 
-    /// Takes in the record of an upstream, new or changed.
-    pub fn set(&self, entry: UpstreamEntry, now: Instant) {
+    /// Takes in the record of an upstream, new or changed; returns whether it
+    /// began a life that was not known before.
+    ///
+    /// Nothing that is known of one life is kept for the next. An earlier one
+    /// is never believed again, however late it is told of.
+    pub fn set(&self, entry: UpstreamEntry, now: Instant) -> bool {
         let held = self.member(&entry.id);
-        match held {
-            Some(member) if member.entry.address == entry.address => {
-                *member.vanished_at.lock().expect("vanished lock") = None;
-                member.note_cold(now + entry.warm_up_left);
-                if entry.state == UpstreamState::Leaving {
-                    member.upstream.mark_leaving();
-                }
-            }
-            _ => {
-                let is_leaving = entry.state == UpstreamState::Leaving;
-                let way = self.way(&entry.data_hall);
-                let member = Arc::new(Member::new(entry, way, now));
-                if is_leaving {
-                    member.upstream.mark_leaving();
-                }
-                self.change(|by_id| {
-                    by_id.insert(member.entry.id.clone(), member.clone());
-                });
+        let Some(held) = held else {
+            self.begin_life(entry, now);
+            return true;
+        };
+        match entry.succession(&held.told()) {
+            Succession::Earlier => return false,
+            Succession::Same => {
+                held.take(&entry, now);
+                return false;
             }
+            Succession::Changed => held.upstream.mark_leaving(),
+            Succession::Later => held.note_over(),
+        };
+        self.begin_life(entry, now);
+        true
+    }
+
+    fn begin_life(&self, entry: UpstreamEntry, now: Instant) {
+        let way = self.way(&entry.data_hall);
+        let member = Arc::new(Member::new(entry, way, now));
+        if member.entry.state == UpstreamState::Leaving {
+            member.upstream.mark_leaving();
         }
+        self.change(|by_id| {
+            by_id.insert(member.entry.id.clone(), member.clone());
+        });
     }
 
     /// Notes that an upstream's record is gone.
--- a/src/placing/pool/replay.rs
+++ b/src/placing/pool/replay.rs
@@ -62,6 +62,7 @@
 fn engine(number: usize) -> UpstreamEntry {
     UpstreamEntry {
         id: format!("i-{number}").parse().unwrap(),
+        started: None,
         service: "writers".parse().unwrap(),
         address: ([127, 0, 0, 1], 1).into(),
         data_hall: hall_name(number / ENGINES_OF_HALL),
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -8,6 +8,7 @@
 fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.parse().unwrap(),
+        started: None,
         service: "writers".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_hall: hall.parse().unwrap(),
--- a/src/placing/upstream.rs
+++ b/src/placing/upstream.rs
@@ -98,7 +98,8 @@
 pub struct Upstream {
     /// What the platform says of it.
     pub record: UpstreamRecord,
-    /// The short hash of its name.
+    /// The short hash that VMs tell each other of it by: of its name, or of
+    /// one life where it may start again under that.
     pub short: ShortHash,
     seen_at: Instant,
     in_flight: AtomicU32,
@@ -138,10 +139,21 @@
         record: UpstreamRecord,
         is_new: bool,
         now: Instant,
+    ) -> Upstream {
+        let short = ShortHash::of(record.id.as_str());
+        Upstream::with_short(record, short, is_new, now)
+    }
+
+    /// The same, with the short hash that it is told by.
+    pub fn with_short(
+        record: UpstreamRecord,
+        short: ShortHash,
+        is_new: bool,
+        now: Instant,
     ) -> Upstream {
         let long_ago = now.checked_sub(SLOW_START).unwrap_or(now);
         Upstream {
-            short: ShortHash::of(record.id.as_str()),
+            short,
             record,
             seen_at: if is_new { now } else { long_ago },
             in_flight: AtomicU32::new(0),
--- a/src/placing/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -90,6 +90,7 @@
 fn cold(id: usize) -> UpstreamEntry {
     UpstreamEntry {
         id: format!("i-{id}").parse().unwrap(),
+        started: None,
         service: "writers".parse().unwrap(),
         address: ([127, 0, 0, 1], 1).into(),
         data_hall: "a".parse().unwrap(),
--- a/src/rollouts/fleet_tests.rs
+++ b/src/rollouts/fleet_tests.rs
@@ -279,6 +279,7 @@
     let now = fleet.clock.now();
     let old = UpstreamEntry {
         id: "i-1".parse().unwrap(),
+        started: None,
         service: service(),
         address: "127.0.0.1:7".parse().unwrap(),
         data_hall: hall_name(0).parse().unwrap(),
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -119,6 +119,7 @@
         let record = json!({
             "service": PLAIN, "address": "127.0.0.1:9", "zone": "hall-a",
             "version": "v1", "capacity": 8, "state": "ready",
+            "warmup_left_ms": 0, "sequence": 1,
         });
         site.store.put(&format!("servers/i-{number}"), &record);
     }
