Soak: sessions that keep their version, the share of a bad version, the retry budget; upstreams that start again and entries of other writers

Each new check is shown to find a break made by hand. The VMs of a soak have a retry budget of 0.3 and 20 now, in place of 1 and 50, which no caller could use up.

--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -95,6 +95,10 @@
     pub beat_ms: u64,
     /// The rate of the links of VMs that are added.
     pub link_mbps: u32,
+    /// Attempts beyond the first that VMs may make, as a share of requests.
+    pub retry_share: f64,
+    /// Attempts besides.
+    pub retry_extra: u32,
     first_port: u16,
     revoke_ms: u64,
 }
@@ -111,6 +115,8 @@
             fail_closed: true,
             beat_ms: 100,
             link_mbps: 0,
+            retry_share: 1.0,
+            retry_extra: 50,
             first_port: free_ports(),
             revoke_ms,
         }
@@ -201,9 +207,14 @@
              [platform]\nstore = {store_way}\n\
              [peers]\nseeds = 127.0.0.10:1, 127.0.0.11:1\nbeat_ms = {}\n\
              [keys]\nrevoke_ms = {}\nfail_closed = {}\n\
-             [retries]\nshare = 1\nextra = 50\nwindow_s = 10\n\
+             [retries]\nshare = {}\nextra = {}\nwindow_s = 10\n\
              [stop]\ngrace_s = 6\n",
-            self.link_mbps, self.beat_ms, self.revoke_ms, self.fail_closed,
+            self.link_mbps,
+            self.beat_ms,
+            self.revoke_ms,
+            self.fail_closed,
+            self.retry_share,
+            self.retry_extra,
         );
         let directory = TempDir::new().expect("a directory");
         let path = directory.path().join(SETTINGS_FILE);
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -28,6 +28,9 @@
 /// Longest pause between two requests of a caller.
 const PAUSE_MOST_MS: u64 = 60;
 
+/// Share of the calls before which a caller begins another session.
+const SESSION_ENDS: f64 = 0.1;
+
 /// Pause after a refusal or a connection that did not open.
 const REST: Duration = Duration::from_millis(60);
 
@@ -79,7 +82,7 @@
         let caller = |number| {
             let callers = self.clone();
             let rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 32));
-            thread::spawn(move || callers.call_on(rng))
+            thread::spawn(move || callers.call_on(number, rng))
         };
         (1..=count).map(caller).collect()
     }
@@ -89,8 +92,9 @@
         self.is_over.store(true, Ordering::Relaxed);
     }
 
-    fn call_on(&self, mut rng: ChaCha8Rng) {
+    fn call_on(&self, number: u64, mut rng: ChaCha8Rng) {
         let mut kept = HashMap::new();
+        let mut session = 0;
         while !self.is_over.load(Ordering::Relaxed) {
             let kind = self.draw_kind(&mut rng);
             let key = self.draw_key(kind, &mut rng);
@@ -102,7 +106,12 @@
                 Some(vm) => *vm,
                 None => self.draw_door(&mut rng),
             };
-            let status = self.call(vm, kind, &key, &mut kept);
+            if rng.random::<f64>() < SESSION_ENDS {
+                session += 1;
+            }
+            let name = format!("s-{number}-{session}");
+            let session_of = kind.is_stream().then_some(name);
+            let status = self.call(vm, kind, &key, session_of, &mut kept);
             if matches!(status, 0 | 503) {
                 thread::sleep(REST);
             }
@@ -152,6 +161,7 @@
         vm: usize,
         kind: Kind,
         key: &str,
+        session: Option<String>,
         kept: &mut HashMap<usize, Connection>,
     ) -> u16 {
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -163,7 +173,7 @@
         let Ok(mut connection) = opened else { return 0 };
         let life = door.life.load(Ordering::Relaxed);
         let sent_at = self.started_at.elapsed();
-        let text = request(kind, &id, key);
+        let text = request(kind, &id, key, session.as_deref());
         let (got, is_kept) = connection.ask(&text, DEADLINE + REST);
         let status = got.status;
         if is_kept {
@@ -178,6 +188,7 @@
             vm,
             life,
             key: key.to_owned(),
+            session,
             sent_at,
             ended_at: self.started_at.elapsed(),
         });
@@ -185,7 +196,9 @@
     }
 }
 
-fn request(kind: Kind, id: &str, key: &str) -> String {
+fn request(kind: Kind, id: &str, key: &str, session: Option<&str>) -> String {
+    let session = session.map(|name| format!("Session: {name}\r\n"));
+    let session = session.unwrap_or_default();
     let deadline_ms = DEADLINE.as_millis();
     let path = kind.path(id);
     let (method, more) = match kind {
@@ -202,7 +215,7 @@
         "{method} {path} HTTP/1.1\r\nHost: site.example\r\n\
          Lupinseam-Attempt-Id: {id}\r\n\
          Lupinseam-Deadline-Ms: {deadline_ms}\r\nApi-Key: {key}\r\n\
-         {more}\r\n"
+         {session}{more}\r\n"
     )
 }
 
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -1,8 +1,15 @@
 //! Whether what a soak has seen keeps every promise.
 
-use std::{collections::HashMap, fmt, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    time::Duration,
+};
 
-use super::evidence::{Change, Evidence, Kind, Run, Scope};
+use super::{
+    evidence::{Call, Change, Evidence, Kind, Order, Run, Scope},
+    upstreams::UNREADABLE,
+};
 
 /// Time within which a key that was taken away is refused everywhere.
 pub const REVOKE_TIME: Duration = Duration::from_secs(5);
@@ -16,6 +23,27 @@
 /// Time within which a version that was reverted gets nothing new.
 const REVERT_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the end of a call in which the next one belongs to its session.
+const SESSION_TIME: Duration = Duration::from_secs(5);
+
+/// Calls of a session that may go to another version than the one before.
+const SESSION_CHANGES: usize = 3;
+
+/// Share of a service's requests that a bad version may get, and requests
+/// besides.
+const BAD_SHARE: f64 = 0.15;
+const BAD_REQUESTS: f64 = 30.0;
+
+/// Attempts beyond the first, as a share of a service's requests within a
+/// window; the VMs' settings say the same.
+pub const RETRY_SHARE: f64 = 0.3;
+
+/// Attempts beyond the first besides.
+pub const RETRY_EXTRA: u32 = 20;
+
+/// The window over which both are counted, as in the VMs' settings.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
 /// Added to bounds in time: what a call takes within the soak itself.
 const SLACK: Duration = Duration::from_millis(300);
 
@@ -46,6 +74,15 @@
     LeftAlone,
     /// A version that was reverted gets nothing new.
     Withdrawn,
+    /// A session keeps its version in the first half of a roll-out, and the
+    /// new one if that is good.
+    SessionVersion,
+    /// A bad version gets a small share of the requests.
+    Exposure,
+    /// Attempts beyond the first stay within their budget.
+    RetryBudget,
+    /// An entry that cannot be read names no upstream.
+    Unreadable,
     /// A planned stop cuts no request.
     PlannedStop,
     /// When all troubles are over, requests are served.
@@ -80,6 +117,10 @@
         configuration_kept,
         left_alone,
         withdrawn,
+        session_versions,
+        exposure,
+        retry_budget,
+        unreadable,
         planned_stops,
         recovery,
     ];
@@ -243,6 +284,164 @@
     run_too_late(evidence, Promise::Withdrawn, REVERT_TIME, is_of)
 }
 
+fn orders(evidence: &Evidence) -> Vec<(Duration, &Order)> {
+    let ordered = evidence.changes.iter().filter_map(|(at, change)| {
+        let Change::Ordered(order) = change else { return None };
+        Some((*at, order))
+    });
+    ordered.collect()
+}
+
+fn session_versions(evidence: &Evidence) -> Vec<Violation> {
+    let runs = evidence.runs_by_id();
+    let mut sessions: HashMap<&str, Vec<(&Call, &Run)>> = HashMap::new();
+    for call in &evidence.calls {
+        let Some(session) = &call.session else { continue };
+        for run in runs.get(call.id.as_str()).into_iter().flatten() {
+            sessions.entry(session).or_default().push((call, run));
+        }
+    }
+    let orders = orders(evidence);
+    let mut changed = Vec::new();
+    for runs in sessions.values_mut() {
+        runs.sort_by_key(|(_, run)| run.at);
+        for pair in runs.windows(2) {
+            let ((before, old), (call, run)) = (pair[0], pair[1]);
+            let goes_on = call.sent_at < before.ended_at + SESSION_TIME;
+            let is_wrong = |(at, order): &(Duration, &Order)| {
+                is_early(*at, order, run)
+                    || is_back(evidence, *at, order, old, run)
+            };
+            if goes_on
+                && old.software != run.software
+                && orders.iter().any(is_wrong)
+                && evidence.is_in_touch(call.vm, before.sent_at, run.at)
+            {
+                changed.push(format!("{} after {}", call.id, before.id));
+            }
+        }
+    }
+    let is_broken = changed.len() > SESSION_CHANGES;
+    let what = format!("sessions that changed version: {changed:?}");
+    let found = violation(Promise::SessionVersion, what);
+    is_broken.then_some(found).into_iter().collect()
+}
+
+/// Whether a run is at a new version in the first half of its roll-out.
+fn is_early(ordered_at: Duration, order: &Order, run: &Run) -> bool {
+    let half = ordered_at + order.allowed / 2;
+    run.software == order.software && run.at < half
+}
+
+/// Whether a run is no longer at a new version that is good and stays.
+fn is_back(
+    evidence: &Evidence,
+    ordered_at: Duration,
+    order: &Order,
+    before: &Run,
+    run: &Run,
+) -> bool {
+    let reverted = Change::Reverted(order.software.clone());
+    let stays =
+        !evidence.changes.iter().any(|(_, change)| *change == reverted);
+    let is_meant = before.software == order.software && run.at > ordered_at;
+    let is_next = orders(evidence)
+        .iter()
+        .any(|(at, next)| *at > ordered_at && next.software == run.software);
+    is_meant && stays && !order.is_bad && !is_next
+}
+
+fn exposure(evidence: &Evidence) -> Vec<Violation> {
+    let calls = evidence.calls_by_id();
+    let is_in_touch = |run: &Run| {
+        let call = calls.get(run.id.as_str());
+        call.is_some_and(|c| evidence.is_in_touch(c.vm, c.sent_at, run.at))
+    };
+    let mut found = Vec::new();
+    for (at, order) in orders(evidence) {
+        let meanwhile = |run: &&Run| {
+            (at..at + order.allowed).contains(&run.at)
+                && calls
+                    .get(run.id.as_str())
+                    .is_some_and(|c| c.kind.is_stream())
+        };
+        let all = evidence.runs.iter().filter(meanwhile).count();
+        let new =
+            evidence.runs.iter().filter(meanwhile).filter(|run| {
+                run.software == order.software && is_in_touch(run)
+            });
+        let new = new.count();
+        let most = all as f64 * BAD_SHARE + BAD_REQUESTS;
+        if order.is_bad && new as f64 > most {
+            let what = format!("{} got {new} of {all}", order.software);
+            found.push(violation(Promise::Exposure, what));
+        }
+    }
+    found
+}
+
+fn retry_budget(evidence: &Evidence) -> Vec<Violation> {
+    let calls = evidence.calls_by_id();
+    let mut found = Vec::new();
+    for is_stream in [true, false] {
+        let is_of = |id: &str| {
+            calls.get(id).is_some_and(|c| c.kind.is_stream() == is_stream)
+        };
+        let mut arrivals: Vec<(Duration, &str)> = evidence
+            .runs
+            .iter()
+            .chain(&evidence.declined)
+            .filter(|run| is_of(&run.id))
+            .map(|run| (run.at, run.id.as_str()))
+            .collect();
+        arrivals.sort();
+        let mut seen = HashSet::new();
+        let again = arrivals.iter().filter(|(_, id)| !seen.insert(*id));
+        let again: Vec<Duration> = again.map(|(at, _)| *at).collect();
+        let mut asked: Vec<Duration> = evidence
+            .calls
+            .iter()
+            .filter(|call| call.kind.is_stream() == is_stream)
+            .map(|call| call.sent_at)
+            .collect();
+        asked.sort();
+        found.extend(again.iter().filter_map(|from| {
+            over_budget(*from, &again, &asked)
+                .map(|what| violation(Promise::RetryBudget, what))
+        }));
+        found.truncate(1);
+    }
+    found
+}
+
+/// What is over the budget of the window from `from`, if anything is.
+fn over_budget(
+    from: Duration,
+    again: &[Duration],
+    asked: &[Duration],
+) -> Option<String> {
+    let count = |times: &[Duration], from: Duration| {
+        let to = from + RETRY_WINDOW;
+        times.iter().filter(|at| (from..to).contains(*at)).count()
+    };
+    let extra = count(again, from);
+    let windows = [
+        from,
+        from.saturating_sub(RETRY_WINDOW / 2),
+        from.saturating_sub(RETRY_WINDOW),
+    ];
+    let requests = windows.map(|from| count(asked, from)).into_iter().max();
+    let requests = requests.unwrap_or(0);
+    let most = requests as f64 * RETRY_SHARE + f64::from(RETRY_EXTRA);
+    let what = format!("{extra} further attempts for {requests} requests");
+    (extra as f64 > most).then_some(what)
+}
+
+fn unreadable(evidence: &Evidence) -> Vec<Violation> {
+    let at = evidence.runs.iter().filter(|run| run.upstream == UNREADABLE);
+    at.map(|run| violation(Promise::Unreadable, format!("{run:?}"))).collect()
+}
+
 /// Runs that a change forbids, later than `allowed` after it, by VMs that have
 /// been in touch since.
 fn run_too_late(
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -25,6 +25,11 @@
 }
 
 impl Kind {
+    /// Whether it goes to a model.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Kind::Write | Kind::Tell)
+    }
+
     /// Whether it may run more than once.
     pub fn may_repeat(self) -> bool {
         matches!(self, Kind::Read | Kind::Write | Kind::Probe(_))
@@ -60,6 +65,8 @@
     pub life: u32,
     /// The key that it carried.
     pub key: String,
+    /// The session that it belongs to.
+    pub session: Option<String>,
     /// When it was sent.
     pub sent_at: Duration,
     /// When its answer ended.
@@ -100,6 +107,19 @@
     Leaving(String),
     /// A version was recorded as reverted.
     Reverted(String),
+    /// A version was ordered.
+    Ordered(Order),
+}
+
+/// An operator's order of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The version.
+    pub software: String,
+    /// The time allowed for it.
+    pub allowed: Duration,
+    /// Whether most of its answers are failures.
+    pub is_bad: bool,
 }
 
 /// What a trouble strikes.
@@ -135,6 +155,8 @@
     pub calls: Vec<Call>,
     /// Runs, as they began.
     pub runs: Vec<Run>,
+    /// Requests that upstreams declined.
+    pub declined: Vec<Run>,
     /// Changes, with when they were in the store.
     pub changes: Vec<(Duration, Change)>,
     /// Troubles.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -35,6 +35,10 @@
     Upstream(usize, Behaviour),
     /// An upstream leaves, and another comes.
     Leave(usize),
+    /// An upstream crashes, and starts again under its name.
+    StartAgain(usize),
+    /// Another writer leaves an entry that cannot be read.
+    Unreadable(u64),
     /// The operator adds a route.
     AddRoute,
     /// The operator takes a key away and gives out another.
@@ -95,6 +99,8 @@
             | Fault::StopVm(_)
             | Fault::ReloadVm(_)
             | Fault::Leave(_)
+            | Fault::StartAgain(_)
+            | Fault::Unreadable(_)
             | Fault::AddRoute
             | Fault::ReplaceKey => return None,
         })
@@ -109,7 +115,7 @@
         let vm = rng.random_range(0..vms);
         let upstream = rng.random_range(0..upstreams);
         let way = draw_way(rng);
-        let fault = match rng.random_range(0..32) {
+        let fault = match rng.random_range(0..36) {
             0..3 => Fault::PauseVm(vm),
             3..6 => Fault::KillVm(vm),
             6 => Fault::KillAll,
@@ -127,6 +133,8 @@
             26 => Fault::Leave(upstream),
             27..29 => Fault::AddRoute,
             29..31 => Fault::ReplaceKey,
+            31..33 => Fault::StartAgain(upstream),
+            33 => Fault::Unreadable(rng.random()),
             _ => Fault::RollOut { is_bad: rng.random() },
         };
         (fault, Duration::from_millis(rng.random_range(LASTS_MS)))
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use super::{
-    evidence::{Change, Scope, Trouble},
+    evidence::{Change, Order, Scope, Trouble},
     faults::{Fault, Target},
     upstreams::Behaviour,
     world::{Active, Later, World},
@@ -18,7 +18,7 @@
 };
 
 /// Time that a roll-out is allowed, in seconds.
-const ROLL_OUT_S: u64 = 6;
+const ROLL_OUT_S: u64 = 8;
 
 impl World {
     pub(super) fn inject(&mut self, now: Duration) {
@@ -64,7 +64,9 @@
             | Fault::StoreRefuses(vm) => Scope::Vm(vm),
             Fault::StopVm(vm) => Scope::PlannedStop(vm),
             Fault::KillAll | Fault::Store(_) => Scope::Everyone,
-            Fault::UpstreamWay(..) | Fault::Upstream(..) => Scope::Upstreams,
+            Fault::UpstreamWay(..)
+            | Fault::Upstream(..)
+            | Fault::StartAgain(_) => Scope::Upstreams,
             _ => {
                 self.change(fault, now);
                 return None;
@@ -87,6 +89,7 @@
             Fault::Store(mood) => self.site.store.set_mood(mood),
             Fault::UpstreamWay(at, mode) => self.workers[at].set_way(mode),
             Fault::Upstream(at, how) => self.workers[at].behave(how),
+            Fault::StartAgain(at) => self.restart_upstream(at, now + lasts),
             _ => {}
         }
         Some(trouble)
@@ -103,6 +106,13 @@
         self.later.push((restart_at, Later::StartVm(vm)));
     }
 
+    fn restart_upstream(&mut self, at: usize, back_at: Duration) {
+        let worker = &self.workers[at];
+        worker.crash();
+        let id = worker.upstream.id.clone();
+        self.later.push((back_at, Later::StartUpstream(id)));
+    }
+
     fn stop(&mut self, vm: usize, trouble: usize) {
         let is_running = self.site.vms[vm].is_started();
         if is_running && !self.stopping.contains_key(&vm) {
@@ -132,6 +142,10 @@
                 self.add_worker(service, &software);
             }
             Fault::RollOut { is_bad } => self.roll_out(is_bad),
+            Fault::Unreadable(kind) => {
+                let store = &self.site.store;
+                self.unreadable.record_unreadable(store, kind);
+            }
             _ => {}
         }
     }
@@ -183,6 +197,9 @@
             "duration_s": ROLL_OUT_S,
         });
         self.site.store.put(&format!("op/rollout/{MODELS}"), &order);
+        let allowed = Duration::from_secs(ROLL_OUT_S);
+        let order = Order { software: software.clone(), allowed, is_bad };
+        self.evidence.changes.push((self.now(), Change::Ordered(order)));
         self.rolling_out = Some(software);
     }
 
--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -9,6 +9,7 @@
 };
 
 use rand::Rng;
+use serde_json::json;
 
 use super::evidence::Run;
 use crate::{
@@ -78,10 +79,24 @@
     pub software: String,
     behaviour: Arc<AtomicU8>,
     way: Proxy,
+    /// When its present life began, in milliseconds; rises with each.
+    born: u64,
 }
 
-/// The runs of all upstreams, as they began.
-pub type Runs = Arc<Mutex<Vec<Run>>>;
+/// The upstream whose entries cannot be read.
+pub const UNREADABLE: &str = "i-unreadable";
+
+/// What all upstreams have received.
+#[derive(Default)]
+pub struct Received {
+    /// Runs, as they began.
+    pub runs: Vec<Run>,
+    /// Requests that were declined.
+    pub declined: Vec<Run>,
+}
+
+/// Shared by all upstreams.
+pub type Runs = Arc<Mutex<Received>>;
 
 impl Worker {
     /// Starts an upstream and records it in the store.
@@ -96,6 +111,24 @@
         started_at: Instant,
         runs: &Runs,
         store: &PlatformStore,
+    ) -> Worker {
+        let worker =
+            Worker::unrecorded(id, service, software, started_at, runs);
+        worker.record(store, "ready");
+        worker
+    }
+
+    /// Starts an upstream that the store knows nothing of.
+    ///
+    /// # Panics
+    ///
+    /// When no port can be bound.
+    pub fn unrecorded(
+        id: &str,
+        service: &'static str,
+        software: &str,
+        started_at: Instant,
+        runs: &Runs,
     ) -> Worker {
         let behaviour = Arc::new(AtomicU8::new(Behaviour::Well as u8));
         let script = Serving {
@@ -108,16 +141,42 @@
         let upstream = Upstream::start(id, script.into_script());
         let way = Proxy::tcp(upstream.address).expect("a port");
         let software = software.to_owned();
-        let worker = Worker { upstream, service, software, behaviour, way };
-        worker.record(store, "ready");
-        worker
+        Worker { upstream, service, software, behaviour, way, born: 1 }
+    }
+
+    /// Crashes: its connections break, and it is gone until it starts again.
+    pub fn crash(&self) {
+        self.way.set(Mode::Cut);
+    }
+
+    /// Starts again under its name, at its address.
+    pub fn start_again(&mut self, store: &PlatformStore) {
+        self.born += 1;
+        self.way.set(Mode::Pass);
+        self.record(store, "ready");
+    }
+
+    /// Writes an entry for it that cannot be read, with another name: a field
+    /// is missing, or of another type, or nothing of it can be read.
+    pub fn record_unreadable(&self, store: &PlatformStore, kind: u64) {
+        let address = self.way.address;
+        let mut record =
+            upstream_record(address, self.service, &self.software, "ready");
+        let key = format!("servers/{UNREADABLE}");
+        match kind % 3 {
+            0 => record["capacity"] = json!("many"),
+            1 => record["state"] = json!("resting"),
+            _ => record = json!([address.to_string()]),
+        }
+        store.put(&key, &record);
     }
 
     /// Writes its record.
     pub fn record(&self, store: &PlatformStore, state: &str) {
         let address = self.way.address;
-        let record =
+        let mut record =
             upstream_record(address, self.service, &self.software, state);
+        record["born"] = json!(self.born);
         store.put(&self.key(), &record);
     }
 
@@ -160,14 +219,16 @@
         let expected = request.header("lupinseam-expected-instance");
         let declined = [("Lupinseam-Not-Executed", "1")];
         if !expected.is_empty() && expected != self.id {
+            self.note(request, |received| &mut received.declined);
             let head = stamped(request, &declined);
             return vec![Act::Send(answer(421, &head, ""))];
         }
         if behaviour == Behaviour::Declining {
+            self.note(request, |received| &mut received.declined);
             let head = stamped(request, &declined);
             return vec![Act::Send(answer(503, &head, ""))];
         }
-        self.note_run(request);
+        self.note(request, |received| &mut received.runs);
         let is_stream = self.serves_streams(request);
         match behaviour {
             Behaviour::LosingAnswers => {
@@ -186,7 +247,11 @@
         ["/write/", "/tell/"].iter().any(|p| request.path.starts_with(p))
     }
 
-    fn note_run(&self, request: &RawRequest) {
+    fn note(
+        &self,
+        request: &RawRequest,
+        list: impl FnOnce(&mut Received) -> &mut Vec<Run>,
+    ) {
         let run = Run {
             id: request.header("lupinseam-attempt-id").to_owned(),
             upstream: self.id.clone(),
@@ -195,7 +260,7 @@
             path: request.path.clone(),
             organisation: request.header("lupinseam-tenant").to_owned(),
         };
-        self.runs.lock().unwrap().push(run);
+        list(&mut self.runs.lock().unwrap()).push(run);
     }
 }
 
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -14,13 +14,13 @@
 use super::{
     Outcome, Soak,
     callers::{Callers, Door},
-    check::{REVOKE_TIME, check},
+    check::{RETRY_EXTRA, RETRY_SHARE, REVOKE_TIME, check},
     evidence::{Change, Evidence, Kind, Scope},
     faults::{Fault, Target},
-    upstreams::{Runs, SERVICES, Worker},
+    upstreams::{Runs, SERVICES, UNREADABLE, Worker},
 };
 use crate::{
-    gateway_site::{KEY, MODELS, Site, wait_until},
+    gateway_site::{KEY, MODELS, PLAIN, Site, wait_until},
     proxy::{Mode, Proxy},
 };
 
@@ -61,6 +61,7 @@
 pub(super) enum Later {
     StartVm(usize),
     RemoveRecord(String),
+    StartUpstream(String),
     EndRollOut(String),
 }
 
@@ -74,6 +75,8 @@
     pub(super) workers: Vec<Worker>,
     /// Upstreams that have left, which go on for a while.
     pub(super) left: Vec<Worker>,
+    /// An upstream of which only entries that cannot be read are written.
+    pub(super) unreadable: Worker,
     pub(super) runs: Runs,
     pub(super) callers: Arc<Callers>,
     pub(super) threads: Vec<thread::JoinHandle<()>>,
@@ -99,6 +102,8 @@
         let started_at = Instant::now();
         let revoke_ms = REVOKE_TIME.as_millis() as u64;
         let mut site = Site::new(program, &["vm"], revoke_ms);
+        site.retry_share = RETRY_SHARE;
+        site.retry_extra = RETRY_EXTRA;
         let mut store_ways = Vec::new();
         let mut callers_ways = Vec::new();
         let mut doors = Vec::new();
@@ -117,6 +122,9 @@
             callers_ways.push(way);
         }
         let callers = Callers::new(doors, started_at);
+        let runs = Runs::default();
+        let unreadable =
+            Worker::unrecorded(UNREADABLE, PLAIN, "v1", started_at, &runs);
         let mut world = World {
             rng: ChaCha8Rng::seed_from_u64(seed),
             started_at,
@@ -125,7 +133,8 @@
             callers_ways,
             workers: Vec::new(),
             left: Vec::new(),
-            runs: Runs::default(),
+            unreadable,
+            runs,
             callers,
             threads: Vec::new(),
             active: Vec::new(),
@@ -240,6 +249,13 @@
             Later::StartVm(_) => {}
             Later::RemoveRecord(key) => self.site.store.remove(&key),
             Later::EndRollOut(key) => self.site.store.remove(&key),
+            Later::StartUpstream(id) => {
+                let found =
+                    self.workers.iter_mut().find(|w| w.upstream.id == id);
+                if let Some(worker) = found {
+                    worker.start_again(&self.site.store);
+                }
+            }
         }
     }
 
@@ -334,7 +350,7 @@
                 let kinds = [Kind::Read, Kind::Once, Kind::Write];
                 let kind = kinds[call % kinds.len()];
                 let kept = &mut HashMap::new();
-                let status = self.callers.call(vm, kind, KEY, kept);
+                let status = self.callers.call(vm, kind, KEY, None, kept);
                 self.evidence.recovery.0 += 1;
                 self.evidence.recovery.1 += usize::from(status == 200);
             }
@@ -345,7 +361,9 @@
             let _ = thread.join();
         }
         self.evidence.calls = self.callers.calls.lock().unwrap().clone();
-        self.evidence.runs = self.runs.lock().unwrap().clone();
+        let received = std::mem::take(&mut *self.runs.lock().unwrap());
+        self.evidence.runs = received.runs;
+        self.evidence.declined = received.declined;
         let calls = &self.evidence.calls;
         let served = calls.iter().filter(|c| c.status == 200 && c.is_whole);
         Outcome {
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -8,7 +8,8 @@
     soak::{
         Soak,
         check::{Promise, check},
-        evidence::{Call, Change, Evidence, Kind, Run, Scope, Trouble},
+        evidence::{Call, Change, Evidence, Kind, Order, Run, Scope, Trouble},
+        upstreams::UNREADABLE,
     },
 };
 
@@ -30,6 +31,7 @@
         vm: 0,
         life: 1,
         key: KEY.to_owned(),
+        session: None,
         sent_at: seconds(sent_s),
         ended_at: seconds(sent_s + 0.1),
         status: 200,
@@ -212,6 +214,112 @@
     assert_eq!(with_another_fault, []);
 }
 
+fn ordered(at_s: f64, is_bad: bool) -> (Duration, Change) {
+    let software = "v2".to_owned();
+    let allowed = seconds(10.0);
+    (seconds(at_s), Change::Ordered(Order { software, allowed, is_bad }))
+}
+
+/// Calls of four sessions, twice each, whose second runs are at `software`.
+fn sessions(e: &mut Evidence, software: &str, again_s: f64) {
+    for number in 0..4 {
+        for (turn, sent_s) in [(0, 10.0), (1, again_s)] {
+            let id = format!("s-{number}-{turn}");
+            let mut call = call(&id, Kind::Write, sent_s);
+            call.session = Some(format!("session-{number}"));
+            let mut run = run_of(&call);
+            if turn == 1 {
+                software.clone_into(&mut run.software);
+            }
+            e.calls.push(call);
+            e.runs.push(run);
+        }
+    }
+}
+
+#[test]
+fn sessions_that_change_their_version_are_found() {
+    let moved = |ordered_s: f64, again_s: f64| {
+        broken_by(|e| {
+            e.changes.push(ordered(ordered_s, false));
+            sessions(e, "v2", again_s);
+        })
+    };
+    assert_eq!(moved(9.0, 12.0), [Promise::SessionVersion]);
+    assert_eq!(moved(6.5, 12.0), [], "in the second half");
+    assert_eq!(moved(9.0, 15.5), [], "another session by then");
+    let three = broken_by(|e| {
+        e.changes.push(ordered(9.0, false));
+        sessions(e, "v2", 12.0);
+        e.runs.pop();
+    });
+    assert_eq!(three, [], "so many are allowed");
+    let in_trouble = broken_by(|e| {
+        e.changes.push(ordered(9.0, false));
+        sessions(e, "v2", 12.0);
+        e.troubles.push(trouble(Scope::Vm(0), 10.5, 11.0));
+    });
+    assert_eq!(in_trouble, []);
+}
+
+#[test]
+fn sessions_that_are_taken_back_from_a_good_version_are_found() {
+    let back = |is_bad: bool| {
+        broken_by(|e| {
+            e.changes.push(ordered(2.0, is_bad));
+            sessions(e, "v1", 12.0);
+            let first = e.runs.iter_mut().filter(|run| run.id.ends_with("-0"));
+            first.for_each(|run| run.software = "v2".to_owned());
+        })
+    };
+    assert_eq!(back(false), [Promise::SessionVersion]);
+    assert_eq!(back(true), []);
+}
+
+#[test]
+fn a_bad_version_with_more_than_its_share_is_found() {
+    let with = |new: usize| {
+        broken_by(|e| {
+            e.changes.push(ordered(9.0, true));
+            for number in 0..100 {
+                let call = call(&format!("t-{number}"), Kind::Tell, 10.0);
+                let mut run = run_of(&call);
+                run.organisation.clear();
+                if number < new {
+                    run.software = "v2".to_owned();
+                }
+                e.calls.push(call);
+                e.runs.push(run);
+            }
+        })
+    };
+    assert_eq!(with(45), []);
+    assert_eq!(with(46), [Promise::Exposure]);
+}
+
+#[test]
+fn attempts_beyond_their_budget_are_found() {
+    let with = |again: usize| {
+        broken_by(|e| {
+            let call = call("r-1", Kind::Read, 10.0);
+            let run = run_of(&call);
+            e.runs.push(run.clone());
+            e.calls.push(call);
+            // Those that were declined count as well.
+            e.declined.extend(vec![run; again]);
+        })
+    };
+    // Of four requests, 0.3, and 20 besides.
+    assert_eq!(with(21), []);
+    assert_eq!(with(22), [Promise::RetryBudget]);
+}
+
+#[test]
+fn work_for_an_entry_that_cannot_be_read_is_found() {
+    let found = broken_by(|e| e.runs[0].upstream = UNREADABLE.to_owned());
+    assert_eq!(found, [Promise::Unreadable]);
+}
+
 #[test]
 fn a_site_that_does_not_recover_is_found() {
     assert_eq!(broken_by(|e| e.recovery = (10, 8)), [Promise::Recovery]);
