Test that fails: a site that starts for the first time follows nobody's store for up to four seconds

Traced: nobody is recorded yet, so each VM takes the others to watch the store, and their agreement, by a digest that nobody renews, for the word of a watcher.

--- a/src/facts/peers.rs
+++ b/src/facts/peers.rs
@@ -79,6 +79,10 @@
 /// VMs of a data hall that ask a store that does not answer more often.
 const FORWARD: usize = 2;
 
+/// Time after its start by which a VM has heard the others of its data hall
+/// that start with it: two beats of each.
+const HEAR_TIME: Duration = Duration::from_millis(1200);
+
 /// Time after its start for which a VM takes those that it knows of for alive
 /// although their beats are still to come.
 const START_TIME: Duration = Duration::from_secs(4);
--- a/src/facts/peers/tests.rs
+++ b/src/facts/peers/tests.rs
@@ -284,6 +284,29 @@
     assert!(peers.is_first_of_hall(gateway.clock.now() + START_TIME));
 }
 
+/// All VMs of a site start for the first time, none is recorded, and each took
+/// the others to follow the store for four seconds. An upstream that left in
+/// the first second was used for 3.1 s by VMs that had not heard of it:
+///
+/// ```text
+/// vm-0 E001 at …598012, E043 "leaving":true at …600258
+/// vm-1 E001 at …598010, E043 "leaving":true at …600787
+/// ```
+#[test]
+fn a_site_that_starts_follows_the_store_once_its_vms_hear_each_other() {
+    let text =
+        SETTINGS.replace("[keys]", "[peers]\nseeds = 127.0.0.9:1\n[keys]");
+    let settings = GatewaySettings::from_ini(&text).expect("settings");
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    gateway.peers.note_looked(gateway.clock.now());
+    for vm in 1..=2 {
+        hear(&gateway, &beat(vm, "hall-a", 1, 1));
+    }
+    let soon = Duration::from_millis(100);
+    assert_eq!(role(&gateway, 0, soon), WatchRole::Rest, "more may come");
+    assert_eq!(role(&gateway, 0, HEAR_TIME), WatchRole::Watch);
+}
+
 #[test]
 fn a_vm_that_knows_only_seeds_waits_for_them() {
     let text =
