Sight: a failed request's line names the digest of what it holds; a lost attempt is followed by a look whether its upstream has ended

The lines could not tell a request that comes again (its id is new each time) from others of its route, nor an upstream that ended from a connection that was cut. Decides nothing. One connection is opened for each lost attempt.

--- a/src/event.rs
+++ b/src/event.rs
@@ -167,6 +167,8 @@
     AnswerBroken = 90, Warn, "An answer broke off and could not be resumed; its caller sees a broken connection or an error event.";
     /// A stream was resumed.
     StreamResumed = 91, Info, "A stream was resumed at another upstream on the same version.";
+    /// An upstream has ended under requests.
+    UpstreamEnded = 92, Warn, "An upstream takes no connections right after an attempt there broke off: it has ended. Names the digest of the request whose attempt broke first at this VM.";
     /// A request has ended well.
     RequestEnded = 100, Info, "A request has ended with an upstream's answer; one line with all its attempts.";
     /// A request was refused or has failed.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 //! the retry budget.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -15,6 +15,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use crate::{
+    crashes::{digest::RequestDigest, end_check},
     error::{Error, ErrorKind},
     facts::route::{Organisation, Repeat, Route},
     gateway::{
@@ -105,6 +106,8 @@
     pub(crate) sent: u32,
     /// Whether it may have run anywhere.
     pub(crate) may_have_run: bool,
+    /// What it is known again by, once that was asked.
+    pub(crate) digest: OnceLock<RequestDigest>,
 }
 
 /// An answer to a caller.
@@ -218,6 +221,20 @@
         }
     }
 
+    /// What the request is known again by.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let inbound = &self.inbound;
+            let organisation = self.organisation.as_ref();
+            RequestDigest::of(
+                inbound.method.as_str(),
+                &inbound.path,
+                organisation.map(|o| &o.id),
+                &self.body,
+            )
+        })
+    }
+
     /// The time left at `now`.
     pub(crate) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -549,6 +566,9 @@
     ) {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
+        if verdict == Verdict::Lost {
+            end_check::begin(gateway, &attempt.member, self.digest());
+        }
         let says_nothing_of_version = verdict == Verdict::Failed
             && gateway.pool.is_alone_suspect(&attempt.member, now);
         gateway.judge_upstream(&attempt.member, verdict);
@@ -578,6 +598,7 @@
                 (true, Outcome::NotRun(reason))
             }
             Fault::Unknown(label, reason) => {
+                trace.note_digest(self.digest());
                 trace.end_attempt(label, &reason);
                 (self.route.repeat == Repeat::Any, Outcome::Unknown(reason))
             }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -4,7 +4,11 @@
 //! is visibly broken, nor bound heads and rests by settings that change, so
 //! this listener is built on `hyper`.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
@@ -223,6 +227,7 @@
         tried: Vec::new(),
         sent: 0,
         may_have_run: false,
+        digest: OnceLock::new(),
     };
     Ok((job, trace))
 }
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -440,6 +440,7 @@
 
     fn note_end(&mut self, label: &str, reason: &str) {
         if let Some(trace) = &mut self.trace {
+            trace.note_digest(self.job.digest());
             trace.end_attempt(label, reason);
         }
     }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     clock::SharedClock,
+    crashes::digest::RequestDigest,
     event::Event,
     facts::route::{Route, TableVersion},
     gateway::inbound::Inbound,
@@ -64,6 +65,7 @@
     proof_age: Option<Duration>,
     prompt_tokens: Option<u64>,
     session: Option<String>,
+    digest: Option<RequestDigest>,
     first_part_ms: Option<u64>,
     last_part_ms: Option<u64>,
     longest_pause_ms: u64,
@@ -89,6 +91,7 @@
             proof_age: None,
             prompt_tokens: None,
             session: None,
+            digest: None,
             first_part_ms: None,
             last_part_ms: None,
             longest_pause_ms: 0,
@@ -118,6 +121,11 @@
         self.session.clone_from(&inbound.session);
     }
 
+    /// Notes what the request is known again by.
+    pub(crate) fn note_digest(&mut self, digest: RequestDigest) {
+        self.digest = Some(digest);
+    }
+
     /// Notes who is asking.
     pub(crate) fn asked_by(&mut self, organisation: OrganisationId) {
         self.organisation = Some(organisation);
@@ -222,6 +230,8 @@
         put("proof_age_ms", json!(proof_age));
         put("prompt_tokens", json!(self.prompt_tokens));
         put("session", json!(self.session));
+        let digest = self.digest.map(|digest| digest.to_string());
+        put("request_digest", json!(digest));
         put("passed_ms", json!(self.passed_ms()));
         put("first_part_ms", json!(self.first_part_ms));
         let pause_ms = Some(self.longest_pause_ms).filter(|ms| *ms > 0);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::HashMap,
-    fmt,
+    fmt, io,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -76,6 +76,17 @@
     Fresh,
 }
 
+/// Whether anything takes connections at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listening {
+    /// A connection was taken.
+    Yes,
+    /// The machine is there and refuses connections.
+    No,
+    /// Nothing came back in time.
+    Unknown,
+}
+
 /// One request to be sent.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -294,6 +305,17 @@
         within(limit, work).await.unwrap_or_else(timed_out)
     }
 
+    /// Whether anything takes connections at an address.
+    pub async fn probe(&self, address: SocketAddr) -> Listening {
+        let connecting =
+            within(self.connect_timeout, TcpStream::connect(address));
+        match connecting.await {
+            Some(Ok(_)) => Listening::Yes,
+            Some(Err(error)) if is_refusal(&error) => Listening::No,
+            Some(Err(_)) | None => Listening::Unknown,
+        }
+    }
+
     fn exchange(
         &self,
         call: &Call,
@@ -345,6 +367,10 @@
     }
 }
 
+fn is_refusal(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 enum TryError {
     Unsent(Box<Request<Full<Bytes>>>),
     Sent(SendError),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,8 @@
 //!   (`relay_events`) and writes the one line that explains it (`trace`).
 //!   Where it goes, how it waits and when it is turned away is decided in
 //!   [`placing`], without input or output.
+//!   What one request may do to the fleet, by crashing the upstreams that run
+//!   it, is looked after in [`crashes`].
 //! * The way of a **fact**: [`facts`] follows the platform's store and tells
 //!   the other VMs what it says, with a proof of how fresh that is.
 //! * The way of an **agreement**: what must be agreed or kept goes through
@@ -48,6 +50,7 @@
 pub mod chat_face;
 pub mod cli;
 pub mod clock;
+pub mod crashes;
 pub mod error;
 pub mod event;
 pub mod facts;
