--- a/standins/src/scripted.rs
+++ b/standins/src/scripted.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -19,6 +22,9 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Ends the whole upstream: it listens no more, and all connections are
+    /// closed.
+    Crash,
 }
 
 /// What the upstream does with a request.
@@ -28,6 +34,8 @@
     script: Mutex<Script>,
     received: Mutex<Vec<RawRequest>>,
     gone: Mutex<Vec<String>>,
+    open: Mutex<Vec<TcpStream>>,
+    has_crashed: AtomicBool,
 }
 
 /// A running upstream.
@@ -53,12 +61,21 @@
             script: Mutex::new(script),
             received: Mutex::default(),
             gone: Mutex::default(),
+            open: Mutex::default(),
+            has_crashed: AtomicBool::new(false),
         });
         let served = shared.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.has_crashed.load(Ordering::SeqCst) {
+                    // Dropping the listener refuses whoever comes next.
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    served.open.lock().unwrap().push(copy);
+                }
                 let served = served.clone();
-                thread::spawn(move || serve(&served, &stream));
+                thread::spawn(move || serve(&served, &stream, address));
             }
         });
         Upstream { id: id.to_owned(), address, shared }
@@ -74,13 +91,35 @@
         self.shared.received.lock().unwrap().clone()
     }
 
+    /// Whether a request has ended it.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.has_crashed.load(Ordering::SeqCst)
+    }
+
+    /// Ends it, as a crash does.
+    pub fn crash(&self) {
+        self.shared.crash(self.address);
+    }
+
     /// Ids of requests whose connection was closed while it worked on them.
     pub fn abandoned(&self) -> Vec<String> {
         self.shared.gone.lock().unwrap().clone()
     }
 }
 
-fn serve(shared: &Shared, stream: &TcpStream) {
+impl Shared {
+    fn crash(&self, address: SocketAddr) {
+        self.has_crashed.store(true, Ordering::SeqCst);
+        // Wakes the thread that listens, so that it ends.
+        drop(TcpStream::connect(address));
+        for stream in self.open.lock().unwrap().drain(..) {
+            // A peer that is gone already needs no farewell.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+fn serve(shared: &Shared, stream: &TcpStream, address: SocketAddr) {
     let Ok(reading) = stream.try_clone() else { return };
     let mut reader = BufReader::new(reading);
     let mut writer = stream;
@@ -102,6 +141,10 @@
                     let _ = stream.shutdown(Shutdown::Both);
                     return;
                 }
+                Act::Crash => {
+                    shared.crash(address);
+                    return;
+                }
             }
         }
     }
