Hold a request back everywhere once three upstreams have ended under it

Cause: the blame for a lost attempt went to its upstream alone. Nothing knew a request again by what it holds, so each VM and each new try began at zero. Class: a cause that travels with the request, where only places have a record. Ruled out: the retry budget (it counts all requests together, and one that comes again is a new one to it); ends of upstreams by themselves (44 of 71 had one of two requests, none ended in the quiet between them).

A request is known by a digest of method, path, caller and body. A lost attempt is followed by a connection: one that is refused shows that the upstream has ended. Ends are counted by life of an upstream, told in beats, and what explains three of them is refused at once; others that were there are not. What ran whole is none. The steward writes what is held back to the store.

--- a/src/crashes/end_check.rs
+++ b/src/crashes/end_check.rs
@@ -1,14 +1,15 @@
 //! Finding out whether an upstream has ended under a request.
 //!
 //! A connection that breaks says little: it may have been reset while the
-//! upstream is well. One that has ended refuses the next connection.
+//! upstream is well, and one that leaves closes what is left at its end. One
+//! that has crashed refuses the next connection, or has started anew.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde_json::json;
 
 use crate::{
-    crashes::digest::RequestDigest,
+    crashes::{digest::RequestDigest, record::NextStep},
     event::Event,
     gateway::{Gateway, fields},
     http_client::Listening,
@@ -16,21 +17,67 @@
     task,
 };
 
-/// Looks whether an upstream at which an attempt was lost takes connections.
-pub(crate) fn begin(
+/// Time until an upstream that still takes connections is asked once more: a
+/// process that ends closes its sockets one after the other.
+const SECOND_LOOK: Duration = Duration::from_millis(150);
+
+/// Takes in that an attempt was lost at an upstream that had it for `had`.
+pub(crate) fn note_lost(
     gateway: &Arc<Gateway>,
     member: &Arc<Member>,
     request: RequestDigest,
+    had: Duration,
 ) {
-    let (gateway, member) = (gateway.clone(), member.clone());
-    let work = async move {
-        let listening = gateway.http.probe(member.entry.address).await;
-        if listening == Listening::No {
-            Event::UpstreamEnded.record(fields(json!({
-                "upstream": member.entry.life().to_string(),
-                "request": request.to_string(),
-            })));
+    let now = gateway.clock.now();
+    let life = member.upstream.short;
+    let has_crashed = member.has_crashed();
+    if !has_crashed && !member.takes_requests(now) {
+        // It was leaving: its end was planned.
+        return;
+    }
+    let (next, changes) = gateway.crashes.note_lost(request, life, had, now);
+    gateway.note_crash_changes(&changes);
+    match next {
+        NextStep::Nothing => gateway.early_beat.wake(),
+        NextStep::Check if has_crashed => settle(gateway, member, request),
+        NextStep::Check => {
+            let (gateway, member) = (gateway.clone(), member.clone());
+            task::spawn(check(gateway, member, request)).detach();
         }
-    };
-    task::spawn(work).detach();
+    }
+}
+
+async fn check(
+    gateway: Arc<Gateway>,
+    member: Arc<Member>,
+    request: RequestDigest,
+) {
+    let address = member.entry.address;
+    let mut listening = gateway.http.probe(address).await;
+    if listening == Listening::Yes {
+        task::sleep(SECOND_LOOK).await;
+        listening = gateway.http.probe(address).await;
+    }
+    if listening == Listening::No || member.has_crashed() {
+        settle(&gateway, &member, request);
+        return;
+    }
+    let now = gateway.clock.now();
+    let life = member.upstream.short;
+    let changes = gateway.crashes.settle(life, listening, now);
+    gateway.note_crash_changes(&changes);
+}
+
+/// Takes in that an upstream has ended.
+fn settle(gateway: &Gateway, member: &Member, request: RequestDigest) {
+    Event::UpstreamEnded.record(fields(json!({
+        "upstream": member.entry.life().to_string(),
+        "request": request.to_string(),
+    })));
+    gateway.metrics.upstreams_ended.inc();
+    let now = gateway.clock.now();
+    let life = member.upstream.short;
+    let changes = gateway.crashes.settle(life, Listening::No, now);
+    gateway.note_crash_changes(&changes);
+    gateway.early_beat.wake();
 }
--- /dev/null
+++ b/src/crashes/keeping.rs
@@ -0,0 +1,94 @@
+//! Keeping in the platform's store what is held back.
+//!
+//! Beats tell it to the VMs that are there. One that starts later, if need be
+//! after all of them have gone, reads it with everything else. Any VM can
+//! write it, and the steward does, under a lease that is not renewed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use crate::{
+    chains::store::{Backoff, StoreError},
+    crashes::record::REMEMBERED,
+    event::Event,
+    gateway::{Gateway, fields},
+    platform::{
+        document,
+        store::{Committed, NewValue, WRITES_MOST},
+    },
+    task,
+};
+
+/// Time between two looks at what is held back.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest wait after it could not be written.
+const RETRY_MOST: Duration = Duration::from_secs(5);
+
+/// Writes what is held back for as long as it is polled.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut backoff = Backoff::new(LOOK_PERIOD, RETRY_MOST);
+    loop {
+        task::sleep(LOOK_PERIOD).await;
+        let now = gateway.clock.now();
+        let changes = gateway.crashes.sweep(now);
+        gateway.note_crash_changes(&changes);
+        let due = due(&gateway, now);
+        if due.is_empty() {
+            continue;
+        }
+        match write(&gateway, &due).await {
+            Ok(()) => backoff.reset(),
+            Err(error) => {
+                Event::HeldNotKept.record(fields(json!({
+                    "requests": due.len(),
+                    "reason": error.to_string(),
+                })));
+                task::sleep(backoff.wait()).await;
+            }
+        }
+    }
+}
+
+/// What this VM is to write: nothing, unless it is the steward.
+fn due(gateway: &Gateway, now: Instant) -> Vec<NewValue> {
+    if !gateway.crashes.holds_any() {
+        return Vec::new();
+    }
+    let own_proof = gateway.knowledge.proof_age(now);
+    if !gateway.peers.is_steward(own_proof, now) {
+        return Vec::new();
+    }
+    let held = gateway.crashes.held().into_iter();
+    let missing = held.filter_map(|(request, crashes)| {
+        let key = document::crashing_key(request);
+        let is_there = gateway.knowledge.version_of(&key).is_some();
+        let value = document::write_crashes(&crashes);
+        (!is_there).then_some(NewValue { key, value, expected: None })
+    });
+    missing.take(WRITES_MOST).collect()
+}
+
+async fn write(
+    gateway: &Gateway,
+    values: &[NewValue],
+) -> Result<(), StoreError> {
+    let store = &gateway.store;
+    let lease = store.take_lease(REMEMBERED).await?;
+    let written = store.write_all(values, Some(lease)).await?;
+    // Whatever stands there now, this VM is to know it.
+    gateway.peers.look();
+    match written {
+        Committed::Done(_) => Ok(()),
+        Committed::Refused => {
+            Err(StoreError::NotDone("a record is there already".to_owned()))
+        }
+        Committed::LeaseOver => {
+            Err(StoreError::NotDone("the lease is over".to_owned()))
+        }
+    }
+}
--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -1,8 +1,24 @@
 //! What one request may do to the fleet: requests that crash the upstreams
 //! that run them, known elsewhere as queries of death.
 //!
-//! * [`digest`]: knowing a request again by what it holds.
-//! * [`end_check`]: finding out whether an upstream has ended.
+//! Such a request comes again, at any VM and under another id, and each time
+//! the blame went to the upstream alone. Here it is known again, and held back
+//! everywhere once three upstreams have ended under it.
+//!
+//! # The way of a crash
+//!
+//! * [`digest`]: a request is known again by what it holds.
+//! * [`end_check`]: an attempt is lost; has its upstream ended?
+//! * [`record`]: what this VM knows of requests and of upstreams that ended,
+//!   and which requests it holds back.
+//! * [`verdict`]: the culprit is told from those that were there by chance.
+//! * [`sighting`]: what VMs tell each other of it, in their beats.
+//! * [`keeping`]: what is held back lies in the platform's store as well, for
+//!   VMs that start later, if need be all of them.
 
 pub mod digest;
 pub(crate) mod end_check;
+pub(crate) mod keeping;
+pub(crate) mod record;
+pub mod sighting;
+pub(crate) mod verdict;
--- /dev/null
+++ b/src/crashes/record/tests.rs
@@ -0,0 +1,182 @@
+use super::*;
+
+const DEADLY: RequestDigest = RequestDigest(1);
+const OTHER: RequestDigest = RequestDigest(2);
+const HAD: Duration = Duration::from_millis(50);
+
+fn life(number: u32) -> ShortHash {
+    ShortHash(number)
+}
+
+fn crash(request: RequestDigest, upstream: u32) -> Sighting {
+    let crash = Crash { upstream: life(upstream), had_ms: 50 };
+    Sighting { request, seen: Seen::Crashed(crash) }
+}
+
+/// Has upstreams end under a request.
+fn end_under(
+    record: &CrashRecord,
+    request: RequestDigest,
+    upstreams: std::ops::RangeInclusive<u32>,
+    now: Instant,
+) {
+    for number in upstreams {
+        record.note_lost(request, life(number), HAD, now);
+        record.settle(life(number), Listening::No, now);
+    }
+}
+
+#[test]
+fn three_ends_are_enough_and_are_told_as_one_change() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, DEADLY, 1..=2, now);
+    assert!(!record.is_held(DEADLY));
+    record.note_lost(DEADLY, life(3), HAD, now);
+    let changes = record.settle(life(3), Listening::No, now);
+    assert_eq!(changes, [Change::Held { request: DEADLY, ends: 3 }]);
+    assert!(record.is_held(DEADLY));
+}
+
+/// A reset says nothing, and nor does silence.
+#[test]
+fn a_lost_attempt_counts_only_where_its_upstream_has_ended() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    for number in 1..=5 {
+        let first = record.note_lost(DEADLY, life(number), HAD, now);
+        assert_eq!(first, (NextStep::Check, Vec::new()));
+        let second = record.note_lost(DEADLY, life(number), HAD, now);
+        assert_eq!(second, (NextStep::Nothing, Vec::new()), "one asks");
+        let listening = match number % 2 {
+            0 => Listening::Yes,
+            _ => Listening::Unknown,
+        };
+        record.settle(life(number), listening, now);
+    }
+    assert!(!record.is_held(DEADLY));
+    // Three of which this VM could not find out have ended by the word of
+    // another VM, which had other requests there.
+    let told = [(2, 1), (3, 3), (4, 5)]
+        .map(|(request, number)| crash(RequestDigest(request), number));
+    record.hear(&told, Source::OwnHall, now);
+    let held = record.held();
+    assert_eq!(held.len(), 1);
+    assert_eq!((held[0].0, held[0].1.len()), (DEADLY, 3));
+}
+
+#[test]
+fn an_attempt_that_is_lost_after_its_upstream_has_ended_counts_at_once() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, OTHER, 1..=2, now);
+    for number in 1..=2 {
+        let lost = record.note_lost(DEADLY, life(number), HAD, now);
+        assert_eq!(lost.0, NextStep::Nothing);
+    }
+    record.hear(&[crash(DEADLY, 3)], Source::OwnHall, now);
+    assert!(record.is_held(DEADLY));
+}
+
+/// Two VMs see one end, and each is told of it by several.
+#[test]
+fn one_end_counts_once() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, DEADLY, 1..=2, now);
+    for source in [Source::OwnHall, Source::OtherHall, Source::Kept] {
+        record.hear(&[crash(DEADLY, 1), crash(DEADLY, 2)], source, now);
+    }
+    assert!(!record.is_held(DEADLY));
+}
+
+#[test]
+fn what_ran_whole_is_not_held_back_by_this_vm_or_those_it_tells() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (other, told_late) = (CrashRecord::default(), CrashRecord::default());
+    end_under(&record, DEADLY, 1..=3, now);
+    other.hear(&record.to_tell(Audience::OwnHall), Source::OwnHall, now);
+    assert!(record.is_held(DEADLY) && other.is_held(DEADLY));
+    let changes = other.note_ran_whole(DEADLY, now);
+    assert_eq!(changes, [Change::Released(DEADLY)]);
+    let told = other.to_tell(Audience::OwnHall);
+    assert_eq!(
+        record.hear(&told, Source::OwnHall, now),
+        [Change::Released(DEADLY)]
+    );
+    // What comes afterwards, here and for a while, is a coincidence.
+    end_under(&other, DEADLY, 4..=9, now);
+    assert!(!other.is_held(DEADLY));
+    end_under(&told_late, DEADLY, 4..=9, now);
+    assert!(told_late.is_held(DEADLY));
+    let later = now + WELL_REMEMBERED;
+    other.sweep(later);
+    end_under(&other, DEADLY, 10..=12, later);
+    assert!(other.is_held(DEADLY));
+}
+
+#[test]
+fn another_that_explains_the_ends_releases_a_bystander() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, OTHER, 1..=3, now);
+    assert!(record.is_held(OTHER));
+    let told: Vec<Sighting> = (1..=4).map(|n| crash(DEADLY, n)).collect();
+    let changes = record.hear(&told, Source::OwnHall, now);
+    assert!(changes.contains(&Change::Released(OTHER)), "{changes:?}");
+    assert!(record.is_held(DEADLY) && !record.is_held(OTHER));
+}
+
+#[test]
+fn it_is_forgotten_ten_minutes_after_the_last_end() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, DEADLY, 1..=3, now);
+    let half = now + REMEMBERED / 2;
+    end_under(&record, DEADLY, 4..=4, half);
+    assert!(record.sweep(now + REMEMBERED).is_empty());
+    assert!(record.is_held(DEADLY));
+    let changes = record.sweep(half + REMEMBERED);
+    assert_eq!(changes, [Change::Released(DEADLY)]);
+}
+
+#[test]
+fn each_vm_tells_its_hall_and_passes_on_what_other_halls_tell() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, DEADLY, 1..=1, now);
+    record.hear(&[crash(DEADLY, 2)], Source::OwnHall, now);
+    record.hear(&[crash(DEADLY, 3)], Source::OtherHall, now);
+    record.hear(&[crash(DEADLY, 4)], Source::Kept, now);
+    let own_hall = record.to_tell(Audience::OwnHall);
+    assert_eq!(own_hall, [crash(DEADLY, 1), crash(DEADLY, 3)]);
+    let others = record.to_tell(Audience::OtherHalls);
+    assert_eq!(others.len(), 3);
+    for _ in 1..TOLD_ROUNDS {
+        assert!(!record.to_tell(Audience::OwnHall).is_empty());
+        assert!(!record.to_tell(Audience::OtherHalls).is_empty());
+    }
+    assert!(record.to_tell(Audience::OwnHall).is_empty());
+    assert!(record.to_tell(Audience::OtherHalls).is_empty());
+}
+
+/// A rack ends with all that it had; the culprit's ends are told first.
+#[test]
+fn a_beat_is_bounded_and_begins_with_the_most_suspect() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    for request in 100..400 {
+        end_under(&record, RequestDigest(request), 1..=1, now);
+    }
+    end_under(&record, DEADLY, 1..=2, now);
+    let told = record.to_tell(Audience::OwnHall);
+    assert_eq!(told.len(), TOLD_MOST);
+    assert_eq!(told[..2], [crash(DEADLY, 1), crash(DEADLY, 2)]);
+}
+
+/// A caller makes a new deadly request each time, and what is held back of
+/// another stays so.
+#[test]
+fn many_suspects_do_not_displace_one_that_is_held_back() {
+    let (record, now) = (CrashRecord::default(), Instant::now());
+    end_under(&record, DEADLY, 1..=3, now);
+    let told: Vec<Sighting> = (0..SUSPECTS_MOST as u64 + 500)
+        .map(|number| crash(RequestDigest(1000 + number), 77))
+        .collect();
+    record.hear(&told, Source::OwnHall, now);
+    assert!(record.is_held(DEADLY));
+    assert_eq!(record.lock().ends.len(), SUSPECTS_MOST);
+    assert_eq!(record.all_held().len(), 3);
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -150,6 +150,8 @@
         After(ONE_SECOND);
     /// The upstream was given the request and did not answer whole.
     UpstreamFailed => 502, "upstream_failed", OutcomeUnknown, SameKeyOnly;
+    /// Upstreams have ended under this request, so it is not run again.
+    CrashesUpstreams => 502, "crashes_upstreams", OutcomeUnknown, Never;
     /// An earlier request with this key may have run and left no answer.
     OutcomeUnknown => 409, "outcome_unknown", OutcomeUnknown, Never;
     /// The request ran, but its answer was too large to keep.
--- a/src/event.rs
+++ b/src/event.rs
@@ -169,6 +169,12 @@
     StreamResumed = 91, Info, "A stream was resumed at another upstream on the same version.";
     /// An upstream has ended under requests.
     UpstreamEnded = 92, Warn, "An upstream takes no connections right after an attempt there broke off: it has ended. Names the digest of the request whose attempt broke first at this VM.";
+    /// A request is held back.
+    RequestHeld = 93, Error, "Upstreams have ended under a request, as often as it takes; it is refused everywhere from now on, for ten minutes after the last of them. Says what it is known by and how many upstreams ended.";
+    /// A request is no longer held back.
+    RequestReleased = 94, Info, "A request that was held back is taken again: it ran whole elsewhere, another one explains the ends, or ten minutes have passed.";
+    /// What is held back could not be written to the store.
+    HeldNotKept = 95, Warn, "The requests that are held back could not be written to the platform's store; the VMs that are there know them, and it is tried again.";
     /// A request has ended well.
     RequestEnded = 100, Info, "A request has ended with an upstream's answer; one line with all its attempts.";
     /// A request was refused or has failed.
--- a/src/facts/knowledge.rs
+++ b/src/facts/knowledge.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     chains::store::StoreVersion,
+    crashes::{digest::RequestDigest, sighting::Crash},
     facts::{
         knowledge_pack,
         route::{RouteTable, TableVersion},
@@ -67,6 +68,8 @@
     UpstreamGone(UpstreamId),
     /// The record of an upstream can no longer be read.
     UpstreamUnreadable(UpstreamId),
+    /// Upstreams have ended under a request.
+    CrashingRequest(RequestDigest, Vec<Crash>),
     /// An entry VM is there.
     Peer(String, PeerRecord),
     /// The record of an entry VM is gone.
--- a/src/facts/mesh.rs
+++ b/src/facts/mesh.rs
@@ -14,6 +14,10 @@
 
 use crate::{
     chains::store::StoreVersion,
+    crashes::{
+        record::{Audience, Source},
+        sighting::Sighting,
+    },
     event::Event,
     facts::{knowledge::ChangedItem, knowledge_pack, peers::Receiver},
     gateway::{Gateway, fields},
@@ -100,11 +104,18 @@
 /// those of others, which differ only in their echo.
 pub(crate) struct Round {
     beat: VmBeat,
-    /// The sums for other halls, until the first of them is reached.
-    for_others: Option<Vec<HallEvidence>>,
+    /// What only other halls are told, until the first of them is reached.
+    for_others: Option<ForOthers>,
     receivers: std::vec::IntoIter<Receiver>,
 }
 
+/// What the VMs of other data halls are told in place of what those of the
+/// own one are.
+struct ForOthers {
+    hall_evidence: Vec<HallEvidence>,
+    sightings: Vec<Sighting>,
+}
+
 impl Round {
     /// What a VM has to tell now, and whom.
     pub(crate) fn new(gateway: &Gateway) -> Round {
@@ -112,8 +123,12 @@
         let mut beat = beat(gateway);
         let hall = ShortHash::of(gateway.settings.data_hall.as_str());
         let rollouts = &gateway.rollouts;
-        let for_others = rollouts.hall_evidence(hall, &beat.evidence, now);
+        let for_others = ForOthers {
+            hall_evidence: rollouts.hall_evidence(hall, &beat.evidence, now),
+            sightings: gateway.crashes.to_tell(Audience::OtherHalls),
+        };
         beat.hall_evidence = rollouts.relays(&beat.evidence, now);
+        beat.sightings = gateway.crashes.to_tell(Audience::OwnHall);
         let receivers = gateway.peers.receivers(now);
         Round {
             beat,
@@ -126,10 +141,11 @@
     pub(crate) fn next_beat(&mut self) -> Option<(SocketAddr, &VmBeat)> {
         let receiver = self.receivers.next()?;
         if !receiver.is_near
-            && let Some(sums) = self.for_others.take()
+            && let Some(told) = self.for_others.take()
         {
             self.beat.evidence = Vec::new();
-            self.beat.hall_evidence = sums;
+            self.beat.hall_evidence = told.hall_evidence;
+            self.beat.sightings = told.sightings;
         }
         self.beat.echo = receiver.echo;
         Some((receiver.address, &self.beat))
@@ -163,6 +179,7 @@
         stated: gateway.pool.take_stated(now),
         failures: gateway.pool.take_failures(now),
         evidence: gateway.rollouts.evidence(old, now),
+        sightings: Vec::new(),
         hall_evidence: Vec::new(),
     }
 }
@@ -208,6 +225,8 @@
         }
     }
     hear_evidence(gateway, beat, is_near);
+    let source = if is_near { Source::OwnHall } else { Source::OtherHall };
+    gateway.hear_sightings(&beat.sightings, source);
     if !knows_more {
         return;
     }
@@ -332,10 +351,12 @@
     let client = &gateway.peers.client;
     let reply =
         client.call(from, PeerRequest::Knowledge, KNOWLEDGE_LIMIT).await;
-    let Ok(PeerReply::Knowledge { as_of, packed, proof_age_ms }) = reply
+    let Ok(PeerReply::Knowledge { as_of, packed, proof_age_ms, sightings }) =
+        reply
     else {
         return false;
     };
+    gateway.hear_sightings(&sightings, Source::Kept);
     if StoreVersion(as_of) <= gateway.knowledge.as_of() {
         return true;
     }
@@ -379,6 +400,7 @@
                     as_of: as_of.0,
                     packed: packed.to_vec(),
                     proof_age_ms: age.as_millis() as u32 + 1,
+                    sightings: self.crashes.all_held(),
                 }
             }
             PeerRequest::News { digest_before, as_of, items } => {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -252,6 +252,7 @@
         trace: &mut Trace,
         now: Instant,
     ) -> Result<Attempt, Error> {
+        self.check_not_held()?;
         let prompt = self.shared_prompt();
         let takes = self.gateway.service_times.of(&self.service);
         let version = self.version_choice(now);
@@ -310,6 +311,27 @@
         })
     }
 
+    /// Whoever runs this request ends, and all that runs there with it; each
+    /// VM and each new try would begin at zero without this.
+    fn check_not_held(&self) -> Result<(), Error> {
+        if !self.gateway.crashes.holds_any()
+            || !self.gateway.crashes.is_held(self.digest())
+        {
+            return Ok(());
+        }
+        let digest = self.digest();
+        Err(Error::new(ErrorKind::CrashesUpstreams)
+            .context(format!("upstreams have ended under request {digest}")))
+    }
+
+    /// Notes that an upstream ran the request to its end.
+    pub(crate) fn note_ran_whole(&self) {
+        let now = self.gateway.clock.now();
+        let crashes = &self.gateway.crashes;
+        let changes = crashes.note_ran_whole(self.digest(), now);
+        self.gateway.note_crash_changes(&changes);
+    }
+
     /// Notes that an attempt of the request's session goes to a version.
     fn use_session(
         &self,
@@ -487,6 +509,7 @@
             }
             None => return Err(Fault::Unknown("silent", String::new())),
         };
+        self.note_ran_whole();
         let status = status_of(answer.status)?;
         let body = ReplyBody::Whole(answer.body);
         let reply = Reply { status, headers, body };
@@ -567,7 +590,9 @@
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         if verdict == Verdict::Lost {
-            end_check::begin(gateway, &attempt.member, self.digest());
+            let had = now.saturating_duration_since(attempt.began_at);
+            let member = &attempt.member;
+            end_check::note_lost(gateway, member, self.digest(), had);
         }
         let says_nothing_of_version = verdict == Verdict::Failed
             && gateway.pool.is_alone_suspect(&attempt.member, now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,10 @@
 
 use crate::{
     clock::SharedClock,
+    crashes::{
+        record::{Change, CrashRecord, Source},
+        sighting::{Seen, Sighting},
+    },
     event::Event,
     facts::{
         knowledge::{Fact, Knowledge, News, Unreadable},
@@ -111,6 +115,7 @@
     pub(crate) knowledge: Knowledge,
     pub(crate) pool: Pool,
     pub(crate) rollouts: Rollouts,
+    pub(crate) crashes: CrashRecord,
     pub(crate) read_times: ReadTimes,
     pub(crate) service_times: ServiceTimes,
     pub(crate) peers: Peers,
@@ -143,6 +148,7 @@
                 settings.warm_up_slack,
             ),
             rollouts: Rollouts::new(settings.session_time),
+            crashes: CrashRecord::default(),
             read_times: ReadTimes::default(),
             service_times: ServiceTimes::default(),
             peers: Peers::new(
@@ -367,6 +373,13 @@
                     "progress": status.progress.to_string(),
                 })));
             }
+            Fact::CrashingRequest(request, crashes) => {
+                let seen =
+                    |crash| Sighting { request, seen: Seen::Crashed(crash) };
+                let told: Vec<Sighting> =
+                    crashes.into_iter().map(seen).collect();
+                self.hear_sightings(&told, Source::Kept);
+            }
             Fact::Peer(vm, record) => {
                 self.pool.add_vm(&vm, &record.data_hall);
                 self.peers.learn(&vm, &record);
@@ -378,6 +391,37 @@
         }
     }
 
+    /// Takes in what was seen elsewhere of requests and crashes.
+    pub(crate) fn hear_sightings(&self, told: &[Sighting], source: Source) {
+        let now = self.clock.now();
+        let changes = self.crashes.hear(told, source, now);
+        self.note_crash_changes(&changes);
+        if !changes.is_empty() {
+            self.early_beat.wake();
+        }
+    }
+
+    /// Logs which requests are held back from now on, or no longer.
+    pub(crate) fn note_crash_changes(&self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Held { request, ends } => {
+                    self.metrics.requests_held.inc();
+                    Event::RequestHeld.record(fields(json!({
+                        "request": request.to_string(),
+                        "upstreams_ended": ends,
+                    })));
+                }
+                Change::Released(request) => {
+                    self.metrics.requests_held.dec();
+                    Event::RequestReleased.record(fields(
+                        json!({ "request": request.to_string() }),
+                    ));
+                }
+            }
+        }
+    }
+
     /// Takes in how an attempt at an upstream ended.
     pub(crate) fn judge_upstream(&self, member: &Member, verdict: Verdict) {
         // It failed because it ended; the one in its place has not.
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -352,6 +352,7 @@
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             self.job.learn_service_time(&source.attempt);
+            self.job.note_ran_whole();
             source.exchange.finish();
         }
         if let Some(mut trace) = self.trace.take() {
--- a/src/message.rs
+++ b/src/message.rs
@@ -18,6 +18,7 @@
         decision::Decision,
         tally::{Tally, TallyKey},
     },
+    crashes::sighting::Sighting,
     facts::knowledge::ChangedItem,
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
     placing::health::Verdict,
@@ -219,6 +220,8 @@
     /// What it has seen of the roll-outs that are running, for the VMs of its
     /// data hall.
     pub evidence: Vec<Evidence>,
+    /// What was seen lately of requests and of upstreams that ended.
+    pub sightings: Vec<Sighting>,
     /// What the VMs of a whole data hall have seen: of its own for the VMs of
     /// other halls, and of other halls, which it was told, for those of its
     /// own.
@@ -307,6 +310,8 @@
         packed: Vec<u8>,
         /// The age of the proof that they are current.
         proof_age_ms: u32,
+        /// The requests that are held back, and why.
+        sightings: Vec<Sighting>,
     },
     /// The receiver cannot or may not do it.
     Refused(String),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,10 @@
     pub list_age_ms: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Upstreams that were seen to have ended under requests.
+    pub upstreams_ended: IntCounter,
+    /// Requests that are held back since upstreams ended under them.
+    pub requests_held: IntGauge,
     /// Requests waiting for room.
     pub queued: IntGauge,
     /// VMs of the hall by belief.
@@ -163,6 +167,14 @@
             ),
             in_flight: r
                 .gauge("lupinseam_in_flight", "Requests being worked on."),
+            upstreams_ended: r.counter(
+                "lupinseam_upstreams_ended_total",
+                "Upstreams that this VM saw end under its requests.",
+            ),
+            requests_held: r.gauge(
+                "lupinseam_requests_held",
+                "Requests that are refused since upstreams ended under them.",
+            ),
             queued: r.gauge(
                 "lupinseam_queued",
                 "Requests waiting for room at the replicas.",
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -142,6 +142,8 @@
     stated: Mutex<Option<Stated>>,
     /// Whether a later life has taken its place.
     is_over: AtomicBool,
+    /// Whether one did although it was not leaving.
+    has_crashed: AtomicBool,
 }
 
 /// Time that the prompts of the other VMs take to be read, as of some moment.
@@ -219,6 +221,7 @@
             sent_cold: Mutex::default(),
             stated: Mutex::default(),
             is_over: AtomicBool::new(false),
+            has_crashed: AtomicBool::new(false),
             entry,
         }
     }
@@ -254,7 +257,16 @@
     /// been leaving.
     pub(super) fn note_over(&self) -> bool {
         self.is_over.store(true, Ordering::Relaxed);
-        self.upstream.mark_leaving()
+        let has_crashed = self.upstream.mark_leaving();
+        if has_crashed {
+            self.has_crashed.store(true, Ordering::Relaxed);
+        }
+        has_crashed
+    }
+
+    /// Whether a later life has taken its place although it was not leaving.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.load(Ordering::Relaxed)
     }
 
     /// Whether a later life has taken its place: nothing more comes from it,
