--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -116,6 +116,11 @@
         serde_json::from_str(text).ok()
     }
 
+    /// The keys that are there.
+    pub fn keys(&self) -> Vec<String> {
+        self.content.0.lock().unwrap().items.keys().cloned().collect()
+    }
+
     /// Changes how it treats calls.
     pub fn set_mood(&self, mood: Mood) {
         self.content.0.lock().unwrap().mood = mood;
--- a/standins/tests/crashing_requests.rs
+++ b/standins/tests/crashing_requests.rs
@@ -22,7 +22,7 @@
 };
 
 use standins::{
-    gateway_site::{Got, PLAIN, Site, request},
+    gateway_site::{Got, PLAIN, Site, request, wait_until},
     http_raw::answer,
     scripted::{Act, Script, Upstream, stamped},
 };
@@ -36,9 +36,12 @@
 /// Upstreams that are there at any time.
 const UPSTREAMS: usize = 4;
 
-/// Part of a path that crashes what runs it.
+/// What crashes each upstream that runs it.
 const DEADLY: &str = "deadly";
 
+/// What each upstream cuts off.
+const CUT: &str = "cut";
+
 /// Time that every request works.
 const WORK: Duration = Duration::from_millis(15);
 
@@ -61,9 +64,11 @@
 
 fn script() -> Script {
     Box::new(|request| {
-        let act = match request.path.contains(DEADLY) {
-            true => Act::Crash,
-            false => Act::Send(answer(200, &stamped(request, &[]), "well")),
+        let well = || Act::Send(answer(200, &stamped(request, &[]), "well"));
+        let act = match request.path.rsplit('/').next() {
+            Some(DEADLY) => Act::Crash,
+            Some(CUT) => Act::Close,
+            _ => well(),
         };
         vec![Act::Wait(WORK), act]
     })
@@ -86,16 +91,17 @@
         for _ in 0..VMS {
             crashes.site.start_vm();
         }
-        let answers = |crashes: &mut Crashes| {
-            (0..VMS).all(|_| crashes.ask("well").status == 200)
-        };
-        let until = Instant::now() + Duration::from_secs(10);
-        while !answers(&mut crashes) {
-            assert!(Instant::now() < until, "the VMs know the upstreams");
-        }
+        crashes.wait_served();
         crashes
     }
 
+    /// Waits until every VM knows upstreams that answer.
+    fn wait_served(&mut self) {
+        wait_until("every VM serves", || {
+            (0..VMS).all(|_| self.ask("well").status == 200)
+        });
+    }
+
     /// Starts a new upstream for each that has ended, and removes the records
     /// of those.
     fn replace(&mut self) {
@@ -120,6 +126,22 @@
         vm.ask(&request("GET", &path, &id, ""))
     }
 
+    /// Sends the deadly request until every VM refuses it.
+    fn hold_back(&mut self) {
+        let until = Instant::now() + CONTACT;
+        let mut refusals = 0;
+        while refusals < VMS {
+            assert!(Instant::now() < until, "it is held back everywhere");
+            let got = self.ask(DEADLY);
+            let is_refused = got.body.contains("crashes_upstreams");
+            refusals = if is_refused { refusals + 1 } else { 0 };
+            self.replace();
+            thread::sleep(Duration::from_millis(50));
+        }
+        // Those that have ended are replaced by ones to be heard of first.
+        self.wait_served();
+    }
+
     fn ended(&self) -> usize {
         self.upstreams.iter().filter(|u| u.has_crashed()).count()
     }
@@ -158,3 +180,61 @@
         crashes.ended()
     );
 }
+
+#[test]
+fn it_is_refused_at_once_for_what_it_did() {
+    let _alone = alone();
+    let mut crashes = Crashes::start();
+    crashes.hold_back();
+    let sends = crashes.sends(DEADLY);
+    for _ in 0..VMS {
+        let begun = Instant::now();
+        let got = crashes.ask(DEADLY);
+        assert!(begun.elapsed() < Duration::from_millis(500), "{got:?}");
+        assert_eq!(got.status, 502, "{got:?}");
+        assert!(got.body.contains("crashes_upstreams"), "{got:?}");
+        assert_eq!(crashes.ask("well").status, 200, "others are served");
+    }
+    assert_eq!(crashes.sends(DEADLY), sends);
+}
+
+/// Nothing that a VM has in its memory is left, and a caller that comes again
+/// would end three more.
+#[test]
+fn it_is_still_held_back_after_all_vms_have_gone() {
+    let _alone = alone();
+    let mut crashes = Crashes::start();
+    crashes.hold_back();
+    wait_until("it is written to the store", || {
+        let keys = crashes.site.store.keys();
+        keys.iter().any(|key| key.contains("crashing"))
+    });
+    for vm in &mut crashes.site.vms {
+        vm.kill();
+    }
+    for vm in &mut crashes.site.vms {
+        vm.start();
+    }
+    for vm in &crashes.site.vms {
+        wait_until("the VM is ready", || vm.is_ready());
+    }
+    let sends = crashes.sends(DEADLY);
+    for _ in 0..VMS * 2 {
+        assert_eq!(crashes.ask(DEADLY).status, 502);
+    }
+    assert_eq!(crashes.sends(DEADLY), sends);
+}
+
+/// Upstreams that cut the connection of each request are well.
+#[test]
+fn connections_that_break_hold_nothing_back() {
+    let _alone = alone();
+    let mut crashes = Crashes::start();
+    let asked = 12;
+    for _ in 0..asked {
+        crashes.ask(CUT);
+    }
+    let got = crashes.ask(CUT);
+    assert!(!got.body.contains("crashes_upstreams"), "{got:?}");
+    assert!(crashes.sends(CUT) > asked, "{}", crashes.sends(CUT));
+}
