--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -1,6 +1,8 @@
 //! A token bucket: a rate with a burst, judged by a clock passed in.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::clock::BootInstant;
 
 /// A token bucket that starts full.
 #[derive(Clone, Debug)]
@@ -8,13 +10,17 @@
     rate_per_s: f64,
     burst: f64,
     tokens: f64,
-    filled_at: Instant,
+    filled_at: BootInstant,
 }
 
 impl Bucket {
     /// Creates a bucket that lets `burst` through at once and `rate_per_s`
     /// in the long run.
-    pub(crate) fn new(rate_per_s: f64, burst: f64, now: Instant) -> Bucket {
+    pub(crate) fn new(
+        rate_per_s: f64,
+        burst: f64,
+        now: BootInstant,
+    ) -> Bucket {
         Bucket { rate_per_s, burst, tokens: burst, filled_at: now }
     }
 
@@ -22,7 +28,7 @@
     pub(crate) fn take(
         &mut self,
         amount: f64,
-        now: Instant,
+        now: BootInstant,
     ) -> Result<(), Duration> {
         self.fill(now);
         if self.tokens >= amount {
@@ -41,7 +47,7 @@
         &mut self,
         rate_per_s: f64,
         burst: f64,
-        now: Instant,
+        now: BootInstant,
     ) {
         self.fill(now);
         self.rate_per_s = rate_per_s;
@@ -49,7 +55,7 @@
         self.tokens = self.tokens.min(burst);
     }
 
-    fn fill(&mut self, now: Instant) {
+    fn fill(&mut self, now: BootInstant) {
         let passed = now.saturating_duration_since(self.filled_at);
         let gained = passed.as_secs_f64() * self.rate_per_s;
         self.tokens = (self.tokens + gained).min(self.burst);
@@ -63,7 +69,7 @@
 
     #[test]
     fn a_bucket_lets_the_burst_and_then_the_rate_through() {
-        let start = Instant::now();
+        let start = BootInstant::now();
         let mut bucket = Bucket::new(10.0, 2.0, start);
         assert!(bucket.take(1.0, start).is_ok());
         assert!(bucket.take(1.0, start).is_ok());
--- a/src/chains/configuration.rs
+++ b/src/chains/configuration.rs
@@ -7,13 +7,14 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, RwLock},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     chat_face::template::{Template, VersionEntry},
+    clock::BootInstant,
     error::{Error, ErrorKind},
     id::{ModelId, OrganisationId, Revision, VersionId, VmId},
     secret::KeyHash,
@@ -274,7 +275,7 @@
 /// The configuration in force at this VM, and the proof of its age.
 pub struct ConfigurationCell {
     current: RwLock<Arc<Configuration>>,
-    proven_at: Mutex<Option<Instant>>,
+    proven_at: Mutex<Option<BootInstant>>,
 }
 
 impl ConfigurationCell {
@@ -319,13 +320,13 @@
     }
 
     /// Records that the configuration in force was current at `when`.
-    pub fn prove(&self, when: Instant) {
+    pub fn prove(&self, when: BootInstant) {
         let mut proven_at = self.proven_at.lock().expect("proof lock");
         *proven_at = (*proven_at).max(Some(when));
     }
 
     /// The age of the last proof, or `None` when there was none.
-    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+    pub fn proof_age(&self, now: BootInstant) -> Option<Duration> {
         let proven_at = *self.proven_at.lock().expect("proof lock");
         proven_at.map(|at| now.saturating_duration_since(at))
     }
--- a/src/chains/lease.rs
+++ b/src/chains/lease.rs
@@ -4,7 +4,9 @@
 //! renewed the lease, and stops early; a successor counts from after it saw
 //! the record unchanged, and waits longer. No two clocks are compared.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::clock::BootInstant;
 
 use serde::{Deserialize, Serialize};
 
@@ -53,7 +55,7 @@
     version: StoreVersion,
     record: LeaseRecord,
     /// Since when the record is known to stand unchanged.
-    since: Instant,
+    since: BootInstant,
 }
 
 /// One VM's side of a lease.
@@ -64,8 +66,8 @@
     ttl: Duration,
     takeover_wait: Duration,
     seen: Option<Seen>,
-    held_from: Option<Instant>,
-    looked_at: Option<Instant>,
+    held_from: Option<BootInstant>,
+    looked_at: Option<BootInstant>,
 }
 
 /// What a step of the lease changed.
@@ -104,7 +106,7 @@
     /// The epoch, if this VM may act as the holder at `now`.
     ///
     /// To be asked at the last moment before each act.
-    pub fn epoch(&self, now: Instant) -> Option<Epoch> {
+    pub fn epoch(&self, now: BootInstant) -> Option<Epoch> {
         let held_from = self.held_from?;
         let held = now.saturating_duration_since(held_from);
         if held >= self.ttl.mul_f64(USE_SHARE) {
@@ -123,7 +125,7 @@
     pub async fn step(
         &mut self,
         store: &dyn Store,
-        now: &(dyn Fn() -> Instant + Sync),
+        now: &(dyn Fn() -> BootInstant + Sync),
         wanted: bool,
     ) -> Result<LeaseChange, StoreError> {
         let was_held = self.held_from.is_some();
@@ -147,10 +149,10 @@
     ///
     /// A VM that does not want the lease asks nothing, since each call
     /// counts in the budget of the whole fleet.
-    fn is_due(&self, now: Instant, wanted: bool) -> bool {
+    fn is_due(&self, now: BootInstant, wanted: bool) -> bool {
         let pause = self.ttl.mul_f64(RENEW_SHARE);
         let has_passed =
-            |from: Instant| now.saturating_duration_since(from) >= pause;
+            |from: BootInstant| now.saturating_duration_since(from) >= pause;
         match self.held_from {
             Some(from) => has_passed(from),
             None if !wanted => false,
@@ -186,7 +188,7 @@
     async fn look(
         &mut self,
         store: &dyn Store,
-        now: &(dyn Fn() -> Instant + Sync),
+        now: &(dyn Fn() -> BootInstant + Sync),
     ) -> Result<(), StoreError> {
         let Some(stored) = store.get(&self.key).await? else {
             self.seen = None;
@@ -205,7 +207,7 @@
     fn see(
         &mut self,
         stored: &Stored,
-        since: Instant,
+        since: BootInstant,
     ) -> Result<(), StoreError> {
         let record: LeaseRecord = crate::chains::chain::decode(&stored.value)?;
         if record.holder.as_ref() != Some(&self.me) {
@@ -218,7 +220,7 @@
     async fn write(
         &mut self,
         store: &dyn Store,
-        now: &(dyn Fn() -> Instant + Sync),
+        now: &(dyn Fn() -> BootInstant + Sync),
         wanted: bool,
     ) -> Result<(), StoreError> {
         let Some((record, condition)) = self.next_record(now(), wanted) else {
@@ -238,7 +240,7 @@
 
     fn next_record(
         &self,
-        now: Instant,
+        now: BootInstant,
         wanted: bool,
     ) -> Option<(LeaseRecord, Condition)> {
         let Some(seen) = &self.seen else {
@@ -298,7 +300,7 @@
     #[test]
     fn a_successor_waits_and_gets_a_higher_epoch() {
         let store = MemoryStore::default();
-        let start = Instant::now();
+        let start = BootInstant::now();
         let at = |s: u64| move || start + Duration::from_secs(s);
         let (mut a, mut b) = (lease("vm-a"), lease("vm-b"));
         block_on(async {
@@ -318,7 +320,7 @@
     #[test]
     fn a_lease_given_back_is_free_at_once() {
         let store = MemoryStore::default();
-        let start = Instant::now();
+        let start = BootInstant::now();
         let now = || start;
         let (mut a, mut b) = (lease("vm-a"), lease("vm-b"));
         block_on(async {
@@ -348,7 +350,7 @@
                 (0..3_usize, 0..4000_u64, fault()), 1..80),
         ) {
             let store = MemoryStore::default();
-            let start = Instant::now();
+            let start = BootInstant::now();
             let clock = Cell::new(start);
             let mut all = [lease("vm-a"), lease("vm-b"), lease("vm-c")];
             let mut last_epoch = Epoch(0);
--- a/src/chains/ledger.rs
+++ b/src/chains/ledger.rs
@@ -11,7 +11,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use smol::channel::{Receiver, Sender, bounded};
@@ -23,6 +23,7 @@
         store::{StoreError, list_all},
     },
     chat_face::{membership::Life, silent::Silent, vm::Vm},
+    clock::BootInstant,
     error::{Error, ErrorKind},
     event::Event,
     id::{OrganisationId, RequestId, VmId},
@@ -61,7 +62,7 @@
 /// A bill of this VM that the store does not have yet.
 struct Own {
     bill: Bill,
-    sent_at: Option<Instant>,
+    sent_at: Option<BootInstant>,
     /// Whether a second VM is known to have it.
     is_held: bool,
     /// Told when a second VM has it; dropped when none can be reached.
@@ -77,7 +78,7 @@
     ///
     /// An open bill is sent until a second VM has it, a closed one until the
     /// store does.
-    fn is_due(&self, now: Instant) -> bool {
+    fn is_due(&self, now: BootInstant) -> bool {
         let Some(sent_at) = self.sent_at else { return true };
         let is_settled = self.bill.state == BillState::Open && self.is_held;
         !is_settled && now.saturating_duration_since(sent_at) >= RESEND
@@ -87,7 +88,7 @@
 /// A bill held for another VM, or to be committed by this one.
 struct Held {
     bill: Bill,
-    since: Instant,
+    since: BootInstant,
 }
 
 #[derive(Default)]
@@ -95,7 +96,7 @@
     own: HashMap<RequestId, Own>,
     held: HashMap<RequestId, Held>,
     to_commit: HashMap<RequestId, Bill>,
-    committed: HashMap<RequestId, Instant>,
+    committed: HashMap<RequestId, BootInstant>,
     /// A commit whose fate is open; it is tried again as it is.
     in_doubt: Option<Commit>,
     /// The last index used in each hour's chain.
@@ -185,7 +186,11 @@
     }
 
     /// Takes in bills of another VM; says which of them the store has.
-    pub(crate) fn hold(&self, bills: Vec<Bill>, now: Instant) -> PeerReply {
+    pub(crate) fn hold(
+        &self,
+        bills: Vec<Bill>,
+        now: BootInstant,
+    ) -> PeerReply {
         let mut books = self.books.lock().expect("ledger lock");
         let mut committed = Vec::new();
         for bill in bills {
@@ -298,7 +303,7 @@
         }
     }
 
-    fn due(&self, now: Instant) -> Vec<Bill> {
+    fn due(&self, now: BootInstant) -> Vec<Bill> {
         let mut books = self.books.lock().expect("ledger lock");
         let due = books.own.values_mut().filter(|own| own.is_due(now));
         let mut bills = Vec::new();
@@ -420,7 +425,7 @@
         Some(commit)
     }
 
-    fn committed(&self, commit: &Commit, now: Instant) {
+    fn committed(&self, commit: &Commit, now: BootInstant) {
         let mut books = self.books.lock().expect("ledger lock");
         books.in_doubt = None;
         books.index.retain(|hour, _| *hour + 1 >= commit.hour);
@@ -447,7 +452,7 @@
 }
 
 impl Books {
-    fn hold(&mut self, bill: Bill, now: Instant) {
+    fn hold(&mut self, bill: Bill, now: BootInstant) {
         let closed = self.to_commit.contains_key(&bill.request);
         if !closed {
             let request = bill.request.clone();
--- a/src/chains/slot.rs
+++ b/src/chains/slot.rs
@@ -15,10 +15,7 @@
 //!   its record. After the wait, keys that the old owner may have granted
 //!   are unknown, so unknown keys are answered so for `gap_hold`.
 
-use std::{
-    future::Future,
-    time::{Duration, Instant},
-};
+use std::{future::Future, time::Duration};
 
 use crate::{
     chains::{
@@ -29,7 +26,7 @@
         },
         store::{Condition, SharedStore, StoreError, VALUE_LIMIT_BYTES},
     },
-    clock::SharedClock,
+    clock::{BootInstant, SharedClock},
     event::Event,
     id::VmId,
     settings::ClaimSettings,
@@ -151,7 +148,7 @@
     base_index: u64,
     /// When the end of the chain was last read, or the store answered an
     /// append; taken before the call was sent.
-    end_read_at: Option<Instant>,
+    end_read_at: Option<BootInstant>,
     /// A batch whose append stayed open; it is the next to be tried.
     in_doubt: Option<Doubt>,
     /// Records that are in force here and not yet in the chain.
@@ -160,7 +157,7 @@
     offline_log: OfflineLog,
     /// Set from the attempt to take over as deputy.
     has_turned: bool,
-    announced_at: Option<Instant>,
+    announced_at: Option<BootInstant>,
     is_offline: bool,
 }
 
@@ -721,7 +718,7 @@
         }
     }
 
-    fn is_end_fresh(&self, now: Instant) -> bool {
+    fn is_end_fresh(&self, now: BootInstant) -> bool {
         self.end_read_at
             .is_some_and(|at| now.saturating_duration_since(at) < APPEND_LIMIT)
     }
--- a/src/chains/slot/tests.rs
+++ b/src/chains/slot/tests.rs
@@ -30,12 +30,12 @@
 
 /// A clock that is set.
 struct SetClock {
-    start: Instant,
+    start: BootInstant,
     passed: StdMutex<Duration>,
 }
 
 impl Clock for SetClock {
-    fn now(&self) -> Instant {
+    fn now(&self) -> BootInstant {
         self.start + *self.passed.lock().unwrap()
     }
 
@@ -176,7 +176,7 @@
 impl World {
     fn new() -> World {
         let clock = Arc::new(SetClock {
-            start: Instant::now(),
+            start: BootInstant::now(),
             passed: StdMutex::default(),
         });
         let store = Arc::new(MemoryStore::default());
--- a/src/chains/store.rs
+++ b/src/chains/store.rs
@@ -234,7 +234,7 @@
         let now = clock.now();
         let bucket = |rate: f64| Mutex::new(Bucket::new(rate, rate, now));
         HttpStore {
-            client: HttpClient::new(settings.deadline),
+            client: HttpClient::new(settings.deadline, clock.clone()),
             address,
             base_path,
             writes: bucket(settings.writes_per_s),
--- a/src/chat_face/choose.rs
+++ b/src/chat_face/choose.rs
@@ -4,10 +4,7 @@
 //! [`pick_upstream`] picks where one attempt goes. Both depend only on their
 //! arguments, so a decision can be repeated and explained.
 
-use std::{
-    collections::HashSet,
-    time::{Duration, Instant},
-};
+use std::{collections::HashSet, time::Duration};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,6 +19,7 @@
         tally::Tallies,
         template::{Template, VersionEntry, VersionState},
     },
+    clock::BootInstant,
     error::{Error, ErrorKind},
     id::{ModelId, UpstreamId, VersionId},
     message::ShortHash,
@@ -74,7 +72,7 @@
     /// Whether a replica of a version is usable at all.
     pub has_upstream: &'a dyn Fn(&VersionEntry) -> bool,
     /// The moment of the choice.
-    pub now: Instant,
+    pub now: BootInstant,
 }
 
 /// One step of a plan.
--- a/src/chat_face/estimate.rs
+++ b/src/chat_face/estimate.rs
@@ -5,13 +5,12 @@
 //! on what other tasks of the organisation saw, so that a new task does not
 //! start from nothing.
 
-use std::time::Instant;
-
 use crate::{
     chat_face::{
         tally::{Tallies, Tally, TallyKey, evidence},
         template::VersionEntry,
     },
+    clock::BootInstant,
     message::ShortHash,
 };
 
@@ -50,7 +49,7 @@
     organisation: ShortHash,
     task: ShortHash,
     entry: &VersionEntry,
-    now: Instant,
+    now: BootInstant,
 ) -> Chance {
     let key = evidence_key(organisation, task, version_hash(entry));
     from_tally(tallies.total(&key, now), entry.prior_quality.value())
--- a/src/chat_face/gossip.rs
+++ b/src/chat_face/gossip.rs
@@ -8,7 +8,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use rand::seq::IndexedRandom;
@@ -19,6 +19,7 @@
         view::{Peer, log_life_changes},
         vm::Vm,
     },
+    clock::BootInstant,
     event::Event,
     frame::{DATAGRAM_LIMIT_BYTES, FrameFault},
     id::VmId,
@@ -66,7 +67,7 @@
 /// The state of one VM's gossip.
 pub(crate) struct Gossiper {
     socket: UdpSocket,
-    drop_logged_at: Mutex<Option<Instant>>,
+    drop_logged_at: Mutex<Option<BootInstant>>,
 }
 
 impl Gossiper {
@@ -209,7 +210,7 @@
     }
 }
 
-async fn take_gossip(vm: &Arc<Vm>, gossip: &Gossip, now: Instant) {
+async fn take_gossip(vm: &Arc<Vm>, gossip: &Gossip, now: BootInstant) {
     if gossip.data_hall == *vm.view.data_hall() {
         let changes = vm.view.observe_beats(&gossip.beats, now);
         log_life_changes(&vm.view, &changes);
--- a/src/chat_face/guard.rs
+++ b/src/chat_face/guard.rs
@@ -134,7 +134,7 @@
 /// The evidence of every version known, by version.
 pub fn gather(
     tallies: &Tallies,
-    now: std::time::Instant,
+    now: crate::clock::BootInstant,
 ) -> BTreeMap<ShortHash, VersionEvidence> {
     let keys: HashSet<TallyKey> = tallies.keys().collect();
     let mut gathered: BTreeMap<ShortHash, VersionEvidence> = BTreeMap::new();
--- a/src/chat_face/limit.rs
+++ b/src/chat_face/limit.rs
@@ -11,7 +11,7 @@
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
@@ -20,6 +20,7 @@
         tally::{Tallies, Tally, TallyKey, usage},
         template::Template,
     },
+    clock::BootInstant,
     error::{Error, ErrorKind},
     id::OrganisationId,
     message::ShortHash,
@@ -52,12 +53,12 @@
 /// The limits of all organisations at this VM.
 pub struct Limits {
     uses: Mutex<HashMap<OrganisationId, Use>>,
-    updated_at: Mutex<Instant>,
+    updated_at: Mutex<BootInstant>,
 }
 
 impl Limits {
     /// Creates limits with no use yet.
-    pub fn new(now: Instant) -> Limits {
+    pub fn new(now: BootInstant) -> Limits {
         Limits { uses: Mutex::default(), updated_at: Mutex::new(now) }
     }
 
@@ -70,7 +71,7 @@
         &self,
         template: &Template,
         tallies: &Tallies,
-        now: Instant,
+        now: BootInstant,
     ) -> Result<InUse, Error> {
         let mut uses = self.uses.lock().expect("limits lock");
         let organisation = &template.organisation;
@@ -110,7 +111,7 @@
         &self,
         templates: &[Arc<Template>],
         tallies: &mut Tallies,
-        now: Instant,
+        now: BootInstant,
         unix_ms: u64,
     ) {
         let mut updated_at = self.updated_at.lock().expect("limits lock");
@@ -133,7 +134,7 @@
 }
 
 impl Use {
-    fn new(template: &Template, now: Instant) -> Use {
+    fn new(template: &Template, now: BootInstant) -> Use {
         let rate = template.rate_per_s;
         let burst = (rate * BURST_S).max(1.0);
         Use {
@@ -254,7 +255,7 @@
 
     #[test]
     fn concurrency_counts_the_other_vms() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let template = template(1000.0, 3);
         let limits = Limits::new(now);
         let mut tallies = Tallies::new(ShortHash(1));
@@ -276,7 +277,7 @@
 
     #[test]
     fn the_rate_is_shared_by_demand() {
-        let start = Instant::now();
+        let start = BootInstant::now();
         let template = template(100.0, 1_000_000);
         let limits = Limits::new(start);
         let mut tallies = Tallies::new(ShortHash(1));
@@ -309,7 +310,7 @@
 
     #[test]
     fn the_hour_has_a_price_limit() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let template = template(1000.0, 10);
         let limits = Limits::new(now);
         let tallies = Tallies::new(ShortHash(1));
--- a/src/chat_face/membership.rs
+++ b/src/chat_face/membership.rs
@@ -4,12 +4,10 @@
 //! count that has not grown for a while makes its VM suspected, then dead.
 //! A higher incarnation is a new life and replaces the old one at once.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
+    clock::BootInstant,
     id::Incarnation,
     message::{Beat, ShortHash},
 };
@@ -47,7 +45,7 @@
     /// What is believed about it.
     pub life: Life,
     counter: u32,
-    grown_at: Instant,
+    grown_at: BootInstant,
 }
 
 /// A change of belief.
@@ -90,7 +88,7 @@
     pub fn observe(
         &mut self,
         beat: &Beat,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<LifeChange> {
         if beat.vm == self.me {
             return None;
@@ -119,7 +117,7 @@
     }
 
     /// Judges silence; to be called about once a gossip round.
-    pub fn tick(&mut self, now: Instant) -> Vec<LifeChange> {
+    pub fn tick(&mut self, now: BootInstant) -> Vec<LifeChange> {
         let mut changes = Vec::new();
         let suspect_after = self.suspect_after;
         let dead_after = self.dead_after;
@@ -202,7 +200,7 @@
 
     #[test]
     fn silence_is_suspected_before_it_is_death() {
-        let start = Instant::now();
+        let start = BootInstant::now();
         let mut members = membership();
         let first = members.observe(&beat(1, 1), start).unwrap();
         assert_eq!(first.life, Life::Alive);
@@ -217,7 +215,7 @@
 
     #[test]
     fn old_news_does_not_bring_a_vm_back() {
-        let start = Instant::now();
+        let start = BootInstant::now();
         let mut members = membership();
         members.observe(&beat(2, 5), start);
         let later = start + Duration::from_secs(3);
@@ -229,7 +227,7 @@
 
     #[test]
     fn a_new_life_replaces_the_old_one() {
-        let start = Instant::now();
+        let start = BootInstant::now();
         let mut members = membership();
         members.observe(&beat(1, 500), start);
         let change = members.observe(&beat(2, 1), start).unwrap();
@@ -238,7 +236,7 @@
 
     #[test]
     fn a_leaving_vm_gets_no_work() {
-        let start = Instant::now();
+        let start = BootInstant::now();
         let mut members = membership();
         let mut last = beat(1, 9);
         last.leaving = true;
--- a/src/chat_face/operators.rs
+++ b/src/chat_face/operators.rs
@@ -375,7 +375,7 @@
         reports.iter().map(as_json).collect()
     }
 
-    fn upstream_status(&self, now: std::time::Instant) -> Vec<Value> {
+    fn upstream_status(&self, now: crate::clock::BootInstant) -> Vec<Value> {
         let view = &self.vm.view;
         let mut all = view.all_upstreams();
         all.sort_by(|a, b| a.record.id.cmp(&b.record.id));
--- a/src/chat_face/queue.rs
+++ b/src/chat_face/queue.rs
@@ -8,14 +8,14 @@
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
     chat_face::{choose::Room, template::Priority},
-    clock::SharedClock,
+    clock::{BootInstant, SharedClock},
     error::{Error, ErrorKind},
     id::{ModelId, OrganisationId},
     task::within,
@@ -116,7 +116,7 @@
     /// Its priority.
     pub priority: Priority,
     /// When its answer is due.
-    pub deadline: Instant,
+    pub deadline: BootInstant,
 }
 
 #[derive(Debug)]
@@ -136,7 +136,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Pace {
     interval: Duration,
-    last_at: Instant,
+    last_at: BootInstant,
 }
 
 #[derive(Default)]
@@ -340,7 +340,7 @@
         &self,
         model: &ModelId,
         ahead: usize,
-        now: Instant,
+        now: BootInstant,
     ) -> Duration {
         let pace = self.by_model.get(model).and_then(|lane| lane.pace);
         match pace {
@@ -353,7 +353,7 @@
 }
 
 impl Lane {
-    fn keep_pace(&mut self, now: Instant) {
+    fn keep_pace(&mut self, now: BootInstant) {
         let interval = match self.pace {
             Some(pace) if now - pace.last_at < PACE_LIFETIME => {
                 let newest = now - pace.last_at;
@@ -462,7 +462,7 @@
             model: "m".parse().unwrap(),
             organisation: organisation("a"),
             priority,
-            deadline: Instant::now() + wait,
+            deadline: BootInstant::now() + wait,
         }
     }
 
--- a/src/chat_face/request.rs
+++ b/src/chat_face/request.rs
@@ -4,10 +4,7 @@
 //! was admitted and planned, and ends exactly once, in [`Request::settle`]
 //! or by being dropped, which counts as a fault and is settled too.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use smol::channel::Receiver;
 
@@ -33,6 +30,7 @@
         template::{Priority, ServiceRule, Template, VersionEntry},
         vm::{InFlightRequest, Vm},
     },
+    clock::BootInstant,
     error::{Error, ErrorKind, Run},
     id::OrganisationId,
     message::ShortHash,
@@ -68,8 +66,8 @@
 pub(crate) struct Core {
     pub(crate) vm: Arc<Vm>,
     pub(crate) decision: Decision,
-    pub(crate) started: Instant,
-    pub(crate) first_part_at: Option<Instant>,
+    pub(crate) started: BootInstant,
+    pub(crate) first_part_at: Option<BootInstant>,
     pub(crate) cancel: Cancel,
     bill: Option<Bill>,
     claim: Option<ClaimRequest>,
@@ -84,7 +82,7 @@
 pub(crate) struct Admitted<C> {
     pub(crate) template: Arc<Template>,
     pub(crate) call: C,
-    pub(crate) deadline: Instant,
+    pub(crate) deadline: BootInstant,
     /// The key under which it must not run twice.
     pub(crate) key: Option<String>,
     in_use: InUse,
@@ -303,7 +301,7 @@
         &self,
         headers: &CallHeaders,
         priority: Priority,
-    ) -> Result<Instant, Error> {
+    ) -> Result<BootInstant, Error> {
         let settings = &self.vm.settings.requests;
         let most = match priority {
             Priority::Interactive => settings.deadline,
--- a/src/chat_face/silent.rs
+++ b/src/chat_face/silent.rs
@@ -1,12 +1,8 @@
 //! VMs that took a question and gave no reply, to be asked last for a while.
 
-use std::{
-    collections::HashMap,
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Mutex, time::Duration};
 
-use crate::id::VmId;
+use crate::{clock::BootInstant, id::VmId};
 
 /// Time for which a VM that gave no reply is asked last.
 const SILENT_TIME: Duration = Duration::from_secs(10);
@@ -14,18 +10,18 @@
 /// The VMs that lately gave no reply.
 #[derive(Debug, Default)]
 pub(crate) struct Silent {
-    since: Mutex<HashMap<VmId, Instant>>,
+    since: Mutex<HashMap<VmId, BootInstant>>,
 }
 
 impl Silent {
     /// Notes that a VM gave no reply.
-    pub(crate) fn note(&self, vm: &VmId, now: Instant) {
+    pub(crate) fn note(&self, vm: &VmId, now: BootInstant) {
         let mut since = self.since.lock().expect("silent lock");
         since.insert(vm.clone(), now);
     }
 
     /// Moves those that lately gave no reply to the end.
-    pub(crate) fn put_last(&self, vms: &mut [VmId], now: Instant) {
+    pub(crate) fn put_last(&self, vms: &mut [VmId], now: BootInstant) {
         let mut since = self.since.lock().expect("silent lock");
         since.retain(|_, at| now - *at < SILENT_TIME);
         vms.sort_by_key(|vm| since.contains_key(vm));
@@ -38,7 +34,7 @@
 
     #[test]
     fn the_silent_are_asked_last_for_a_while() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let silent = Silent::default();
         let names = ["vm-1", "vm-2", "vm-3"];
         let all: Vec<VmId> =
--- a/src/chat_face/steward.rs
+++ b/src/chat_face/steward.rs
@@ -7,7 +7,7 @@
 
 use std::{
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use hyper::Method;
@@ -19,6 +19,7 @@
         lease::{Epoch, Lease, LeaseChange},
     },
     chat_face::{estimate::version_hash, template::VersionState, vm::Vm},
+    clock::BootInstant,
     event::Event,
     http_client::{Call, SendError},
     message::ShortHash,
@@ -59,7 +60,7 @@
 /// The state of one VM's stewardship.
 pub(crate) struct Steward {
     lease: smol::lock::Mutex<Lease>,
-    last_order: Mutex<Option<(Order, Instant)>>,
+    last_order: Mutex<Option<(Order, BootInstant)>>,
     epoch: Mutex<Option<Epoch>>,
 }
 
--- a/src/chat_face/tally.rs
+++ b/src/chat_face/tally.rs
@@ -8,12 +8,15 @@
 use std::{
     collections::HashMap,
     ops::{Add, Sub},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
-use crate::message::{ShortHash, TallyEntry};
+use crate::{
+    clock::BootInstant,
+    message::{ShortHash, TallyEntry},
+};
 
 /// Time after which a sum that is not renewed is dropped.
 const REPORT_LIFETIME: Duration = Duration::from_secs(10);
@@ -120,11 +123,11 @@
 #[derive(Clone, Copy, Debug)]
 struct Dated {
     tally: Tally,
-    at: Instant,
+    at: BootInstant,
 }
 
 impl Dated {
-    fn is_fresh(&self, now: Instant) -> bool {
+    fn is_fresh(&self, now: BootInstant) -> bool {
         now.saturating_duration_since(self.at) < REPORT_LIFETIME
     }
 }
@@ -176,7 +179,7 @@
     pub fn due(
         &mut self,
         limit: usize,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<(TallyKey, Tally)> {
         let reported = &self.reported;
         let mut due: Vec<(TallyKey, Tally)> = self
@@ -205,7 +208,7 @@
         &mut self,
         vm: ShortHash,
         tallies: &[(TallyKey, Tally)],
-        now: Instant,
+        now: BootInstant,
     ) {
         for (key, tally) in tallies {
             let dated = Dated { tally: *tally, at: now };
@@ -220,7 +223,7 @@
     }
 
     /// Takes in sums of halls that others passed on.
-    pub fn merge(&mut self, entries: &[TallyEntry], now: Instant) {
+    pub fn merge(&mut self, entries: &[TallyEntry], now: BootInstant) {
         for entry in entries {
             let age = Duration::from_millis(entry.age_ms.into());
             let Some(at) = now.checked_sub(age) else { continue };
@@ -235,7 +238,7 @@
     }
 
     /// The newest sums of halls, for passing on.
-    pub fn entries(&self, limit: usize, now: Instant) -> Vec<TallyEntry> {
+    pub fn entries(&self, limit: usize, now: BootInstant) -> Vec<TallyEntry> {
         let mut newest: Vec<_> = self.halls.iter().collect();
         newest.sort_by_key(|(_, dated)| std::cmp::Reverse(dated.at));
         newest
@@ -254,7 +257,7 @@
     }
 
     /// The sum over the fleet, as far as it is known here.
-    pub fn total(&self, key: &TallyKey, now: Instant) -> Tally {
+    pub fn total(&self, key: &TallyKey, now: BootInstant) -> Tally {
         let own = self.own.get(key).copied().unwrap_or_default();
         let mut total = own;
         for ((data_hall, _), dated) in self.fresh_halls(key, now) {
@@ -296,7 +299,7 @@
     fn fresh_halls<'a>(
         &'a self,
         key: &'a TallyKey,
-        now: Instant,
+        now: BootInstant,
     ) -> impl Iterator<Item = (&'a (ShortHash, TallyKey), &'a Dated)> {
         self.halls
             .iter()
@@ -323,7 +326,7 @@
 
     #[test]
     fn a_hall_is_added_up_and_counted_once() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let hall = ShortHash(1);
         let (mut a, mut b) = (Tallies::new(hall), Tallies::new(hall));
         a.set(KEY, one(3.0));
@@ -340,7 +343,7 @@
 
     #[test]
     fn what_is_not_renewed_stops_counting() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut a = Tallies::new(ShortHash(1));
         let entry = TallyEntry {
             data_hall: ShortHash(2),
@@ -355,7 +358,7 @@
 
     #[test]
     fn only_changes_and_refreshes_are_due() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut a = Tallies::new(ShortHash(1));
         a.set(KEY, one(100.0));
         assert_eq!(a.due(10, now).len(), 1);
--- a/src/chat_face/view.rs
+++ b/src/chat_face/view.rs
@@ -8,7 +8,7 @@
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, RwLock},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use rand::seq::IndexedRandom;
@@ -18,6 +18,7 @@
         membership::{Life, LifeChange, Membership},
         platform_list::{ListedRole, ListedState, ListedVm},
     },
+    clock::BootInstant,
     event::Event,
     id::{DataHallId, Incarnation, ModelId, ServiceId, UpstreamId, VmId},
     message::{Beat, LoadEntry, ShortHash},
@@ -85,7 +86,7 @@
     upstreams: RwLock<Arc<Upstreams>>,
     peers: RwLock<Arc<Vec<Peer>>>,
     members: Mutex<Membership>,
-    listed_at: Mutex<Option<Instant>>,
+    listed_at: Mutex<Option<BootInstant>>,
 }
 
 impl View {
@@ -126,7 +127,7 @@
     pub fn take_list(
         &self,
         list: &[ListedVm],
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Arc<Upstream>> {
         let known = self.upstreams();
         let first = self.listed_at().is_none();
@@ -159,12 +160,12 @@
     }
 
     /// Notes that the list was read and had not changed.
-    pub fn list_unchanged(&self, now: Instant) {
+    pub fn list_unchanged(&self, now: BootInstant) {
         *self.listed_at.lock().expect("view lock") = Some(now);
     }
 
     /// When the list was last read.
-    pub fn listed_at(&self) -> Option<Instant> {
+    pub fn listed_at(&self) -> Option<BootInstant> {
         *self.listed_at.lock().expect("view lock")
     }
 
@@ -265,14 +266,14 @@
     pub fn observe_beats(
         &self,
         beats: &[Beat],
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<LifeChange> {
         let mut members = self.members.lock().expect("members lock");
         beats.iter().filter_map(|beat| members.observe(beat, now)).collect()
     }
 
     /// Judges silence.
-    pub fn tick(&self, now: Instant) -> Vec<LifeChange> {
+    pub fn tick(&self, now: BootInstant) -> Vec<LifeChange> {
         self.members.lock().expect("members lock").tick(now)
     }
 
@@ -299,7 +300,7 @@
     pub fn take_loads(
         &self,
         entries: &[LoadEntry],
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Arc<Upstream>> {
         let mut newly_leaving = Vec::new();
         for entry in entries {
@@ -329,7 +330,7 @@
         &self,
         local: usize,
         remote: usize,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<LoadEntry> {
         let (near, far): (Vec<_>, Vec<_>) = self
             .all_upstreams()
@@ -371,7 +372,7 @@
 fn load_entry(
     upstream: &Upstream,
     oldest: Duration,
-    now: Instant,
+    now: BootInstant,
 ) -> Option<LoadEntry> {
     let load = upstream.load()?;
     let age = now.saturating_duration_since(load.at);
--- a/src/chat_face/vm.rs
+++ b/src/chat_face/vm.rs
@@ -7,7 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use smol::channel::{Receiver, Sender};
@@ -36,7 +36,7 @@
         tally::Tallies,
         view::View,
     },
-    clock::SharedClock,
+    clock::{BootInstant, SharedClock},
     event::Event,
     frame::FrameCodec,
     http_client::HttpClient,
@@ -149,7 +149,7 @@
             guard: Guard::default(),
             decisions: DecisionLog::new(settings.decisions_kept),
             sessions: SessionKeys::new(&settings.cluster_key),
-            http: HttpClient::new(requests.connect_timeout),
+            http: HttpClient::new(requests.connect_timeout, clock.clone()),
             store_counts: store.counts(),
             store: Arc::new(store),
             peers: PeerClient::new(codec.clone(), metrics.clone()),
@@ -262,7 +262,7 @@
     pub(crate) fn upstream_facts(
         &self,
         model: &ModelId,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<UpstreamFacts> {
         let hall = self.view.data_hall();
         let upstreams = self.view.model_upstreams(model);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: the server, and what operators do from a shell.
 
 use std::{
-    io::Write, net::SocketAddr, path::PathBuf, process::ExitCode,
+    io::Write, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc,
     time::Duration,
 };
 
@@ -16,6 +16,7 @@
         server::{Addresses, Server},
         template::VersionState,
     },
+    clock::SystemClock,
     error::Error,
     gateway::{self, settings::GatewaySettings},
     http_client::{Call, HttpClient, WholeAnswer},
@@ -453,7 +454,7 @@
         Ok(key) => call.header("authorization", &format!("Bearer {key}")),
         Err(_) => call,
     };
-    HttpClient::new(CONNECT_LIMIT)
+    HttpClient::new(CONNECT_LIMIT, Arc::new(SystemClock))
         .fetch(call, CALL_LIMIT, ANSWER_LIMIT_BYTES)
         .await
         .map_err(|error| format!("{address}: {error}"))
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,17 +1,98 @@
 //! Time as an interface, so that rules about time can be tested without it.
+//!
+//! A VM may be suspended for seconds. The steady clock of the operating system
+//! stands still meanwhile, so that all that was known before would seem as
+//! young as it was: keys that were taken away, leases that others hold by now.
+//! [`BootInstant`] counts that time, and is a type of its own so that nothing
+//! else can stand in for it by mistake.
 
 use std::{
+    ops::{Add, AddAssign, Sub},
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
+const NANOS_IN_SECOND: i64 = 1_000_000_000;
+
+/// A moment on a clock that never goes back and also counts the time for which
+/// the machine is suspended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BootInstant {
+    /// Time since the machine was booted; negative for a moment before that,
+    /// of which another VM may tell.
+    since_boot_ns: i64,
+}
+
+impl BootInstant {
+    /// The time from `earlier` to this moment, none if that is later.
+    pub fn saturating_duration_since(self, earlier: BootInstant) -> Duration {
+        let passed_ns =
+            self.since_boot_ns.saturating_sub(earlier.since_boot_ns);
+        Duration::from_nanos(passed_ns.max(0) as u64)
+    }
+
+    /// The moment that comes `time` before this one, unless that is centuries
+    /// ago.
+    pub fn checked_sub(self, time: Duration) -> Option<BootInstant> {
+        let since_boot_ns = self.since_boot_ns.checked_sub(nanos(time))?;
+        Some(BootInstant { since_boot_ns })
+    }
+}
+
+/// A time in nanoseconds, three centuries at most.
+fn nanos(time: Duration) -> i64 {
+    i64::try_from(time.as_nanos()).unwrap_or(i64::MAX)
+}
+
+#[cfg(test)]
+impl BootInstant {
+    /// A moment for a test to begin with.
+    pub(crate) fn now() -> BootInstant {
+        SystemClock.now()
+    }
+}
+
+impl Add<Duration> for BootInstant {
+    type Output = BootInstant;
+
+    fn add(self, time: Duration) -> BootInstant {
+        let since_boot_ns = self.since_boot_ns.saturating_add(nanos(time));
+        BootInstant { since_boot_ns }
+    }
+}
+
+impl AddAssign<Duration> for BootInstant {
+    fn add_assign(&mut self, time: Duration) {
+        *self = *self + time;
+    }
+}
+
+impl Sub<Duration> for BootInstant {
+    type Output = BootInstant;
+
+    fn sub(self, time: Duration) -> BootInstant {
+        let since_boot_ns = self.since_boot_ns.saturating_sub(nanos(time));
+        BootInstant { since_boot_ns }
+    }
+}
+
+impl Sub for BootInstant {
+    type Output = Duration;
+
+    fn sub(self, earlier: BootInstant) -> Duration {
+        self.saturating_duration_since(earlier)
+    }
+}
+
 /// A source of time.
 ///
-/// Deadlines, ages and leases use [`Clock::now`], which never goes back.
-/// Only what people read uses [`Clock::system_time`].
+/// Deadlines, ages and leases use [`Clock::now`]. Only what people read uses
+/// [`Clock::system_time`].
 pub trait Clock: Send + Sync {
-    /// The monotonic time of this process.
-    fn now(&self) -> Instant;
+    /// The present moment.
+    fn now(&self) -> BootInstant;
 
     /// The time of day.
     fn system_time(&self) -> SystemTime;
@@ -31,11 +112,16 @@
 pub struct SystemClock;
 
 impl Clock for SystemClock {
-    fn now(&self) -> Instant {
-        Instant::now()
+    fn now(&self) -> BootInstant {
+        let time = clock_gettime(ClockId::Boottime);
+        let whole_ns = time.tv_sec.saturating_mul(NANOS_IN_SECOND);
+        BootInstant { since_boot_ns: whole_ns.saturating_add(time.tv_nsec) }
     }
 
     fn system_time(&self) -> SystemTime {
         SystemTime::now()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/crashes/keeping.rs
+++ b/src/crashes/keeping.rs
@@ -4,15 +4,13 @@
 //! after all of them have gone, reads it with everything else. Any VM can
 //! write it, and the steward does, under a lease that is not renewed.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use serde_json::json;
 
 use crate::{
     chains::store::{Backoff, StoreError},
+    clock::BootInstant,
     crashes::record::REMEMBERED,
     event::Event,
     gateway::{Gateway, fields},
@@ -55,7 +53,7 @@
 }
 
 /// What this VM is to write: nothing, unless it is the steward.
-fn due(gateway: &Gateway, now: Instant) -> Vec<NewValue> {
+fn due(gateway: &Gateway, now: BootInstant) -> Vec<NewValue> {
     if !gateway.crashes.holds_any() {
         return Vec::new();
     }
--- a/src/crashes/record.rs
+++ b/src/crashes/record.rs
@@ -11,10 +11,11 @@
     collections::{BTreeSet, HashMap},
     hash::Hash,
     sync::{Mutex, MutexGuard},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
+    clock::BootInstant,
     crashes::{
         digest::RequestDigest,
         sighting::{Crash, Seen, Sighting},
@@ -108,9 +109,9 @@
 #[derive(Debug)]
 enum Life {
     /// Whether it has ended is open; these were there.
-    Open { lost: Vec<(RequestDigest, u16)>, since: Instant },
+    Open { lost: Vec<(RequestDigest, u16)>, since: BootInstant },
     /// It has.
-    Ended { at: Instant },
+    Ended { at: BootInstant },
 }
 
 /// Something to tell in the next rounds of beats.
@@ -148,8 +149,8 @@
     lives: HashMap<ShortHash, Life>,
     ends: HashMap<RequestDigest, Ends>,
     /// When an end of each was last heard of.
-    heard_at: HashMap<RequestDigest, Instant>,
-    ran_whole: HashMap<RequestDigest, Instant>,
+    heard_at: HashMap<RequestDigest, BootInstant>,
+    ran_whole: HashMap<RequestDigest, BootInstant>,
     tellings: Vec<Telling>,
     held: BTreeSet<RequestDigest>,
 }
@@ -184,7 +185,7 @@
         request: RequestDigest,
         upstream: ShortHash,
         had: Duration,
-        now: Instant,
+        now: BootInstant,
     ) -> (NextStep, Vec<Change>) {
         let had_ms = u16::try_from(had.as_millis()).unwrap_or(u16::MAX);
         let mut state = self.lock();
@@ -212,7 +213,7 @@
         &self,
         upstream: ShortHash,
         listening: Listening,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Change> {
         let mut state = self.lock();
         match listening {
@@ -232,7 +233,7 @@
     pub(crate) fn note_ran_whole(
         &self,
         request: RequestDigest,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Change> {
         let mut state = self.lock();
         make_room(&mut state.ran_whole, WELL_MOST, |at| *at);
@@ -249,7 +250,7 @@
         &self,
         sightings: &[Sighting],
         source: Source,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Change> {
         if sightings.is_empty() {
             return Vec::new();
@@ -305,8 +306,8 @@
     }
 
     /// Forgets what is too old.
-    pub(crate) fn sweep(&self, now: Instant) -> Vec<Change> {
-        let age = |at: Instant| now.saturating_duration_since(at);
+    pub(crate) fn sweep(&self, now: BootInstant) -> Vec<Change> {
+        let age = |at: BootInstant| now.saturating_duration_since(at);
         let mut state = self.lock();
         state.lives.retain(|_, life| match life {
             Life::Open { since, .. } => age(*since) < OPEN_FOR,
@@ -339,7 +340,7 @@
     }
 
     /// Notes that an upstream has ended, with all that it had of this VM.
-    fn end(&mut self, upstream: ShortHash, now: Instant) {
+    fn end(&mut self, upstream: ShortHash, now: BootInstant) {
         make_room(&mut self.lives, ENDED_MOST, |life| match life {
             Life::Open { since, .. } => *since,
             Life::Ended { at } => *at,
@@ -359,7 +360,7 @@
         request: RequestDigest,
         crash: Crash,
         source: Source,
-        now: Instant,
+        now: BootInstant,
     ) {
         if self.ran_whole.contains_key(&request) {
             // Who has not had it yet takes it for a culprit.
@@ -435,7 +436,7 @@
 fn make_room<K: Copy + Eq + Hash, V>(
     map: &mut HashMap<K, V>,
     most: usize,
-    at: impl Fn(&V) -> Instant,
+    at: impl Fn(&V) -> BootInstant,
 ) {
     if map.len() < most {
         return;
--- a/src/crashes/record/tests.rs
+++ b/src/crashes/record/tests.rs
@@ -18,7 +18,7 @@
     record: &CrashRecord,
     request: RequestDigest,
     upstreams: std::ops::RangeInclusive<u32>,
-    now: Instant,
+    now: BootInstant,
 ) {
     for number in upstreams {
         record.note_lost(request, life(number), HAD, now);
@@ -28,7 +28,7 @@
 
 #[test]
 fn three_ends_are_enough_and_are_told_as_one_change() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, DEADLY, 1..=2, now);
     assert!(!record.is_held(DEADLY));
     record.note_lost(DEADLY, life(3), HAD, now);
@@ -40,7 +40,7 @@
 /// A reset says nothing, and nor does silence.
 #[test]
 fn a_lost_attempt_counts_only_where_its_upstream_has_ended() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     for number in 1..=5 {
         let first = record.note_lost(DEADLY, life(number), HAD, now);
         assert_eq!(first, (NextStep::Check, Vec::new()));
@@ -65,7 +65,7 @@
 
 #[test]
 fn an_attempt_that_is_lost_after_its_upstream_has_ended_counts_at_once() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, OTHER, 1..=2, now);
     for number in 1..=2 {
         let lost = record.note_lost(DEADLY, life(number), HAD, now);
@@ -78,7 +78,7 @@
 /// Two VMs see one end, and each is told of it by several.
 #[test]
 fn one_end_counts_once() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, DEADLY, 1..=2, now);
     for source in [Source::OwnHall, Source::OtherHall, Source::Kept] {
         record.hear(&[crash(DEADLY, 1), crash(DEADLY, 2)], source, now);
@@ -88,7 +88,7 @@
 
 #[test]
 fn what_ran_whole_is_not_held_back_by_this_vm_or_those_it_tells() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     let (other, told_late) = (CrashRecord::default(), CrashRecord::default());
     end_under(&record, DEADLY, 1..=3, now);
     other.hear(&record.to_tell(Audience::OwnHall), Source::OwnHall, now);
@@ -113,7 +113,7 @@
 
 #[test]
 fn another_that_explains_the_ends_releases_a_bystander() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, OTHER, 1..=3, now);
     assert!(record.is_held(OTHER));
     let told: Vec<Sighting> = (1..=4).map(|n| crash(DEADLY, n)).collect();
@@ -124,7 +124,7 @@
 
 #[test]
 fn it_is_forgotten_ten_minutes_after_the_last_end() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, DEADLY, 1..=3, now);
     let half = now + REMEMBERED / 2;
     end_under(&record, DEADLY, 4..=4, half);
@@ -136,7 +136,7 @@
 
 #[test]
 fn each_vm_tells_its_hall_and_passes_on_what_other_halls_tell() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, DEADLY, 1..=1, now);
     record.hear(&[crash(DEADLY, 2)], Source::OwnHall, now);
     record.hear(&[crash(DEADLY, 3)], Source::OtherHall, now);
@@ -156,7 +156,7 @@
 /// A rack ends with all that it had; the culprit's ends are told first.
 #[test]
 fn a_beat_is_bounded_and_begins_with_the_most_suspect() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     for request in 100..400 {
         end_under(&record, RequestDigest(request), 1..=1, now);
     }
@@ -170,7 +170,7 @@
 /// another stays so.
 #[test]
 fn many_suspects_do_not_displace_one_that_is_held_back() {
-    let (record, now) = (CrashRecord::default(), Instant::now());
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, DEADLY, 1..=3, now);
     let told: Vec<Sighting> = (0..SUSPECTS_MOST as u64 + 500)
         .map(|number| crash(RequestDigest(1000 + number), 77))
--- a/src/facts/agreement.rs
+++ b/src/facts/agreement.rs
@@ -4,7 +4,9 @@
 //! the records of all had settled, so a VM that has just asked for everything
 //! waits for the word of a watcher before it asks again.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::clock::BootInstant;
 
 /// Age of a watcher's word up to which it counts: that of the last beat from
 /// which a VM counts as gone.
@@ -24,35 +26,35 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Agreement {
     /// When a watcher last knew what this VM knows.
-    agreed_at: Option<Instant>,
+    agreed_at: Option<BootInstant>,
     /// When this VM last asked the store for everything that had changed.
-    looked_at: Option<Instant>,
+    looked_at: Option<BootInstant>,
     /// Since when another VM has been known to know more.
-    behind_since: Option<Instant>,
+    behind_since: Option<BootInstant>,
 }
 
 impl Agreement {
     /// Notes that a watcher knows what this VM knows.
-    pub(crate) fn note_agreed(&mut self, now: Instant) {
+    pub(crate) fn note_agreed(&mut self, now: BootInstant) {
         self.agreed_at = Some(now);
         self.behind_since = None;
     }
 
     /// Notes that the store was asked for all changes.
-    pub(crate) fn note_looked(&mut self, asked_at: Instant) {
+    pub(crate) fn note_looked(&mut self, asked_at: BootInstant) {
         self.looked_at = Some(asked_at);
         self.behind_since = None;
     }
 
     /// Notes that another VM knows more. What a watcher tells may be on its
     /// way, so that alone says nothing yet.
-    pub(crate) fn note_behind(&mut self, now: Instant) {
+    pub(crate) fn note_behind(&mut self, now: BootInstant) {
         self.behind_since.get_or_insert(now);
     }
 
     /// Whether the store need not be asked for what has changed.
-    pub(crate) fn holds(&self, now: Instant) -> bool {
-        let within = |at: Option<Instant>, limit: Duration| {
+    pub(crate) fn holds(&self, now: BootInstant) -> bool {
+        let within = |at: Option<BootInstant>, limit: Duration| {
             at.is_some_and(|at| now.saturating_duration_since(at) < limit)
         };
         let is_behind = self.behind_since.is_some()
--- a/src/facts/agreement/tests.rs
+++ b/src/facts/agreement/tests.rs
@@ -4,12 +4,12 @@
 
 #[test]
 fn without_any_word_the_store_is_asked() {
-    assert!(!Agreement::default().holds(Instant::now()));
+    assert!(!Agreement::default().holds(BootInstant::now()));
 }
 
 #[test]
 fn a_vm_that_has_just_asked_waits_for_a_watcher() {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let mut agreement = Agreement::default();
     agreement.note_looked(start);
     assert!(agreement.holds(start + SETTLE_TIME - MOMENT));
@@ -21,7 +21,7 @@
 
 #[test]
 fn a_vm_that_stays_behind_asks() {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let mut agreement = Agreement::default();
     agreement.note_agreed(start);
     agreement.note_behind(start);
--- a/src/facts/knowledge.rs
+++ b/src/facts/knowledge.rs
@@ -12,13 +12,14 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, RwLock},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     chains::store::StoreVersion,
+    clock::BootInstant,
     crashes::{digest::RequestDigest, sighting::Crash},
     facts::{
         knowledge_pack,
@@ -127,7 +128,7 @@
 #[derive(Debug, Default)]
 pub struct Knowledge {
     table: RwLock<Option<Arc<RouteTable>>>,
-    proven_at: Mutex<Option<Instant>>,
+    proven_at: Mutex<Option<BootInstant>>,
     mirror: Mutex<Mirror>,
     /// All values, packed, and the digest of what they are.
     packed: Mutex<Option<(u64, Arc<[u8]>)>>,
@@ -158,13 +159,13 @@
     }
 
     /// Notes that what is known was current at `at`.
-    pub fn prove(&self, at: Instant) {
+    pub fn prove(&self, at: BootInstant) {
         let mut proven_at = self.proven_at.lock().expect("proof lock");
         *proven_at = Some(proven_at.map_or(at, |held| held.max(at)));
     }
 
     /// How long ago what is known was last proven current.
-    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+    pub fn proof_age(&self, now: BootInstant) -> Option<Duration> {
         let proven_at = *self.proven_at.lock().expect("proof lock");
         proven_at.map(|at| now.saturating_duration_since(at))
     }
--- a/src/facts/knowledge/tests.rs
+++ b/src/facts/knowledge/tests.rs
@@ -139,7 +139,7 @@
 #[test]
 fn a_proof_counts_from_its_latest_moment() {
     let knowledge = Knowledge::default();
-    let now = Instant::now();
+    let now = BootInstant::now();
     assert_eq!(knowledge.proof_age(now), None);
     let second = Duration::from_secs(1);
     knowledge.prove(now + second);
--- a/src/facts/peers.rs
+++ b/src/facts/peers.rs
@@ -9,10 +9,11 @@
         Arc, Mutex,
         atomic::{AtomicU32, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
+    clock::BootInstant,
     facts::{
         agreement::{self, Agreement},
         knowledge::{Knowledge, PeerRecord},
@@ -125,18 +126,18 @@
     }
 
     /// Whether it was heard a short while ago.
-    fn is_alive(&self, now: Instant) -> bool {
+    fn is_alive(&self, now: BootInstant) -> bool {
         self.heard_within(SILENT_AFTER, now)
     }
 
-    fn heard_within(&self, limit: Duration, now: Instant) -> bool {
+    fn heard_within(&self, limit: Duration, now: BootInstant) -> bool {
         self.heard.as_ref().is_some_and(|heard| {
             now.saturating_duration_since(heard.at) < limit
         })
     }
 
     /// Whether it was heard, is not leaving, and the store answers it.
-    fn can_watch(&self, now: Instant) -> bool {
+    fn can_watch(&self, now: BootInstant) -> bool {
         let may = |heard: &Heard| heard.can_watch && !heard.is_leaving;
         self.is_alive(now) && self.heard.as_ref().is_some_and(may)
     }
@@ -144,12 +145,12 @@
 
 #[derive(Clone, Debug)]
 struct Heard {
-    at: Instant,
+    at: BootInstant,
     incarnation: Incarnation,
     number: u32,
     is_leaving: bool,
     can_watch: bool,
-    proven_at: Option<Instant>,
+    proven_at: Option<BootInstant>,
 }
 
 impl Heard {
@@ -158,7 +159,7 @@
     /// Lives are told apart by the time of day at which they began, which may
     /// have been set back meanwhile; a life that has fallen silent gives way
     /// to any other.
-    fn is_after(&self, beat: &VmBeat, now: Instant) -> bool {
+    fn is_after(&self, beat: &VmBeat, now: BootInstant) -> bool {
         let silent = now.saturating_duration_since(self.at);
         if self.incarnation != beat.incarnation && silent > LIFE_OPEN_AFTER {
             return false;
@@ -166,7 +167,7 @@
         (self.incarnation, self.number) >= (beat.incarnation, beat.number)
     }
 
-    fn echo(&self, now: Instant) -> Echo {
+    fn echo(&self, now: BootInstant) -> Echo {
         let held = now.saturating_duration_since(self.at);
         Echo {
             incarnation: self.incarnation,
@@ -210,15 +211,15 @@
     seed_place: Option<usize>,
     /// This VM's life.
     incarnation: Incarnation,
-    started_at: Instant,
+    started_at: BootInstant,
     /// In the order of their names, so that each has its turn.
     known: Mutex<BTreeMap<String, Peer>>,
-    sent: Mutex<Vec<(u32, Instant)>>,
+    sent: Mutex<Vec<(u32, BootInstant)>>,
     agreement: Mutex<Agreement>,
     /// When the store last did not answer this VM as it should.
-    turned_away_at: Mutex<Option<Instant>>,
+    turned_away_at: Mutex<Option<BootInstant>>,
     /// The VMs that watch, as found at that time.
-    watchers: Mutex<Option<(Instant, Arc<[String]>)>>,
+    watchers: Mutex<Option<(BootInstant, Arc<[String]>)>>,
     /// Where the next round of beats to other data halls begins.
     next_receiver: AtomicUsize,
     next_number: AtomicU32,
@@ -234,7 +235,7 @@
         settings: &GatewaySettings,
         incarnation: Incarnation,
         metrics: Arc<Metrics>,
-        now: Instant,
+        now: BootInstant,
     ) -> Peers {
         let codec = FrameCodec::new(&settings.cluster_key);
         let own = settings.peers;
@@ -299,7 +300,7 @@
     pub(crate) fn unrecorded(
         &self,
         with_others: bool,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<(String, PeerRecord)> {
         let Some(seed_place) = self.seed_place else { return Vec::new() };
         let seeds = self.seeds.len() + 1;
@@ -332,7 +333,7 @@
     }
 
     /// Forgets the VMs that are neither recorded nor heard.
-    pub(crate) fn sweep(&self, now: Instant) {
+    pub(crate) fn sweep(&self, now: BootInstant) {
         let mut known = self.known.lock().expect("peers lock");
         known.retain(|_, peer| {
             peer.is_recorded || peer.heard_within(FORGET_AFTER, now)
@@ -345,9 +346,9 @@
     pub(crate) fn is_steward(
         &self,
         own_proof: Option<Duration>,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
-        let is_able = |proven_at: Option<Instant>| {
+        let is_able = |proven_at: Option<BootInstant>| {
             proven_at.is_some_and(|at| {
                 now.saturating_duration_since(at) <= STEWARD_PROOF
             })
@@ -368,19 +369,19 @@
 
     /// Notes that the store did not answer this VM as it should at that time,
     /// or that it does.
-    pub(crate) fn note_watch(&self, turned_away_at: Option<Instant>) {
+    pub(crate) fn note_watch(&self, turned_away_at: Option<BootInstant>) {
         *self.turned_away_at.lock().expect("watch lock") = turned_away_at;
     }
 
     /// Whether the store answers this VM, as far as it knows.
-    pub(crate) fn can_watch(&self, now: Instant) -> bool {
+    pub(crate) fn can_watch(&self, now: BootInstant) -> bool {
         let at = *self.turned_away_at.lock().expect("watch lock");
         at.is_none_or(|at| now.saturating_duration_since(at) > WATCH_PAUSE)
     }
 
     /// Whether this VM is the first of its data hall, in a fixed order of
     /// those that are heard and that the store answers.
-    pub(crate) fn is_first_of_hall(&self, now: Instant) -> bool {
+    pub(crate) fn is_first_of_hall(&self, now: BootInstant) -> bool {
         self.can_watch(now)
             && !self.expects_others(now)
             && self.count_before(|p| p.can_watch(now)) == 0
@@ -391,7 +392,7 @@
     /// is recorded, all may be starting for the first time: they find out by
     /// their beats who comes first, or else each would wait for the others to
     /// follow the store.
-    fn expects_others(&self, now: Instant) -> bool {
+    fn expects_others(&self, now: BootInstant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
         if age >= START_TIME {
             return false;
@@ -411,7 +412,7 @@
     /// Whether this VM is one of the first of its data hall, in the same order
     /// of all that are heard: those ask a store that does not answer more
     /// often, and tell the others when it does.
-    pub(crate) fn is_forward(&self, now: Instant) -> bool {
+    pub(crate) fn is_forward(&self, now: BootInstant) -> bool {
         self.count_before(|peer| peer.is_alive(now)) < FORWARD
     }
 
@@ -429,7 +430,7 @@
     /// The VMs that watch the store: the first few, in a fixed order, of those
     /// that are heard and that the store answers, of as many data halls as
     /// possible.
-    fn watchers(&self, now: Instant) -> Arc<[String]> {
+    fn watchers(&self, now: BootInstant) -> Arc<[String]> {
         let mut held = self.watchers.lock().expect("watchers lock");
         if let Some((at, watchers)) = &*held
             && now.saturating_duration_since(*at) < WATCHERS_KEPT
@@ -442,12 +443,12 @@
     }
 
     /// Whether this VM is the first of those that watch, as far as it hears.
-    pub(crate) fn is_first_watcher(&self, now: Instant) -> bool {
+    pub(crate) fn is_first_watcher(&self, now: BootInstant) -> bool {
         let watchers = self.watchers(now);
         watchers.first().is_none_or(|first| *first == self.vm)
     }
 
-    fn find_watchers(&self, now: Instant) -> Arc<[String]> {
+    fn find_watchers(&self, now: BootInstant) -> Arc<[String]> {
         let known = self.known.lock().expect("peers lock");
         let hears_all = self.hears_all(&known);
         let able = known.iter().filter(|(_, peer)| {
@@ -486,7 +487,7 @@
         &self,
         proof_age: Option<Duration>,
         revoke: Duration,
-        now: Instant,
+        now: BootInstant,
     ) -> WatchRole {
         let watchers = self.watchers(now);
         let hears_all =
@@ -537,18 +538,18 @@
 
     /// Notes that another VM knows more than this one. What a watcher tells
     /// may be on its way, so that alone says nothing yet.
-    pub(crate) fn note_behind(&self, now: Instant) {
+    pub(crate) fn note_behind(&self, now: BootInstant) {
         self.agreement.lock().expect("agreement lock").note_behind(now);
     }
 
     /// Notes that this VM asked the store for all changes at that time.
-    pub(crate) fn note_looked(&self, asked_at: Instant) {
+    pub(crate) fn note_looked(&self, asked_at: BootInstant) {
         let mut agreement = self.agreement.lock().expect("agreement lock");
         agreement.note_looked(asked_at);
     }
 
     /// Notes that a VM knows what this VM knows, which counts if it watches.
-    pub(crate) fn note_agreed(&self, vm: &str, now: Instant) {
+    pub(crate) fn note_agreed(&self, vm: &str, now: BootInstant) {
         if self.watchers(now).iter().any(|watcher| watcher == vm) {
             self.agreement.lock().expect("agreement lock").note_agreed(now);
         }
@@ -556,7 +557,7 @@
 
     /// The VMs that a watcher tells what has changed: the other watchers too,
     /// which are there for its loss and ask less often.
-    pub(crate) fn told(&self, now: Instant) -> Vec<SocketAddr> {
+    pub(crate) fn told(&self, now: BootInstant) -> Vec<SocketAddr> {
         if !self.watchers(now).contains(&self.vm) {
             return Vec::new();
         }
@@ -575,7 +576,7 @@
         &self,
         beat: &VmBeat,
         knowledge: &Knowledge,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         let mut known = self.known.lock().expect("peers lock");
         let peer = known.entry(beat.vm.clone()).or_insert_with(|| Peer {
@@ -614,7 +615,7 @@
     ///
     /// The beat was made once the echoed one had been there for as long as it
     /// says, and the echoed one arrived after it was sent from here.
-    fn proven_at(&self, beat: &VmBeat) -> Option<Instant> {
+    fn proven_at(&self, beat: &VmBeat) -> Option<BootInstant> {
         let echo = beat.echo?;
         if echo.incarnation != self.incarnation {
             return None;
@@ -625,19 +626,19 @@
         (sent_at + held).checked_sub(age)
     }
 
-    fn sent_at(&self, number: u32) -> Option<Instant> {
+    fn sent_at(&self, number: u32) -> Option<BootInstant> {
         let sent = self.sent.lock().expect("sent lock");
         sent.iter().find(|(n, _)| *n == number).map(|(_, at)| *at)
     }
 
     /// The number of the next beat, sent at `now`.
-    pub(crate) fn next_number(&self, now: Instant) -> u32 {
+    pub(crate) fn next_number(&self, now: BootInstant) -> u32 {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         self.note_sent(number, now);
         number
     }
 
-    fn note_sent(&self, number: u32, now: Instant) {
+    fn note_sent(&self, number: u32, now: BootInstant) {
         let mut sent = self.sent.lock().expect("sent lock");
         if sent.len() >= BEATS_REMEMBERED {
             sent.remove(0);
@@ -658,7 +659,7 @@
     /// Each VM begins with another of the other halls, so that the beats of a
     /// whole hall, one from each of fifty VMs in half a second, reach all
     /// other halls at any time.
-    pub(crate) fn receivers(&self, now: Instant) -> Vec<Receiver> {
+    pub(crate) fn receivers(&self, now: BootInstant) -> Vec<Receiver> {
         let known = self.known.lock().expect("peers lock");
         let (near, far): (Vec<&Peer>, Vec<&Peer>) =
             known.values().partition(|peer| peer.data_hall == self.data_hall);
--- a/src/facts/peers/tests.rs
+++ b/src/facts/peers/tests.rs
@@ -72,7 +72,7 @@
         known["vm-1"].heard.clone().unwrap().incarnation
     };
     assert_eq!(heard(), Incarnation(900), "a late beat of an old life");
-    let earlier = Instant::now().checked_sub(LIFE_OPEN_AFTER * 2).unwrap();
+    let earlier = BootInstant::now().checked_sub(LIFE_OPEN_AFTER * 2).unwrap();
     let mut known = peers.known.lock().unwrap();
     known.get_mut("vm-1").unwrap().heard.as_mut().unwrap().at = earlier;
     drop(known);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 
 use std::{
     sync::{Arc, OnceLock},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use crate::{
+    clock::BootInstant,
     crashes::{digest::RequestDigest, end_check},
     error::{Error, ErrorKind},
     facts::route::{Organisation, Repeat, Route},
@@ -96,8 +97,8 @@
     pub(crate) inbound: Inbound,
     pub(crate) body: Bytes,
     /// When the caller, or the operator's limit, gives up.
-    pub(crate) deadline: Instant,
-    pub(crate) started_at: Instant,
+    pub(crate) deadline: BootInstant,
+    pub(crate) started_at: BootInstant,
     /// The model to ask, where the caller leaves the choice.
     pub(crate) model: Option<ModelId>,
     /// Upstreams that were asked.
@@ -129,7 +130,7 @@
 pub(crate) struct Attempt {
     pub(crate) member: Arc<Member>,
     pub(crate) model: Option<ModelId>,
-    pub(crate) began_at: Instant,
+    pub(crate) began_at: BootInstant,
     /// What was being read there before.
     pub(crate) read_before: Duration,
     /// The most that may have been read there before.
@@ -236,11 +237,11 @@
     }
 
     /// The time left at `now`.
-    pub(crate) fn left(&self, now: Instant) -> Duration {
+    pub(crate) fn left(&self, now: BootInstant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
 
-    fn version_choice(&self, now: Instant) -> VersionChoice {
+    fn version_choice(&self, now: BootInstant) -> VersionChoice {
         let session = self.inbound.session.as_deref();
         let id = &self.inbound.id;
         self.gateway.rollouts.rule(&self.service, session, id, now)
@@ -250,7 +251,7 @@
     pub(crate) fn begin(
         &mut self,
         trace: &mut Trace,
-        now: Instant,
+        now: BootInstant,
     ) -> Result<Attempt, Error> {
         self.check_not_held()?;
         let prompt = self.shared_prompt();
@@ -336,7 +337,7 @@
     fn use_session(
         &self,
         software: &VersionId,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<SessionUse> {
         let session = self.inbound.session.clone()?;
         let (gateway, service) = (self.gateway.clone(), self.service.clone());
@@ -464,7 +465,7 @@
     pub(crate) async fn watch_silence(
         &self,
         member: &Member,
-        since: Instant,
+        since: BootInstant,
         least: Option<Duration>,
         most: Duration,
     ) {
@@ -568,7 +569,7 @@
     }
 
     /// Whether the rest of a stream that broke off may be asked for.
-    pub(crate) fn may_resume(&self, now: Instant) -> bool {
+    pub(crate) fn may_resume(&self, now: BootInstant) -> bool {
         self.route.repeat == Repeat::Any
             && now < self.deadline
             && self.has_attempt()
@@ -682,7 +683,7 @@
 
 /// How long an upstream may give no sign of life: longer while it reads long
 /// prompts, since nothing else comes meanwhile.
-fn patience(member: &Member, least: Duration, now: Instant) -> Duration {
+fn patience(member: &Member, least: Duration, now: BootInstant) -> Duration {
     let reading = member.reading_most(now).mul_f64(READING_PART);
     least + reading.min(READING_PATIENCE_MOST)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,13 +12,13 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use serde_json::{Map, Value, json};
 
 use crate::{
-    clock::SharedClock,
+    clock::{BootInstant, SharedClock},
     crashes::{
         record::{Change, CrashRecord, Source},
         sighting::{Seen, Sighting},
@@ -125,7 +125,7 @@
     pub(crate) early_beat: Wake,
     pub(crate) incarnation: Incarnation,
     retries: Mutex<HashMap<ServiceId, Arc<RetryWindow>>>,
-    store_ill_at: Mutex<Option<Instant>>,
+    store_ill_at: Mutex<Option<BootInstant>>,
     is_stopping: AtomicBool,
     was_fresh: AtomicBool,
 }
@@ -139,8 +139,8 @@
         let incarnation = Incarnation(clock.unix_ms() * 1000);
         let metrics = Arc::new(Metrics::new());
         Arc::new(Gateway {
-            http: HttpClient::new(CONNECT_LIMIT),
-            store: PlatformStore::new(settings.store),
+            http: HttpClient::new(CONNECT_LIMIT, clock.clone()),
+            store: PlatformStore::new(settings.store, clock.clone()),
             knowledge: Knowledge::default(),
             pool: Pool::new(
                 settings.vm.as_str(),
@@ -194,7 +194,7 @@
     /// VM that lost the store serves on rather than refuses everybody. With
     /// the store away for eight seconds, 145 requests were refused in five of
     /// them without this, and none with it (one simulated day).
-    pub(crate) fn may_accept_keys(&self, now: Instant) -> bool {
+    pub(crate) fn may_accept_keys(&self, now: BootInstant) -> bool {
         !self.settings.fail_closed || self.is_fresh(now)
     }
 
@@ -209,7 +209,7 @@
     }
 
     /// Whether what is known is recent enough to accept keys by.
-    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
+    pub(crate) fn is_fresh(&self, now: BootInstant) -> bool {
         let limit = self.settings.revoke.mul_f64(KEY_PROOF_PART);
         let age = self.knowledge.proof_age(now);
         age.is_some_and(|age| age <= limit)
@@ -273,7 +273,7 @@
         self.store_ill_at.lock().expect("store lock").is_some()
     }
 
-    fn is_store_well(&self, now: Instant) -> bool {
+    fn is_store_well(&self, now: BootInstant) -> bool {
         let ill_at = *self.store_ill_at.lock().expect("store lock");
         ill_at.is_none_or(|at| now.saturating_duration_since(at) >= STORE_WELL)
     }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -6,15 +6,13 @@
 //! 590, and this way they are some twenty. A VM that nobody records does so
 //! itself.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use serde_json::json;
 
 use crate::{
     chains::store::{Backoff, StoreError},
+    clock::BootInstant,
     event::Event,
     facts::knowledge::PeerRecord,
     gateway::{Gateway, fields},
@@ -73,17 +71,17 @@
 struct Keeper {
     gateway: Arc<Gateway>,
     backoff: Backoff,
-    started_at: Instant,
+    started_at: BootInstant,
     /// When this VM records itself if nobody else does; counted from when it
     /// was last recorded.
-    own_due_at: Instant,
+    own_due_at: BootInstant,
     lease: Option<HeldLease>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct HeldLease {
     id: u64,
-    renewed_at: Instant,
+    renewed_at: BootInstant,
 }
 
 impl Keeper {
@@ -108,7 +106,7 @@
         Ok(())
     }
 
-    async fn renew(&mut self, now: Instant) -> Result<(), StoreError> {
+    async fn renew(&mut self, now: BootInstant) -> Result<(), StoreError> {
         let Some(held) = self.lease else { return Ok(()) };
         if now.saturating_duration_since(held.renewed_at) < RENEWAL {
             return Ok(());
@@ -121,7 +119,7 @@
     }
 
     /// The records that this VM has to write.
-    fn due(&mut self, now: Instant) -> Vec<NewValue> {
+    fn due(&mut self, now: BootInstant) -> Vec<NewValue> {
         let gateway = &self.gateway;
         let peers = &gateway.peers;
         let age = now.saturating_duration_since(self.started_at);
@@ -148,7 +146,7 @@
     async fn write(
         &mut self,
         records: &[NewValue],
-        now: Instant,
+        now: BootInstant,
     ) -> Result<(), StoreError> {
         let store = &self.gateway.store;
         let lease = match self.lease {
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -5,12 +5,13 @@
 //! out; the caller sees one answer. If nobody can go on, the answer is cut
 //! so that it cannot be taken for whole.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 
 use crate::{
+    clock::BootInstant,
     gateway::{
         forward::{Attempt, Fault, Job, Reply, ReplyBody},
         trace::{End, Trace},
@@ -398,7 +399,7 @@
     async fn try_resume(
         &mut self,
         model: Option<ModelId>,
-        now: Instant,
+        now: BootInstant,
     ) -> Result<Source, String> {
         let Some(trace) = &mut self.trace else {
             return Err("ended".to_owned());
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -5,15 +5,13 @@
 //! they are it do no harm, since every record is written under a condition
 //! and a roll-out that has ended stays ended.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use serde_json::json;
 
 use crate::{
     chains::store::{Backoff, StoreError},
+    clock::BootInstant,
     event::Event,
     gateway::{Gateway, fields},
     message::ShortHash,
@@ -77,7 +75,7 @@
 }
 
 /// What this VM is to record in the store.
-pub(crate) fn due(gateway: &Gateway, now: Instant) -> Vec<Due> {
+pub(crate) fn due(gateway: &Gateway, now: BootInstant) -> Vec<Due> {
     let own_proof = gateway.knowledge.proof_age(now);
     let is_steward = gateway.peers.is_steward(own_proof, now);
     let old =
--- a/src/gateway/test_fleet.rs
+++ b/src/gateway/test_fleet.rs
@@ -6,11 +6,11 @@
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use crate::{
-    clock::Clock,
+    clock::{BootInstant, Clock},
     facts::{
         knowledge::PeerRecord,
         mesh::{self, Round},
@@ -29,16 +29,16 @@
 pub(crate) const STEP_MS: u64 = 10;
 
 /// A clock that stands still until it is moved.
-pub(crate) struct TestClock(Mutex<Instant>);
+pub(crate) struct TestClock(Mutex<BootInstant>);
 
 impl TestClock {
-    fn advance(&self, time: Duration) {
+    pub(crate) fn advance(&self, time: Duration) {
         *self.0.lock().unwrap() += time;
     }
 }
 
 impl Clock for TestClock {
-    fn now(&self) -> Instant {
+    fn now(&self) -> BootInstant {
         *self.0.lock().unwrap()
     }
 
@@ -67,7 +67,7 @@
 impl Fleet {
     /// A fleet whose VMs all know of each other.
     pub(crate) fn new(halls: usize, vms_of_hall: usize) -> Fleet {
-        let clock = Arc::new(TestClock(Mutex::new(Instant::now())));
+        let clock = Arc::new(TestClock(Mutex::new(BootInstant::now())));
         let mut fleet = Fleet {
             clock,
             vms: Vec::new(),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -3,15 +3,12 @@
 //! A trace writes one line when its request ends, with every attempt. If it
 //! is dropped before, the caller has left, and the line says so.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use serde_json::{Map, Value, json};
 
 use crate::{
-    clock::SharedClock,
+    clock::{BootInstant, SharedClock},
     crashes::digest::RequestDigest,
     event::Event,
     facts::route::{Route, TableVersion},
@@ -58,7 +55,7 @@
     clock: SharedClock,
     metrics: Arc<Metrics>,
     id: String,
-    started_at: Instant,
+    started_at: BootInstant,
     route: Option<Arc<Route>>,
     organisation: Option<OrganisationId>,
     table: Option<TableVersion>,
@@ -136,7 +133,7 @@
         &mut self,
         member: &Member,
         model: Option<ModelId>,
-        now: Instant,
+        now: BootInstant,
     ) {
         self.attempts.push(AttemptTrace {
             upstream: member.entry.id.to_string(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,14 +1,12 @@
 //! Following the platform's store: one read of everything, then one watch.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use serde_json::json;
 
 use crate::{
     chains::store::{Backoff, StoreError},
+    clock::BootInstant,
     event::Event,
     facts::{mesh, peers::WatchRole},
     gateway::{Gateway, fields},
@@ -298,7 +296,7 @@
 
 /// Takes in all changes since what is known, which is current as of when they
 /// were asked for.
-fn take_in(gateway: &Gateway, changes: Items, asked_at: Instant) {
+fn take_in(gateway: &Gateway, changes: Items, asked_at: BootInstant) {
     let news = gateway.knowledge.take_changes(changes);
     gateway.take_news(news);
     gateway.knowledge.prove(asked_at);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -10,7 +10,7 @@
     fmt, io,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -24,7 +24,10 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::task::{self, Task, within};
+use crate::{
+    clock::{BootInstant, SharedClock},
+    task::{self, Task, within},
+};
 
 /// Idle connections kept for each address.
 const IDLE_LIMIT: usize = 64;
@@ -165,7 +168,7 @@
 
 struct Idle {
     connection: Connection,
-    since: Instant,
+    since: BootInstant,
 }
 
 #[derive(Default)]
@@ -174,11 +177,16 @@
 }
 
 impl Pool {
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    fn take(
+        &self,
+        address: SocketAddr,
+        now: BootInstant,
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("pool lock");
         let list = idle.get_mut(&address)?;
         while let Some(entry) = list.pop() {
-            let usable = entry.since.elapsed() < IDLE_LIFETIME
+            let usable = now.saturating_duration_since(entry.since)
+                < IDLE_LIFETIME
                 && entry.connection.sender.is_ready();
             if usable {
                 return Some(entry.connection);
@@ -187,14 +195,19 @@
         None
     }
 
-    fn put(&self, address: SocketAddr, connection: Connection) {
+    fn put(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        now: BootInstant,
+    ) {
         if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().expect("pool lock");
         let list = idle.entry(address).or_default();
         if list.len() < IDLE_LIMIT {
-            list.push(Idle { connection, since: Instant::now() });
+            list.push(Idle { connection, since: now });
         }
     }
 }
@@ -204,12 +217,13 @@
 pub struct HttpClient {
     pool: Arc<Pool>,
     connect_timeout: Duration,
+    clock: SharedClock,
 }
 
 impl HttpClient {
     /// Creates a client with its own pool of connections.
-    pub fn new(connect_timeout: Duration) -> HttpClient {
-        HttpClient { pool: Arc::default(), connect_timeout }
+    pub fn new(connect_timeout: Duration, clock: SharedClock) -> HttpClient {
+        HttpClient { pool: Arc::default(), connect_timeout, clock }
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -225,7 +239,9 @@
     ) -> Result<Exchange, SendError> {
         let mut request = call.request(reuse).map_err(SendError::NotSent)?;
         if reuse == Reuse::Pooled {
-            while let Some(idle) = self.pool.take(call.address) {
+            while let Some(idle) =
+                self.pool.take(call.address, self.clock.now())
+            {
                 match try_send(idle, request).await {
                     Ok((response, connection)) => {
                         return Ok(
@@ -335,6 +351,7 @@
             address: call.address,
             connection: Some(connection),
             pool: (reuse == Reuse::Pooled).then(|| self.pool.clone()),
+            clock: self.clock.clone(),
         }
     }
 
@@ -422,6 +439,7 @@
     address: SocketAddr,
     connection: Option<Connection>,
     pool: Option<Arc<Pool>>,
+    clock: SharedClock,
 }
 
 impl Exchange {
@@ -496,7 +514,7 @@
         if let (Some(pool), Some(connection)) =
             (self.pool.take(), self.connection.take())
         {
-            pool.put(self.address, connection);
+            pool.put(self.address, connection, self.clock.now());
         }
     }
 }
--- a/src/placing/cascade.rs
+++ b/src/placing/cascade.rs
@@ -7,13 +7,11 @@
 //! that would come too late. Models between them are passed over: they answer
 //! few requests well that the smallest does not.
 
-use std::{
-    collections::HashMap,
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Mutex, time::Duration};
 
-use crate::{facts::route::Route, id::ModelId, unit::Percent};
+use crate::{
+    clock::BootInstant, facts::route::Route, id::ModelId, unit::Percent,
+};
 
 /// Confidence from which an answer of a smaller model is passed on.
 ///
@@ -103,7 +101,7 @@
     /// What it thinks of its answer.
     pub(crate) confidence: Percent,
     /// When the request came.
-    pub(crate) started_at: Instant,
+    pub(crate) started_at: BootInstant,
     /// Whether another attempt may be made.
     pub(crate) has_attempt: bool,
     /// Tokens of the prompt that the larger model would have to read.
@@ -144,7 +142,7 @@
     doubt: &Doubt<'_>,
     times: &ReadTimes,
     waiting: Duration,
-    now: Instant,
+    now: BootInstant,
 ) -> Result<ModelId, Kept> {
     let largest = doubt.route.sizes.last().ok_or(Kept::Largest)?;
     if doubt.model == largest {
--- a/src/placing/cascade/tests.rs
+++ b/src/placing/cascade/tests.rs
@@ -28,7 +28,7 @@
     waiting: Duration,
     has_attempt: bool,
 ) -> Result<ModelId, Kept> {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let doubt = Doubt {
         route: &route(),
         model: &"small".parse().unwrap(),
@@ -65,7 +65,7 @@
 
 #[test]
 fn the_largest_model_has_the_last_word() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let doubt = Doubt {
         route: &route(),
         model: &"large".parse().unwrap(),
--- a/src/placing/hall_way.rs
+++ b/src/placing/hall_way.rs
@@ -6,10 +6,9 @@
 //! and beats of the hall's VMs that stop while nothing else comes from there
 //! either.
 
-use std::{
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{sync::Mutex, time::Duration};
+
+use crate::clock::BootInstant;
 
 /// Upstreams of a data hall that cannot be reached, one after the other and
 /// without a sign of life from any other there, before the hall counts as cut
@@ -39,11 +38,11 @@
 #[derive(Debug, Default)]
 struct State {
     failures: u32,
-    cut_until: Option<Instant>,
+    cut_until: Option<BootInstant>,
     /// The last sign of life of any kind.
-    heard_at: Option<Instant>,
+    heard_at: Option<BootInstant>,
     /// The last beat.
-    beat_at: Option<Instant>,
+    beat_at: Option<BootInstant>,
     /// The usual time between two beats.
     beat_gap: Option<Duration>,
 }
@@ -54,12 +53,12 @@
 
 impl HallWay {
     /// Notes that something came from an upstream there.
-    pub fn note_heard(&self, now: Instant) {
+    pub fn note_heard(&self, now: BootInstant) {
         self.0.lock().expect("way lock").hear(now);
     }
 
     /// Notes that a VM there was heard.
-    pub fn note_beat(&self, now: Instant) {
+    pub fn note_beat(&self, now: BootInstant) {
         let mut state = self.0.lock().expect("way lock");
         state.hear(now);
         if let Some(before) = state.beat_at.replace(now) {
@@ -71,7 +70,7 @@
     }
 
     /// Notes that a connection to an upstream there could not be opened.
-    pub fn note_unreachable(&self, now: Instant) {
+    pub fn note_unreachable(&self, now: BootInstant) {
         let mut state = self.0.lock().expect("way lock");
         state.failures += 1;
         if state.failures >= CUT_FAILURES {
@@ -80,7 +79,7 @@
     }
 
     /// Whether the hall seems cut off.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
+    pub fn is_cut_off(&self, now: BootInstant) -> bool {
         let state = self.0.lock().expect("way lock");
         let was_unreachable = state.cut_until.is_some_and(|until| now < until);
         was_unreachable || state.is_silent(now)
@@ -88,14 +87,14 @@
 }
 
 impl State {
-    fn hear(&mut self, now: Instant) {
+    fn hear(&mut self, now: BootInstant) {
         self.failures = 0;
         self.cut_until = None;
         self.heard_at = Some(now);
     }
 
     /// Whether beats came from there, and for too long nothing has.
-    fn is_silent(&self, now: Instant) -> bool {
+    fn is_silent(&self, now: BootInstant) -> bool {
         let (Some(heard_at), Some(gap)) = (self.heard_at, self.beat_gap)
         else {
             return false;
--- a/src/placing/hall_way/tests.rs
+++ b/src/placing/hall_way/tests.rs
@@ -3,9 +3,9 @@
 const BEAT: Duration = Duration::from_millis(100);
 
 /// A way on which beats came for a while, and the time of the last.
-fn beaten(gap: Duration) -> (HallWay, Instant) {
+fn beaten(gap: Duration) -> (HallWay, BootInstant) {
     let way = HallWay::default();
-    let mut now = Instant::now();
+    let mut now = BootInstant::now();
     for _ in 0..20 {
         now += gap;
         way.note_beat(now);
@@ -53,7 +53,7 @@
 #[test]
 fn connections_that_cannot_be_opened_cut_it_off_for_a_while() {
     let way = HallWay::default();
-    let now = Instant::now();
+    let now = BootInstant::now();
     for _ in 1..CUT_FAILURES {
         way.note_unreachable(now);
     }
--- a/src/placing/health.rs
+++ b/src/placing/health.rs
@@ -1,9 +1,8 @@
 //! How an upstream has been answering, and whether it is fit for requests.
 
-use std::{
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{sync::Mutex, time::Duration};
+
+use crate::clock::BootInstant;
 
 use serde::{Deserialize, Serialize};
 
@@ -59,9 +58,9 @@
     good: f64,
     bad: f64,
     in_a_row: u32,
-    weighed_at: Instant,
+    weighed_at: BootInstant,
     pause: Duration,
-    out_until: Option<Instant>,
+    out_until: Option<BootInstant>,
 }
 
 /// The recent record of one upstream.
@@ -79,7 +78,7 @@
 
 impl Health {
     /// Creates a record with nothing in it.
-    pub fn new(now: Instant) -> Health {
+    pub fn new(now: BootInstant) -> Health {
         Health(Mutex::new(State {
             good: 0.0,
             bad: 0.0,
@@ -91,14 +90,14 @@
     }
 
     /// Whether requests may go there.
-    pub fn is_sound(&self, now: Instant) -> bool {
+    pub fn is_sound(&self, now: BootInstant) -> bool {
         let state = self.0.lock().expect("health lock");
         state.out_until.is_none_or(|until| now >= until)
     }
 
     /// The chance that the next attempt there fails, from what was seen and
     /// told of the last ones.
-    pub fn failure_chance(&self, now: Instant) -> f64 {
+    pub fn failure_chance(&self, now: BootInstant) -> f64 {
         let state = self.0.lock().expect("health lock");
         let factor = state.factor(now);
         let (good, bad) = (state.good * factor, state.bad * factor);
@@ -110,7 +109,7 @@
     /// One more failure of it then says little of the version of its software:
     /// four failures of one or two faulty upstreams would take back a good
     /// version that has answered 13 requests.
-    pub fn is_suspect(&self, now: Instant) -> bool {
+    pub fn is_suspect(&self, now: BootInstant) -> bool {
         self.failure_chance(now) >= SUSPECT_CHANCE
     }
 
@@ -118,7 +117,7 @@
     pub fn hear(
         &self,
         verdict: Verdict,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<HealthChange> {
         let mut state = self.0.lock().expect("health lock");
         state.fade(now);
@@ -142,7 +141,7 @@
     pub fn record(
         &self,
         verdict: Verdict,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<HealthChange> {
         let mut state = self.0.lock().expect("health lock");
         state.fade(now);
@@ -161,7 +160,7 @@
 
 impl State {
     /// What is left of the weight of earlier evidence.
-    fn factor(&self, now: Instant) -> f64 {
+    fn factor(&self, now: BootInstant) -> f64 {
         let passed = now.saturating_duration_since(self.weighed_at);
         0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
@@ -172,14 +171,14 @@
         self.bad >= UNFIT_FAILURES && share >= UNFIT_SHARE
     }
 
-    fn fade(&mut self, now: Instant) {
+    fn fade(&mut self, now: BootInstant) {
         let factor = self.factor(now);
         self.good *= factor;
         self.bad *= factor;
         self.weighed_at = now;
     }
 
-    fn record_good(&mut self, now: Instant) -> Option<HealthChange> {
+    fn record_good(&mut self, now: BootInstant) -> Option<HealthChange> {
         self.good += 1.0;
         self.in_a_row = 0;
         let was_tried = self.out_until.is_some_and(|until| now >= until);
@@ -192,7 +191,7 @@
         Some(HealthChange::Fit)
     }
 
-    fn record_bad(&mut self, now: Instant) -> Option<HealthChange> {
+    fn record_bad(&mut self, now: BootInstant) -> Option<HealthChange> {
         self.bad += 1.0;
         self.in_a_row += 1;
         if let Some(until) = self.out_until {
--- a/src/placing/health/tests.rs
+++ b/src/placing/health/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn one_failure_says_nothing_and_three_in_a_row_do() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     assert_eq!(health.record(Verdict::Failed, now), None);
     assert_eq!(health.record(Verdict::Failed, now), None);
@@ -14,7 +14,7 @@
 
 #[test]
 fn a_connection_that_cannot_be_opened_says_enough() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     let change = health.record(Verdict::Unreachable, now);
     assert_eq!(change, Some(HealthChange::Unfit));
@@ -22,7 +22,7 @@
 
 #[test]
 fn failing_a_part_of_the_requests_is_noticed() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     let changes = (0..20).filter_map(|number| {
         let verdict =
@@ -34,7 +34,7 @@
 
 #[test]
 fn an_answer_after_the_pause_brings_it_back() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     health.record(Verdict::Unreachable, now);
     // An answer from before the pause's end is old news.
@@ -48,7 +48,7 @@
 
 #[test]
 fn failing_again_after_the_pause_doubles_it() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     health.record(Verdict::Unreachable, now);
     let later = now + PAUSE;
@@ -59,7 +59,7 @@
 
 #[test]
 fn failures_told_by_others_count_less_and_end_likewise() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     assert_eq!(health.failure_chance(now), 0.0);
     for _ in 0..3 {
@@ -83,7 +83,7 @@
 
 #[test]
 fn two_that_cannot_connect_tell_enough() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let health = Health::new(now);
     assert_eq!(health.hear(Verdict::Unreachable, now), None);
     let change = health.hear(Verdict::Unreachable, now);
@@ -95,7 +95,7 @@
 /// its upstreams fails for a first time.
 #[test]
 fn a_faulty_upstream_is_told_from_a_bad_version() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let counted = |is_bad: fn(usize) -> bool| {
         let upstreams: Vec<Health> =
             (0..20).map(|_| Health::new(now)).collect();
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -8,10 +8,11 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
+    clock::BootInstant,
     id::{
         DataHallId, ServiceId, StartMs, UpstreamId, UpstreamLife, VersionId,
     },
@@ -135,9 +136,9 @@
     others: AtomicU32,
     others_reading: Mutex<ToldReading>,
     counts: Mutex<HashMap<String, PeerCount>>,
-    pub(super) vanished_at: Mutex<Option<Instant>>,
-    heard_at: Mutex<Instant>,
-    cold_until: Mutex<Option<Instant>>,
+    pub(super) vanished_at: Mutex<Option<BootInstant>>,
+    heard_at: Mutex<BootInstant>,
+    cold_until: Mutex<Option<BootInstant>>,
     pub(super) sent_cold: Mutex<SentLately>,
     stated: Mutex<Option<Stated>>,
     /// Whether a later life has taken its place.
@@ -153,14 +154,14 @@
     left_ms: u32,
     /// All of it, as it was told.
     told_ms: u32,
-    at: Instant,
+    at: BootInstant,
 }
 
 /// What an upstream's own word says that it had.
 #[derive(Clone, Copy, Debug)]
 struct Stated {
     /// When it said so.
-    at: Instant,
+    at: BootInstant,
     /// Requests of other VMs.
     others: u32,
     /// The time that the prompts take which it had still to read.
@@ -170,7 +171,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerCount {
     work: Work,
-    at: Instant,
+    at: BootInstant,
 }
 
 impl PeerCount {
@@ -180,7 +181,7 @@
     /// In the replay of 32 VMs before 32 engines that are busy for half of
     /// the time, prompts wait for 47 ms with this and for 76 ms without; busy
     /// for 0.7 of it, for 95 and 195 ms.
-    fn reading_left_ms(&self, now: Instant) -> u32 {
+    fn reading_left_ms(&self, now: BootInstant) -> u32 {
         let age = now.saturating_duration_since(self.at).as_millis();
         let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
         u32::from(self.work.reading_ms).saturating_sub(age_ms)
@@ -191,7 +192,7 @@
     pub(super) fn new(
         entry: UpstreamEntry,
         way: Arc<HallWay>,
-        now: Instant,
+        now: BootInstant,
     ) -> Member {
         let record = UpstreamRecord {
             id: entry.id.clone(),
@@ -227,7 +228,7 @@
     }
 
     /// Whether new requests may go there.
-    pub fn takes_requests(&self, now: Instant) -> bool {
+    pub fn takes_requests(&self, now: BootInstant) -> bool {
         let vanished = *self.vanished_at.lock().expect("vanished lock");
         let is_there = vanished.is_none_or(|at| {
             now.saturating_duration_since(at) < VANISHED_GRACE
@@ -245,7 +246,7 @@
     }
 
     /// Takes in a newer record of the same life.
-    pub(super) fn take(&self, entry: &UpstreamEntry, now: Instant) {
+    pub(super) fn take(&self, entry: &UpstreamEntry, now: BootInstant) {
         *self.vanished_at.lock().expect("vanished lock") = None;
         self.note_cold(now + entry.warm_up_left);
         if entry.state == UpstreamState::Leaving {
@@ -278,7 +279,7 @@
     /// Requests that it probably holds, of all VMs: those of the others by
     /// what they have told, or by what the upstream has stated as long as
     /// that is fresh.
-    pub fn requests(&self, now: Instant) -> u32 {
+    pub fn requests(&self, now: BootInstant) -> u32 {
         let told = f64::from(self.others.load(Ordering::Relaxed));
         let stated = *self.stated.lock().expect("stated lock");
         let others = stated.map_or(told, |stated| {
@@ -291,35 +292,35 @@
     }
 
     /// How full it is: requests for each slot.
-    pub fn fill(&self, now: Instant) -> f64 {
+    pub fn fill(&self, now: BootInstant) -> f64 {
         f64::from(self.requests(now)) / f64::from(self.entry.slots.max(1))
     }
 
     /// Whether it bears only few requests for now.
-    pub fn is_cold(&self, now: Instant) -> bool {
+    pub fn is_cold(&self, now: BootInstant) -> bool {
         let until = *self.cold_until.lock().expect("cold lock");
         until.is_some_and(|until| now < until)
     }
 
     /// Notes that it is cold until then, if not for longer already.
-    pub(super) fn note_cold(&self, until: Instant) {
+    pub(super) fn note_cold(&self, until: BootInstant) {
         let mut held = self.cold_until.lock().expect("cold lock");
         *held = Some(held.map_or(until, |held| held.max(until)));
     }
 
     /// Notes that something came from it.
-    pub fn note_heard(&self, now: Instant) {
+    pub fn note_heard(&self, now: BootInstant) {
         *self.heard_at.lock().expect("heard lock") = now;
         self.way.note_heard(now);
     }
 
     /// Notes that no connection to it could be opened.
-    pub fn note_unreachable(&self, now: Instant) {
+    pub fn note_unreachable(&self, now: BootInstant) {
         self.way.note_unreachable(now);
     }
 
     /// How long nothing has come from it.
-    pub fn silence(&self, now: Instant) -> Duration {
+    pub fn silence(&self, now: BootInstant) -> Duration {
         let heard_at = *self.heard_at.lock().expect("heard lock");
         now.saturating_duration_since(heard_at)
     }
@@ -331,7 +332,7 @@
     /// VMs of other data halls are heard rarely in a large fleet, and what
     /// they send there is not known here: in the same replay prompts wait for
     /// 44 ms with what engines state and 47 ms without, and 78 and 95 ms.
-    pub fn reading(&self, now: Instant) -> Duration {
+    pub fn reading(&self, now: BootInstant) -> Duration {
         let own = self.reading_ms.load(Ordering::Relaxed);
         let others = *self.others_reading.lock().expect("told lock");
         let passed = now.saturating_duration_since(others.at);
@@ -348,7 +349,7 @@
 
     /// The most that it may still have to read: what other VMs have told may
     /// take longer than expected, or more may have come after it.
-    pub fn reading_most(&self, now: Instant) -> Duration {
+    pub fn reading_most(&self, now: BootInstant) -> Duration {
         let own = self.reading_ms.load(Ordering::Relaxed);
         let told = self.others_reading.lock().expect("told lock").told_ms;
         let told = Duration::from_millis(u64::from(own) + u64::from(told));
@@ -361,7 +362,7 @@
         &self,
         load: LoadReport,
         each: Duration,
-        at: Instant,
+        at: BootInstant,
     ) -> bool {
         let mut stated = self.stated.lock().expect("stated lock");
         if stated.is_some_and(|stated| stated.at >= at) {
@@ -384,7 +385,7 @@
     }
 
     /// Takes in what another VM has there.
-    pub fn set_peer_work(&self, vm: &str, work: Work, now: Instant) {
+    pub fn set_peer_work(&self, vm: &str, work: Work, now: BootInstant) {
         let mut counts = self.counts.lock().expect("counts lock");
         if work == Work::default() {
             counts.remove(vm);
@@ -395,14 +396,18 @@
     }
 
     /// Leaves out what was told too long ago.
-    pub(super) fn forget_old_work(&self, now: Instant) {
+    pub(super) fn forget_old_work(&self, now: BootInstant) {
         let mut counts = self.counts.lock().expect("counts lock");
         if !counts.is_empty() {
             self.sum_up(&mut counts, now);
         }
     }
 
-    fn sum_up(&self, counts: &mut HashMap<String, PeerCount>, now: Instant) {
+    fn sum_up(
+        &self,
+        counts: &mut HashMap<String, PeerCount>,
+        now: BootInstant,
+    ) {
         counts.retain(|_, count| {
             now.saturating_duration_since(count.at) < PEER_COUNT_LIFETIME
         });
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -10,10 +10,11 @@
         Arc, Mutex, RwLock,
         atomic::{AtomicU32, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
+    clock::BootInstant,
     id::{DataHallId, ServiceId, UpstreamId, VersionId},
     message::{ShortHash, StatedLoad, ToldFailure, Work},
     placing::{
@@ -138,12 +139,12 @@
 #[derive(Debug, Default)]
 struct ToldWork {
     at: HashMap<String, Vec<ShortHash>>,
-    forgotten_at: Option<Instant>,
+    forgotten_at: Option<BootInstant>,
 }
 
 impl ToldWork {
     /// Whether what is old is to be forgotten once more.
-    fn is_due(&mut self, now: Instant) -> bool {
+    fn is_due(&mut self, now: BootInstant) -> bool {
         let is_due = self.forgotten_at.is_none_or(|at| {
             now.saturating_duration_since(at) >= FORGET_PERIOD
         });
@@ -197,7 +198,7 @@
     ///
     /// Nothing that is known of one life is kept for the next. An earlier one
     /// is never believed again, however late it is told of.
-    pub fn set(&self, entry: UpstreamEntry, now: Instant) -> bool {
+    pub fn set(&self, entry: UpstreamEntry, now: BootInstant) -> bool {
         let held = self.member(&entry.id);
         let Some(held) = held else {
             self.begin_life(entry, now);
@@ -216,7 +217,7 @@
         true
     }
 
-    fn begin_life(&self, entry: UpstreamEntry, now: Instant) {
+    fn begin_life(&self, entry: UpstreamEntry, now: BootInstant) {
         let way = self.way(&entry.data_hall);
         let member = Arc::new(Member::new(entry, way, now));
         if member.entry.state == UpstreamState::Leaving {
@@ -231,7 +232,7 @@
     ///
     /// `is_sure` says whether the store has been well for long enough that
     /// this can only mean that the upstream leaves.
-    pub fn remove(&self, id: &UpstreamId, is_sure: bool, now: Instant) {
+    pub fn remove(&self, id: &UpstreamId, is_sure: bool, now: BootInstant) {
         let Some(member) = self.member(id) else { return };
         if is_sure {
             member.upstream.mark_leaving();
@@ -245,7 +246,7 @@
     }
 
     /// Forgets upstreams that vanished and did not come back.
-    pub fn sweep(&self, now: Instant) -> Vec<UpstreamId> {
+    pub fn sweep(&self, now: BootInstant) -> Vec<UpstreamId> {
         let gone: Vec<UpstreamId> = self
             .all()
             .iter()
@@ -265,7 +266,7 @@
 
     /// Notes that a VM of a data hall was heard, so that the way there is open
     /// and failures to connect are the upstreams' own.
-    pub fn note_hall_heard(&self, hall: &DataHallId, now: Instant) {
+    pub fn note_hall_heard(&self, hall: &DataHallId, now: BootInstant) {
         self.way(hall).note_beat(now);
     }
 
@@ -281,7 +282,7 @@
     ///
     /// They may have turned cold just before, and their records say so up to
     /// a heartbeat later: until then they are taken for cold.
-    pub fn end_evacuation(&self, hall: &DataHallId, now: Instant) -> bool {
+    pub fn end_evacuation(&self, hall: &DataHallId, now: BootInstant) -> bool {
         let is_news = self.evacuated.write().expect("halls lock").remove(hall);
         if is_news {
             let members = self.all();
@@ -323,7 +324,7 @@
         &self,
         member: &Member,
         warm_up: WarmUp,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         if member.entry.data_hall != self.data_hall {
             return false;
@@ -341,7 +342,7 @@
 
     /// Whether the data hall of an upstream seems cut off. This VM's own never
     /// does: when its upstreams cannot be reached, they are at fault.
-    fn is_cut_off(&self, member: &Member, now: Instant) -> bool {
+    fn is_cut_off(&self, member: &Member, now: BootInstant) -> bool {
         member.entry.data_hall != self.data_hall && member.way.is_cut_off(now)
     }
 
@@ -353,7 +354,7 @@
         member: &Member,
         waited: Duration,
         limit: Duration,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         let limit = match self.is_cut_off(member, now) {
             true => limit.min(CUT_SILENCE),
@@ -387,7 +388,7 @@
         &self,
         service: &ServiceId,
         want: &Want<'_>,
-        now: Instant,
+        now: BootInstant,
     ) -> Result<Arc<Member>, NoMember> {
         let members = self.read();
         let all = members.by_service.get(service);
@@ -413,7 +414,7 @@
         all: &'a [Arc<Member>],
         service: &ServiceId,
         want: &Want<'_>,
-        now: Instant,
+        now: BootInstant,
     ) -> Result<Vec<&'a Arc<Member>>, NoMember> {
         let open: Vec<&Arc<Member>> =
             all.iter().filter(|m| is_open(m, want.tried, now)).collect();
@@ -443,7 +444,7 @@
         &self,
         service: &ServiceId,
         tried: &[UpstreamId],
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         let members = self.read();
         let all = members.by_service.get(service);
@@ -472,7 +473,7 @@
         &self,
         open: Vec<&'a Arc<Member>>,
         service: &ServiceId,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<&'a Arc<Member>> {
         let Some(warm_up) = self.warm_up(service) else { return open };
         let may_take = |member: &&Arc<Member>| {
@@ -485,7 +486,7 @@
     fn emptiest<'a>(
         &self,
         open: &[&'a Arc<Member>],
-        now: Instant,
+        now: BootInstant,
     ) -> &'a Arc<Member> {
         let fill = |member: &Arc<Member>| {
             let is_near = member.entry.data_hall == self.data_hall;
@@ -509,7 +510,7 @@
         &self,
         prompt: SharedPrompt,
         open: &[&'a Arc<Member>],
-        now: Instant,
+        now: BootInstant,
     ) -> &'a Arc<Member> {
         let mut order: Vec<&'a Arc<Member>> = open.to_vec();
         order.sort_by_cached_key(|member| {
@@ -555,7 +556,12 @@
     }
 
     /// Takes in the load that an upstream states in an answer.
-    pub fn note_load(&self, member: &Member, load: LoadReport, now: Instant) {
+    pub fn note_load(
+        &self,
+        member: &Member,
+        load: LoadReport,
+        now: BootInstant,
+    ) {
         if member.note_stated(load, self.mean_reading(), now) {
             let short = member.upstream.short;
             self.seen.lock().expect("seen lock").note_load(short, load, now);
@@ -563,12 +569,12 @@
     }
 
     /// Takes what upstreams have stated to this VM since it was last taken.
-    pub fn take_stated(&self, now: Instant) -> Vec<StatedLoad> {
+    pub fn take_stated(&self, now: BootInstant) -> Vec<StatedLoad> {
         self.seen.lock().expect("seen lock").take_stated(now)
     }
 
     /// Takes in what upstreams have stated to another VM.
-    pub fn hear_stated(&self, stated: &[StatedLoad], now: Instant) {
+    pub fn hear_stated(&self, stated: &[StatedLoad], now: BootInstant) {
         let each = self.mean_reading();
         let members = self.read();
         for told in stated {
@@ -592,14 +598,14 @@
         &self,
         member: &Member,
         verdict: Verdict,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         let short = member.upstream.short;
         self.seen.lock().expect("seen lock").note_verdict(short, verdict, now)
     }
 
     /// Takes the failures that the others are to hear of.
-    pub fn take_failures(&self, now: Instant) -> Vec<ToldFailure> {
+    pub fn take_failures(&self, now: BootInstant) -> Vec<ToldFailure> {
         self.seen.lock().expect("seen lock").take_failures(now)
     }
 
@@ -608,7 +614,7 @@
     pub fn hear_failures(
         &self,
         told: &[ToldFailure],
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<UpstreamId> {
         let members = self.read();
         let mut unfit = Vec::new();
@@ -625,7 +631,7 @@
 
     /// Whether an upstream has failed lately while most of those with its
     /// software have not, so that its failures say nothing of the software.
-    pub fn is_alone_suspect(&self, member: &Member, now: Instant) -> bool {
+    pub fn is_alone_suspect(&self, member: &Member, now: BootInstant) -> bool {
         if !member.health.is_suspect(now) {
             return false;
         }
@@ -660,7 +666,7 @@
         &self,
         vm: &str,
         work: &[(ShortHash, Work)],
-        now: Instant,
+        now: BootInstant,
     ) {
         let members = self.read();
         let mut told = self.told.lock().expect("told lock");
@@ -711,7 +717,7 @@
 }
 
 /// Whether an upstream takes requests and was not asked.
-fn is_open(member: &Member, tried: &[UpstreamId], now: Instant) -> bool {
+fn is_open(member: &Member, tried: &[UpstreamId], now: BootInstant) -> bool {
     member.takes_requests(now) && !tried.contains(&member.entry.id)
 }
 
--- a/src/placing/pool/replay.rs
+++ b/src/placing/pool/replay.rs
@@ -73,7 +73,7 @@
     }
 }
 
-fn vms(start: Instant) -> Vec<Vm> {
+fn vms(start: BootInstant) -> Vec<Vm> {
     let vm = |number: usize| {
         let hall = number / VMS_OF_HALL;
         let name = format!("vm-{number}");
@@ -102,7 +102,7 @@
 }
 
 fn play_once(load: f64, reads_stated: bool, seed: u64) -> Outcome {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let vms = vms(start);
     let mut random = StdRng::seed_from_u64(seed);
     let engines = HALLS * ENGINES_OF_HALL;
@@ -161,7 +161,7 @@
 }
 
 /// Lets the VMs whose turn it is tell the others what they have and heard.
-fn exchange(vms: &[Vm], now_ms: u64, now: Instant) {
+fn exchange(vms: &[Vm], now_ms: u64, now: BootInstant) {
     for (from, sender) in vms.iter().enumerate() {
         // Beats of different VMs do not come together.
         let offset = from as u64 * 14;
@@ -207,7 +207,7 @@
 /// Attempts that failed in the first second after engines have died that
 /// refuse at once whatever comes; VMs tell each other of it if `tells`.
 fn play_crash(dead: &[usize], tells: bool) -> usize {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let vms = vms(start);
     let service = "writers".parse().unwrap();
     let mut random = StdRng::seed_from_u64(3);
@@ -246,7 +246,7 @@
 /// Least time between two beats, which a failure has sent early.
 const BEAT_GAP_MS: u64 = 50;
 
-fn tell_failures(vms: &[Vm], now: Instant) {
+fn tell_failures(vms: &[Vm], now: BootInstant) {
     for (from, sender) in vms.iter().enumerate() {
         let failures = sender.pool.take_failures(now);
         let stated = sender.pool.take_stated(now);
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -19,7 +19,7 @@
     }
 }
 
-fn pool(entries: &[UpstreamEntry], now: Instant) -> Pool {
+fn pool(entries: &[UpstreamEntry], now: BootInstant) -> Pool {
     let pool = Pool::new("vm-1", "a".parse().unwrap(), SLACK);
     for entry in entries {
         pool.set(entry.clone(), now);
@@ -27,7 +27,7 @@
     pool
 }
 
-fn picks(pool: &Pool, want: &Want<'_>, now: Instant) -> Vec<String> {
+fn picks(pool: &Pool, want: &Want<'_>, now: BootInstant) -> Vec<String> {
     let service = "writers".parse().unwrap();
     let mut names: Vec<String> = (0..200)
         .filter_map(|_| pool.pick(&service, want, now).ok())
@@ -40,7 +40,7 @@
 
 #[test]
 fn one_that_is_leaving_or_was_tried_is_not_picked() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let mut leaving = entry("i-3", "a", "v1");
     leaving.state = UpstreamState::Leaving;
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1"), leaving];
@@ -52,7 +52,7 @@
 
 #[test]
 fn versions_are_picked_by_the_rule() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v2")];
     let pool = pool(&entries, now);
     let new: VersionId = "v2".parse().unwrap();
@@ -66,7 +66,7 @@
 
 #[test]
 fn a_prompt_goes_to_one_upstream_until_that_is_busy() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries: Vec<UpstreamEntry> =
         (0..8).map(|n| entry(&format!("i-{n}"), "a", "v1")).collect();
     let pool = pool(&entries, now);
@@ -86,7 +86,7 @@
 
 #[test]
 fn what_other_vms_have_there_counts_and_fades() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1")];
     let pool = pool(&entries, now);
     let busy = pool.member(&"i-1".parse().unwrap()).unwrap();
@@ -101,7 +101,7 @@
 
 #[test]
 fn when_all_are_full_that_is_said() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let pool = pool(&[entry("i-1", "a", "v1")], now);
     let member = pool.member(&"i-1".parse().unwrap()).unwrap();
     let held: Vec<_> = (0..13).map(|_| member.upstream.begin()).collect();
@@ -117,7 +117,7 @@
 
 #[test]
 fn a_record_that_vanished_with_the_store_may_come_back() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let pool = pool(&[entry("i-1", "a", "v1")], now);
     let id = "i-1".parse().unwrap();
     pool.remove(&id, false, now);
@@ -135,7 +135,7 @@
 
 #[test]
 fn a_hall_that_cannot_be_reached_is_left_alone_for_a_while() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [
         entry("i-1", "a", "v1"),
         entry("i-2", "b", "v1"),
@@ -164,7 +164,7 @@
 
 #[test]
 fn a_hall_whose_vms_are_heard_is_not_cut_off() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [
         entry("i-1", "b", "v1"),
         entry("i-2", "b", "v1"),
@@ -184,7 +184,7 @@
 
 #[test]
 fn a_hall_that_falls_silent_gets_nothing_new_and_its_streams_are_given_up() {
-    let mut now = Instant::now();
+    let mut now = BootInstant::now();
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v1")];
     let pool = pool(&entries, now);
     let (near, far) = ("a".parse().unwrap(), "b".parse().unwrap());
@@ -212,7 +212,7 @@
 
 #[test]
 fn a_hall_that_is_evacuated_gets_nothing_whatever_asks() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v2")];
     let pool = pool(&entries, now);
     let (near, far) = ("a".parse().unwrap(), "b".parse().unwrap());
@@ -239,7 +239,7 @@
 
 #[test]
 fn what_an_upstream_states_counts_while_it_is_fresh() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let after = |ms| now + Duration::from_millis(ms);
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1")];
     let (here, there) = (pool(&entries, now), pool(&entries, now));
@@ -269,7 +269,7 @@
 
 #[test]
 fn a_failing_upstream_is_alone_to_blame_while_its_like_are_well() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries: Vec<UpstreamEntry> =
         (0..4).map(|n| entry(&format!("i-{n}"), "a", "v2")).collect();
     let pool = pool(&entries, now);
@@ -283,7 +283,7 @@
 
 #[test]
 fn whether_another_upstream_is_left_is_known() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v1")];
     let pool = pool(&entries, now);
     let service = "writers".parse().unwrap();
@@ -296,7 +296,7 @@
 
 #[test]
 fn what_a_vm_no_longer_tells_of_is_taken_back() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1")];
     let pool = pool(&entries, now);
     let member = |id: &str| pool.member(&id.parse().unwrap()).unwrap();
--- a/src/placing/retry_window.rs
+++ b/src/placing/retry_window.rs
@@ -5,10 +5,9 @@
 //! share of its own requests and to its part of the rest, so that the bound
 //! holds whether or not the VMs can hear each other.
 
-use std::{
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{sync::Mutex, time::Duration};
+
+use crate::clock::BootInstant;
 
 /// Parts that a window is counted in.
 const PARTS: u64 = 100;
@@ -42,13 +41,13 @@
 #[derive(Debug)]
 pub struct RetryWindow {
     bound: RetryBound,
-    since: Instant,
+    since: BootInstant,
     parts: Mutex<[Part; PARTS as usize + 1]>,
 }
 
 impl RetryWindow {
     /// Creates a window in which nothing has happened yet.
-    pub fn new(bound: RetryBound, now: Instant) -> RetryWindow {
+    pub fn new(bound: RetryBound, now: BootInstant) -> RetryWindow {
         RetryWindow {
             bound,
             since: now,
@@ -57,17 +56,17 @@
     }
 
     /// Counts a request.
-    pub fn count_request(&self, now: Instant) {
+    pub fn count_request(&self, now: BootInstant) {
         self.with_part(now, |part| part.requests += 1);
     }
 
     /// Counts a further attempt, whether or not one was left.
-    pub fn count_retry(&self, now: Instant) {
+    pub fn count_retry(&self, now: BootInstant) {
         self.with_part(now, |part| part.retries += 1);
     }
 
     /// Whether a further attempt may be made by one of `vms` VMs.
-    pub fn has_one(&self, vms: usize, now: Instant) -> bool {
+    pub fn has_one(&self, vms: usize, now: BootInstant) -> bool {
         let number = self.number(now);
         let parts = self.parts.lock().expect("parts lock");
         let recent = |part: &&Part| part.number + PARTS >= number;
@@ -84,7 +83,7 @@
     }
 
     /// Takes a further attempt for one of `vms` VMs, if one is left.
-    pub fn try_retry(&self, vms: usize, now: Instant) -> bool {
+    pub fn try_retry(&self, vms: usize, now: BootInstant) -> bool {
         let has_one = self.has_one(vms, now);
         if has_one {
             self.count_retry(now);
@@ -93,13 +92,13 @@
     }
 
     /// The number of the part that `now` falls in; the first is 1.
-    fn number(&self, now: Instant) -> u64 {
+    fn number(&self, now: BootInstant) -> u64 {
         let passed = now.saturating_duration_since(self.since);
         let part = self.bound.window.as_secs_f64() / PARTS as f64;
         (passed.as_secs_f64() / part) as u64 + 1
     }
 
-    fn with_part(&self, now: Instant, count: impl FnOnce(&mut Part)) {
+    fn with_part(&self, now: BootInstant, count: impl FnOnce(&mut Part)) {
         let number = self.number(now);
         let mut parts = self.parts.lock().expect("parts lock");
         let at = (number % (PARTS + 1)) as usize;
--- a/src/placing/retry_window/tests.rs
+++ b/src/placing/retry_window/tests.rs
@@ -8,7 +8,7 @@
 #[test]
 fn attempts_stay_within_the_bound_in_every_window() {
     // Bursts of requests and of wishes to retry that do not coincide.
-    let start = Instant::now();
+    let start = BootInstant::now();
     let window = RetryWindow::new(BOUND, start);
     let mut requests = Vec::new();
     let mut retries = Vec::new();
@@ -42,7 +42,7 @@
 
 #[test]
 fn the_extra_attempts_are_shared_by_all_vms() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let window = RetryWindow::new(BOUND, now);
     let taken = (0..100).filter(|_| window.try_retry(10, now)).count();
     assert!((1..=6).contains(&taken), "{taken}");
@@ -50,7 +50,7 @@
 
 #[test]
 fn what_was_asked_long_ago_allows_nothing() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let window = RetryWindow::new(BOUND, now);
     for _ in 0..1000 {
         window.count_request(now);
--- a/src/placing/seen.rs
+++ b/src/placing/seen.rs
@@ -1,12 +1,10 @@
 //! What this VM has seen of upstreams since its last beat, for the others of
 //! its data hall: one VM of many gets few answers from each upstream.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
+    clock::BootInstant,
     message::{ShortHash, StatedLoad, ToldFailure},
     placing::{health::Verdict, member::LoadReport},
 };
@@ -25,13 +23,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct SeenLately {
     /// What each upstream stated last, and when.
-    stated: HashMap<ShortHash, (LoadReport, Instant)>,
+    stated: HashMap<ShortHash, (LoadReport, BootInstant)>,
     /// Upstreams that have failed since the last beat.
     failed: HashMap<ShortHash, Verdict>,
     /// When a failure of each upstream was last told.
-    told_at: HashMap<ShortHash, Instant>,
+    told_at: HashMap<ShortHash, BootInstant>,
     /// When an upstream last answered this VM.
-    answered_at: Option<Instant>,
+    answered_at: Option<BootInstant>,
 }
 
 impl SeenLately {
@@ -40,7 +38,7 @@
         &mut self,
         upstream: ShortHash,
         load: LoadReport,
-        now: Instant,
+        now: BootInstant,
     ) {
         self.stated.insert(upstream, (load, now));
     }
@@ -51,7 +49,7 @@
         &mut self,
         upstream: ShortHash,
         verdict: Verdict,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         if verdict == Verdict::Good {
             self.answered_at = Some(now);
@@ -66,7 +64,7 @@
     }
 
     /// Takes what upstreams have stated since this was last asked.
-    pub(crate) fn take_stated(&mut self, now: Instant) -> Vec<StatedLoad> {
+    pub(crate) fn take_stated(&mut self, now: BootInstant) -> Vec<StatedLoad> {
         let bounded = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
         let taken = self.stated.drain().map(|(upstream, (load, at))| {
             let age = now.saturating_duration_since(at).as_millis();
@@ -84,7 +82,10 @@
     ///
     /// None if nothing has answered this VM for a while either: it is then
     /// more likely to be at fault than everything around it.
-    pub(crate) fn take_failures(&mut self, now: Instant) -> Vec<ToldFailure> {
+    pub(crate) fn take_failures(
+        &mut self,
+        now: BootInstant,
+    ) -> Vec<ToldFailure> {
         let failed = std::mem::take(&mut self.failed);
         let is_well = self.answered_at.is_some_and(|at| is_recent(at, now));
         if !is_well {
@@ -100,6 +101,6 @@
     }
 }
 
-fn is_recent(at: Instant, now: Instant) -> bool {
+fn is_recent(at: BootInstant, now: BootInstant) -> bool {
     now.saturating_duration_since(at) < FAILURE_TOLD_AGAIN
 }
--- a/src/placing/upstream.rs
+++ b/src/placing/upstream.rs
@@ -6,12 +6,13 @@
         Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    clock::BootInstant,
     id::{DataHallId, ModelId, ServiceId, UpstreamId},
     message::ShortHash,
 };
@@ -71,7 +72,7 @@
     /// Versions that it had loaded.
     pub versions: Vec<ShortHash>,
     /// When the figures were taken, on this VM's clock.
-    pub at: Instant,
+    pub at: BootInstant,
     /// This VM's own requests there at that time.
     own_in_flight: u32,
 }
@@ -80,7 +81,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Breaker {
     Closed { failures: u32 },
-    Open { until: Instant, pause: Duration },
+    Open { until: BootInstant, pause: Duration },
     Trial { pause: Duration },
 }
 
@@ -101,7 +102,7 @@
     /// The short hash that VMs tell each other of it by: of its name, or of
     /// one life where it may start again under that.
     pub short: ShortHash,
-    seen_at: Instant,
+    seen_at: BootInstant,
     in_flight: AtomicU32,
     leaving: AtomicBool,
     load: Mutex<Option<Load>>,
@@ -138,7 +139,7 @@
     pub fn new(
         record: UpstreamRecord,
         is_new: bool,
-        now: Instant,
+        now: BootInstant,
     ) -> Upstream {
         let short = ShortHash::of(record.id.as_str());
         Upstream::with_short(record, short, is_new, now)
@@ -149,7 +150,7 @@
         record: UpstreamRecord,
         short: ShortHash,
         is_new: bool,
-        now: Instant,
+        now: BootInstant,
     ) -> Upstream {
         let long_ago = now.checked_sub(SLOW_START).unwrap_or(now);
         Upstream {
@@ -195,7 +196,7 @@
         running: u32,
         waiting: u32,
         versions: Vec<ShortHash>,
-        at: Instant,
+        at: BootInstant,
     ) -> bool {
         let mut load = self.load.lock().expect("load lock");
         if load.as_ref().is_some_and(|held| held.at >= at) {
@@ -213,7 +214,7 @@
 
     /// Whether a request may be sent now; lets one trial through an open
     /// breaker whose pause has passed.
-    pub fn try_enter(&self, now: Instant) -> bool {
+    pub fn try_enter(&self, now: BootInstant) -> bool {
         let mut breaker = self.breaker.lock().expect("breaker lock");
         match *breaker {
             Breaker::Closed { .. } => true,
@@ -235,7 +236,7 @@
     }
 
     /// Records that it failed to answer.
-    pub fn failed(&self, now: Instant) -> Option<BreakerChange> {
+    pub fn failed(&self, now: BootInstant) -> Option<BreakerChange> {
         let mut breaker = self.breaker.lock().expect("breaker lock");
         let (next, change) = match *breaker {
             Breaker::Closed { failures } if failures + 1 < BREAKER_LIMIT => {
@@ -258,7 +259,11 @@
     }
 
     /// What the choice needs to know.
-    pub fn facts(&self, own_hall: &DataHallId, now: Instant) -> UpstreamFacts {
+    pub fn facts(
+        &self,
+        own_hall: &DataHallId,
+        now: BootInstant,
+    ) -> UpstreamFacts {
         let held = self.load.lock().expect("load lock");
         let load = held.as_ref().filter(|load| {
             now.saturating_duration_since(load.at) < LOAD_LIFETIME
@@ -286,7 +291,7 @@
         }
     }
 
-    fn is_broken(&self, now: Instant) -> bool {
+    fn is_broken(&self, now: BootInstant) -> bool {
         match *self.breaker.lock().expect("breaker lock") {
             Breaker::Closed { .. } => false,
             Breaker::Trial { .. } => true,
@@ -294,7 +299,7 @@
         }
     }
 
-    fn warmth(&self, now: Instant) -> f64 {
+    fn warmth(&self, now: BootInstant) -> f64 {
         let age = now.saturating_duration_since(self.seen_at);
         let share = age.as_secs_f64() / SLOW_START.as_secs_f64();
         share.clamp(SLOW_START_LEAST, 1.0)
@@ -317,7 +322,7 @@
 
     use super::*;
 
-    fn upstream(now: Instant) -> Arc<Upstream> {
+    fn upstream(now: BootInstant) -> Arc<Upstream> {
         let record = UpstreamRecord {
             id: "u1".parse().unwrap(),
             data_hall: "a".parse().unwrap(),
@@ -331,7 +336,7 @@
 
     #[test]
     fn own_requests_correct_an_old_load() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let upstream = upstream(now);
         let hall = "a".parse().unwrap();
         let first = upstream.begin();
@@ -348,7 +353,7 @@
 
     #[test]
     fn the_breaker_opens_tries_once_and_closes() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let upstream = upstream(now);
         for _ in 1..BREAKER_LIMIT {
             assert_eq!(upstream.failed(now), None);
@@ -367,7 +372,7 @@
 
     #[test]
     fn a_new_upstream_starts_slowly() {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let record = upstream(now).record.clone();
         let upstream = Upstream::new(record, true, now);
         let hall = "b".parse().unwrap();
--- a/src/placing/warm_up.rs
+++ b/src/placing/warm_up.rs
@@ -28,10 +28,10 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use crate::{message::ShortHash, rendezvous};
+use crate::{clock::BootInstant, message::ShortHash, rendezvous};
 
 /// The span over which the requests to a cold upstream are counted.
 const WINDOW: Duration = Duration::from_secs(1);
@@ -108,11 +108,11 @@
 
 /// What this VM has sent to one upstream within the last second.
 #[derive(Debug, Default)]
-pub(crate) struct SentLately(VecDeque<Instant>);
+pub(crate) struct SentLately(VecDeque<BootInstant>);
 
 impl SentLately {
     /// Whether less than `most` was sent.
-    pub(crate) fn has_room(&mut self, most: usize, now: Instant) -> bool {
+    pub(crate) fn has_room(&mut self, most: usize, now: BootInstant) -> bool {
         while self
             .0
             .front()
@@ -124,7 +124,7 @@
     }
 
     /// Counts a request.
-    pub(crate) fn count(&mut self, now: Instant) {
+    pub(crate) fn count(&mut self, now: BootInstant) {
         self.0.push_back(now);
     }
 }
--- a/src/placing/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -75,7 +75,7 @@
 
 #[test]
 fn what_was_sent_counts_for_a_second() {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let after = |ms| start + Duration::from_millis(ms);
     let mut sent = SentLately::default();
     for ms in [0, 100, 200] {
@@ -102,7 +102,7 @@
 }
 
 /// The pools of the VMs of one data hall, before cold upstreams.
-fn hall(vms: &[String], upstreams: usize, now: Instant) -> Vec<Pool> {
+fn hall(vms: &[String], upstreams: usize, now: BootInstant) -> Vec<Pool> {
     let pool = |vm: &String| {
         let pool = Pool::new(vm, "a".parse().unwrap(), SLACK);
         let service = "writers".parse().unwrap();
@@ -123,7 +123,7 @@
 ///
 /// Returns how many requests found an upstream, and the most that one got
 /// within a second.
-fn replay(pools: &[Pool], start: Instant) -> (usize, usize) {
+fn replay(pools: &[Pool], start: BootInstant) -> (usize, usize) {
     let service = "writers".parse().unwrap();
     let mut random = StdRng::seed_from_u64(7);
     let mut sent: HashMap<String, Vec<u64>> = HashMap::new();
@@ -148,7 +148,7 @@
 
 #[test]
 fn no_cold_upstream_gets_more_than_it_may_within_any_second() {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let pools = hall(&names(21), 8, start);
     let (served, most) = replay(&pools, start);
     assert!(most <= 18, "{most}");
@@ -168,7 +168,7 @@
 
 #[test]
 fn a_hall_that_is_given_back_is_cold_until_its_records_can_say_so() {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let later = start + Duration::from_secs(60);
     let vms = names(21);
     let pool = &hall(&vms, 1, start)[0];
@@ -183,7 +183,7 @@
 
 #[test]
 fn one_that_turns_cold_again_says_so_in_its_record() {
-    let start = Instant::now();
+    let start = BootInstant::now();
     let later = start + Duration::from_secs(60);
     let pool = &hall(&names(3), 1, start)[0];
     let member = pool.member(&"i-0".parse().unwrap()).unwrap();
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -1,12 +1,9 @@
 //! All roll-outs that one VM knows of, shared by its tasks.
 
-use std::{
-    collections::HashMap,
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Mutex, time::Duration};
 
 use crate::{
+    clock::BootInstant,
     id::{ServiceId, VersionId},
     message::ShortHash,
     placing::health::Verdict,
@@ -61,7 +58,7 @@
         &self,
         service: ServiceId,
         order: Order,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let held = rollouts.get(&service);
@@ -93,7 +90,7 @@
         service: &ServiceId,
         session: Option<&str>,
         request_id: &str,
-        now: Instant,
+        now: BootInstant,
     ) -> VersionChoice {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let Some(rollout) = rollouts.get_mut(service) else {
@@ -115,7 +112,7 @@
         service: &ServiceId,
         session: &str,
         software: &VersionId,
-        now: Instant,
+        now: BootInstant,
     ) {
         let session = ShortHash::of(session);
         let mut sessions = self.sessions.lock().expect("sessions lock");
@@ -130,7 +127,7 @@
         service: &ServiceId,
         session: &str,
         software: &VersionId,
-        now: Instant,
+        now: BootInstant,
     ) {
         self.note_session(service, session, software, now);
         let mut sessions = self.sessions.lock().expect("sessions lock");
@@ -144,7 +141,7 @@
         &self,
         service: &ServiceId,
         session: &str,
-        now: Instant,
+        now: BootInstant,
     ) {
         let mut sessions = self.sessions.lock().expect("sessions lock");
         if let Some(of_service) = sessions.get_mut(service) {
@@ -171,7 +168,7 @@
     pub fn evidence(
         &self,
         old_in_flight: impl Fn(&ServiceId, &VersionId) -> u32,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Evidence> {
         let rollouts = self.running.lock().expect("rollouts lock");
         let sessions = self.sessions.lock().expect("sessions lock");
@@ -192,7 +189,7 @@
         &self,
         data_hall: ShortHash,
         own: &[Evidence],
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<HallEvidence> {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let sums = own.iter().filter_map(|own| {
@@ -205,7 +202,11 @@
 
     /// What other data halls have told of the roll-outs that are running and
     /// the VMs of this one are to be told now; `own` is this VM's evidence.
-    pub fn relays(&self, own: &[Evidence], now: Instant) -> Vec<HallEvidence> {
+    pub fn relays(
+        &self,
+        own: &[Evidence],
+        now: BootInstant,
+    ) -> Vec<HallEvidence> {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let mut relays = Vec::new();
         for own in own {
@@ -220,7 +221,7 @@
     }
 
     /// Takes in what another VM of this data hall tells.
-    pub fn hear(&self, vm: &str, told: &[Evidence], now: Instant) {
+    pub fn hear(&self, vm: &str, told: &[Evidence], now: BootInstant) {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         for told in told {
             if let Some(rollout) = find(&mut rollouts, told) {
@@ -234,7 +235,7 @@
         &self,
         told: &HallEvidence,
         way: Way,
-        now: Instant,
+        now: BootInstant,
     ) {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         if let Some(rollout) = find(&mut rollouts, &told.evidence) {
@@ -244,7 +245,7 @@
 
     /// Judges the running roll-outs; returns those that were stopped just
     /// now, with the reason.
-    pub fn judge(&self, now: Instant) -> Vec<(ServiceId, String)> {
+    pub fn judge(&self, now: BootInstant) -> Vec<(ServiceId, String)> {
         let mut rollouts = self.running.lock().expect("rollouts lock");
         let mut stopped = Vec::new();
         for (service, rollout) in rollouts.iter_mut() {
@@ -266,7 +267,7 @@
         is_steward: bool,
         old_in_flight: impl Fn(&ServiceId, &VersionId) -> u32,
         other_halls: &[ShortHash],
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<Due> {
         let rollouts = self.running.lock().expect("rollouts lock");
         let mut due = Vec::new();
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -13,13 +13,10 @@
 //! is bounded on each VM, so the bound holds however many are alive or can
 //! hear each other.
 
-use std::{
-    collections::HashMap,
-    fmt,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, fmt, time::Duration};
 
 use crate::{
+    clock::BootInstant,
     id::{ServiceId, VersionId},
     message::ShortHash,
     placing::{health::Verdict, pool::VersionRule},
@@ -137,11 +134,11 @@
     pub(super) order: Order,
     session_lifetime: Duration,
     /// When this VM learned of the order.
-    learned_at: Instant,
+    learned_at: BootInstant,
     /// When it was given, as far as any VM knows.
-    started_at: Instant,
+    started_at: BootInstant,
     pub(super) progress: Option<Progress>,
-    stopped_at: Option<Instant>,
+    stopped_at: Option<BootInstant>,
     /// How long it had been running when the trial ended. All VMs go by the
     /// first that ended it, so that a session that moved with one of them
     /// does not move back with another.
@@ -161,7 +158,7 @@
     pub(super) fn new(
         order: Order,
         session_lifetime: Duration,
-        now: Instant,
+        now: BootInstant,
     ) -> Rollout {
         Rollout {
             order,
@@ -182,7 +179,7 @@
     }
 
     /// Part of the allowed time that has passed.
-    fn passed(&self, now: Instant) -> f64 {
+    fn passed(&self, now: BootInstant) -> f64 {
         self.part(now.saturating_duration_since(self.started_at))
     }
 
@@ -193,7 +190,7 @@
     }
 
     /// The share of the requests that the new version gets.
-    fn share(&self, now: Instant) -> f64 {
+    fn share(&self, now: BootInstant) -> f64 {
         let passed = |since| now.saturating_duration_since(since);
         let is_early = passed(self.started_at) < TRIAL_START
             || passed(self.learned_at) < LISTEN_TIME;
@@ -208,7 +205,7 @@
     }
 
     /// Ends the trial once it has lasted for long enough and shown enough.
-    fn end_trial(&mut self, now: Instant) {
+    fn end_trial(&mut self, now: BootInstant) {
         let passed = self.passed(now);
         if self.trial_ended.is_some() || passed < TRIAL_END {
             return;
@@ -237,7 +234,7 @@
         session: Option<&str>,
         own: Option<(&VersionId, Duration)>,
         request_id: &str,
-        now: Instant,
+        now: BootInstant,
     ) -> (VersionRule, ChoiceReason) {
         let target = self.order.target.clone();
         if self.stopped_at.is_some()
@@ -283,7 +280,7 @@
         &self,
         session: ShortHash,
         own: Option<(&VersionId, Duration)>,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<(VersionSide, ChoiceReason)> {
         if let Some((software, idle)) = own {
             let side = self.side(software);
@@ -295,7 +292,11 @@
     }
 
     /// This VM's sessions at the old version that the trial would take.
-    fn old_sessions(&self, own: &Sessions, now: Instant) -> Vec<ToldSession> {
+    fn old_sessions(
+        &self,
+        own: &Sessions,
+        now: BootInstant,
+    ) -> Vec<ToldSession> {
         if self.trial_ended.is_some() {
             return Vec::new();
         }
@@ -364,7 +365,7 @@
         service: &ServiceId,
         own: Option<&Sessions>,
         old_in_flight: u32,
-        now: Instant,
+        now: BootInstant,
     ) -> Evidence {
         let running = now.saturating_duration_since(self.started_at);
         Evidence {
@@ -384,7 +385,7 @@
     pub(super) fn hall_evidence(
         &self,
         own: Evidence,
-        now: Instant,
+        now: BootInstant,
     ) -> Evidence {
         let mut answers = self.own.clone();
         self.told.add_near_answers(&mut answers);
@@ -402,7 +403,7 @@
         }
     }
 
-    pub(super) fn hear(&mut self, vm: &str, told: Evidence, now: Instant) {
+    pub(super) fn hear(&mut self, vm: &str, told: Evidence, now: BootInstant) {
         self.follow(&told, now);
         self.told.hear_vm(vm, told, now);
     }
@@ -411,14 +412,14 @@
         &mut self,
         told: &HallEvidence,
         way: Way,
-        now: Instant,
+        now: BootInstant,
     ) {
         self.follow(&told.evidence, now);
         self.told.hear_hall(told, way, now);
     }
 
     /// Takes in how far another VM has come.
-    fn follow(&mut self, told: &Evidence, now: Instant) {
+    fn follow(&mut self, told: &Evidence, now: BootInstant) {
         // The VM that has known of the order longest knows best when it was
         // given; one that was restarted learns it so.
         let running = Duration::from_millis(u64::from(told.running_ms));
@@ -435,7 +436,7 @@
     }
 
     /// Stops the version if its answers are worse than the old one's.
-    pub(super) fn judge(&mut self, now: Instant) -> Option<String> {
+    pub(super) fn judge(&mut self, now: BootInstant) -> Option<String> {
         if self.stopped_at.is_some() || !self.is_running() {
             return None;
         }
@@ -455,7 +456,7 @@
         is_steward: bool,
         old_in_flight: u32,
         other_halls: &[ShortHash],
-        now: Instant,
+        now: BootInstant,
     ) -> Option<Progress> {
         if !self.is_running() {
             return None;
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -14,7 +14,7 @@
     name.parse().unwrap()
 }
 
-fn running(now: Instant) -> Rollouts {
+fn running(now: BootInstant) -> Rollouts {
     let rollouts = Rollouts::default();
     let order = Order { target: version("v2"), time_allowed: ALLOWED };
     assert!(rollouts.order(service(), order, now));
@@ -24,7 +24,7 @@
 }
 
 /// The share of sessions that the new version gets at a time.
-fn share(rollouts: &Rollouts, now: Instant) -> f64 {
+fn share(rollouts: &Rollouts, now: BootInstant) -> f64 {
     let new = (0..10_000).filter(|number| {
         let session = format!("session-{number}");
         let choice = rollouts.rule(&service(), Some(&session), "r", now);
@@ -35,7 +35,7 @@
 
 #[test]
 fn a_new_version_gets_a_small_share_and_then_everything() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     assert_eq!(share(&rollouts, now), 0.0);
     let on_trial = share(&rollouts, now + ALLOWED / 4);
@@ -63,7 +63,7 @@
 /// rise by the time alone, but a good one is completed all the same.
 #[test]
 fn a_version_rises_once_enough_answers_have_shown_it() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     let at = |part: f64| now + ALLOWED.mul_f64(part);
     answer(&rollouts, TRIAL_ANSWERS - 1);
@@ -91,7 +91,7 @@
 
 #[test]
 fn a_session_keeps_its_version_through_the_trial() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     let at = now + ALLOWED / 4;
     for number in 0..1000 {
@@ -106,7 +106,7 @@
 
 #[test]
 fn a_session_that_began_before_the_order_on_another_vm_stays() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let here = Rollouts::default();
     let there = Rollouts::default();
     let old = version("v1");
@@ -130,7 +130,7 @@
 
 #[test]
 fn a_version_is_stopped_by_the_evidence_of_all_vms() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let here = running(now);
     let there = running(now);
     for rollouts in [&here, &there] {
@@ -159,7 +159,7 @@
 
 #[test]
 fn lost_answers_speak_of_machines_until_there_are_many() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     let record = |software: &str, verdict, count| {
         for _ in 0..count {
@@ -181,7 +181,7 @@
 
 #[test]
 fn others_record_a_stop_only_later() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     for _ in 0..BAD_ANSWERS {
         let new = version("v2");
@@ -196,7 +196,7 @@
 
 #[test]
 fn failures_that_the_old_version_has_too_stop_nothing() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     for name in ["v1", "v2"] {
         for number in 0..100 {
@@ -213,7 +213,7 @@
 
 #[test]
 fn a_version_that_is_much_slower_on_one_route_is_stopped() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     let record = |name: &str, route: &str, ms: u64| {
         let first_part = Some(Duration::from_millis(ms));
@@ -247,7 +247,7 @@
 /// ```
 #[test]
 fn a_good_version_whose_times_spread_as_the_old_ones_do_is_kept() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     let record = |name: &str, number: u64| {
         let ms = if number.is_multiple_of(5) { 5000 } else { 50 };
@@ -266,7 +266,7 @@
 
 #[test]
 fn completed_waits_for_the_old_versions_last_requests() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     answer(&rollouts, TRIAL_ANSWERS);
     rollouts.judge(now + ALLOWED.mul_f64(TRIAL_END));
@@ -282,7 +282,7 @@
 
 #[test]
 fn a_vm_that_was_restarted_learns_how_long_it_has_been() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let old = running(now);
     answer(&old, TRIAL_ANSWERS);
     old.judge(now + ALLOWED.mul_f64(TRIAL_END));
@@ -297,7 +297,7 @@
 /// been on before it has heard of the sessions of all.
 #[test]
 fn a_vm_that_learns_of_a_trial_late_listens_first() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let other = running(now);
     let at = now + ALLOWED / 4;
     let late = running(at);
@@ -308,7 +308,7 @@
 
 #[test]
 fn a_roll_out_that_has_ended_stays_ended() {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let rollouts = running(now);
     let reverted =
         Status { target: version("v2"), progress: Progress::Reverted };
--- a/src/rollouts/sessions.rs
+++ b/src/rollouts/sessions.rs
@@ -1,12 +1,9 @@
 //! Which version the sessions of one service are at, as far as this VM has
 //! had their requests.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, time::Duration};
 
-use crate::{id::VersionId, message::ShortHash};
+use crate::{clock::BootInstant, id::VersionId, message::ShortHash};
 
 /// Sessions that are remembered: those of seven seconds at 2,800 requests a
 /// second, each of another session. Beyond them new ones are not noted.
@@ -25,12 +22,12 @@
     /// Its attempts that have not ended.
     under_way: u32,
     /// When its last attempt began, or ended.
-    used_at: Instant,
+    used_at: BootInstant,
 }
 
 impl Session {
     /// How long nothing of it has been under way.
-    fn idle(&self, now: Instant) -> Duration {
+    fn idle(&self, now: BootInstant) -> Duration {
         match self.under_way {
             0 => now.saturating_duration_since(self.used_at),
             _ => Duration::ZERO,
@@ -45,7 +42,7 @@
         session: ShortHash,
         software: &VersionId,
         lifetime: Duration,
-        now: Instant,
+        now: BootInstant,
     ) {
         if self.held.len() >= SESSIONS_MOST {
             self.held.retain(|_, held| held.idle(now) < lifetime);
@@ -68,7 +65,7 @@
     }
 
     /// Notes that an attempt of a session has ended.
-    pub(crate) fn end(&mut self, session: ShortHash, now: Instant) {
+    pub(crate) fn end(&mut self, session: ShortHash, now: BootInstant) {
         if let Some(held) = self.held.get_mut(&session) {
             held.under_way = held.under_way.saturating_sub(1);
             held.used_at = now;
@@ -81,7 +78,7 @@
         &self,
         session: ShortHash,
         lifetime: Duration,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<(&VersionId, Duration)> {
         let held = self.held.get(&session)?;
         let idle = held.idle(now);
@@ -94,7 +91,7 @@
         &self,
         target: &VersionId,
         lifetime: Duration,
-        now: Instant,
+        now: BootInstant,
     ) -> impl Iterator<Item = (ShortHash, Duration)> {
         let others =
             self.held.iter().filter(move |(_, s)| s.software != *target);
--- a/src/rollouts/told.rs
+++ b/src/rollouts/told.rs
@@ -1,11 +1,9 @@
 //! What other VMs have told of one roll-out, and what of it is passed on.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
+    clock::BootInstant,
     message::ShortHash,
     rollouts::{
         comparison::Answers,
@@ -49,7 +47,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Told {
     /// The VMs of this hall.
-    vms: HashMap<String, (Instant, Evidence)>,
+    vms: HashMap<String, (BootInstant, Evidence)>,
     halls: HashMap<ShortHash, Hall>,
     /// Sessions at the old version.
     sessions: HashMap<ShortHash, Session>,
@@ -59,13 +57,13 @@
 #[derive(Debug)]
 struct Hall {
     /// When the newest was made.
-    at: Instant,
+    at: BootInstant,
     /// When the newest was made that told of requests at the old version.
-    busy_at: Option<Instant>,
+    busy_at: Option<BootInstant>,
     old_in_flight: u16,
     answers: ByRoute,
     /// When this hall's VMs were last told one.
-    relayed_at: Option<Instant>,
+    relayed_at: Option<BootInstant>,
     /// Whether one has come since from the hall itself.
     is_fresh: bool,
 }
@@ -73,7 +71,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Session {
     /// When something of it was last under way.
-    used_at: Instant,
+    used_at: BootInstant,
     /// The hall it is at; `None` for this VM's own.
     hall: Option<ShortHash>,
     /// Whether this hall's VMs were told.
@@ -82,7 +80,12 @@
 
 impl Told {
     /// Takes in what a VM of this hall tells.
-    pub(super) fn hear_vm(&mut self, vm: &str, told: Evidence, now: Instant) {
+    pub(super) fn hear_vm(
+        &mut self,
+        vm: &str,
+        told: Evidence,
+        now: BootInstant,
+    ) {
         self.note_sessions(&told.old_sessions, None, now, true);
         self.vms.insert(vm.to_owned(), (now, told));
     }
@@ -92,7 +95,7 @@
         &mut self,
         told: &HallEvidence,
         way: Way,
-        now: Instant,
+        now: BootInstant,
     ) {
         let age = Duration::from_millis(told.age_ms.into());
         let at = now.checked_sub(age).unwrap_or(now);
@@ -119,7 +122,7 @@
         &mut self,
         told: &[ToldSession],
         hall: Option<ShortHash>,
-        at: Instant,
+        at: BootInstant,
         is_relayed: bool,
     ) {
         for session in told {
@@ -142,7 +145,7 @@
     pub(super) fn forget_sessions(
         &mut self,
         lifetime: Duration,
-        now: Instant,
+        now: BootInstant,
     ) {
         self.sessions.retain(|_, session| {
             now.saturating_duration_since(session.used_at) < lifetime
@@ -154,7 +157,7 @@
     pub(super) fn session_idle(
         &self,
         session: ShortHash,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<Duration> {
         let held = self.sessions.get(&session)?;
         Some(now.saturating_duration_since(held.used_at))
@@ -180,7 +183,7 @@
     }
 
     /// Requests at the old version of the other VMs of this hall.
-    pub(super) fn near_in_flight(&self, now: Instant) -> u32 {
+    pub(super) fn near_in_flight(&self, now: BootInstant) -> u32 {
         let recent = self.vms.values().filter(|(at, _)| {
             now.saturating_duration_since(*at) < COUNT_LIFETIME
         });
@@ -189,7 +192,11 @@
 
     /// Whether other halls have told lately that nothing of theirs is at the
     /// old version any more.
-    pub(super) fn are_idle(&self, halls: &[ShortHash], now: Instant) -> bool {
+    pub(super) fn are_idle(
+        &self,
+        halls: &[ShortHash],
+        now: BootInstant,
+    ) -> bool {
         let is_idle = |hall: &ShortHash| {
             self.halls.get(hall).is_some_and(|held| held.is_idle(now))
         };
@@ -201,7 +208,7 @@
     pub(super) fn sessions_of(
         &self,
         hall: Option<ShortHash>,
-        now: Instant,
+        now: BootInstant,
     ) -> Vec<ToldSession> {
         let of = self.sessions.iter().filter(|(_, s)| s.hall == hall);
         let mut told: Vec<ToldSession> = of
@@ -217,7 +224,7 @@
 
     /// The halls whose sums the VMs of this one are to be told now: those
     /// with a session that is news to them, and the others once in a while.
-    pub(super) fn due_relays(&self, now: Instant) -> Vec<ShortHash> {
+    pub(super) fn due_relays(&self, now: BootInstant) -> Vec<ShortHash> {
         let due = self.halls.iter().filter(|(name, hall)| {
             hall.is_fresh
                 && (hall.is_relay_due(now) || self.has_news_of(**name))
@@ -236,7 +243,7 @@
         &mut self,
         name: ShortHash,
         frame: &Evidence,
-        now: Instant,
+        now: BootInstant,
     ) -> Option<HallEvidence> {
         let old_sessions = match frame.trial_ended_ms {
             None => self.sessions_of(Some(name), now),
@@ -267,7 +274,7 @@
 impl Hall {
     /// Takes in a sum. Each lacks what its VM has not heard, so of answers
     /// the most counts that any has told.
-    fn take(&mut self, sum: &Evidence, at: Instant) {
+    fn take(&mut self, sum: &Evidence, at: BootInstant) {
         for (route, old, new) in &sum.answers {
             let held = self.answers.entry(*route).or_default();
             held[0] = held[0].most(*old);
@@ -282,13 +289,13 @@
         }
     }
 
-    fn is_idle(&self, now: Instant) -> bool {
+    fn is_idle(&self, now: BootInstant) -> bool {
         let since_busy = |busy_at| self.at.saturating_duration_since(busy_at);
         now.saturating_duration_since(self.at) < SUM_LIFETIME
             && self.busy_at.is_none_or(|at| since_busy(at) >= IDLE_TIME)
     }
 
-    fn is_relay_due(&self, now: Instant) -> bool {
+    fn is_relay_due(&self, now: BootInstant) -> bool {
         self.relayed_at
             .is_none_or(|at| now.saturating_duration_since(at) >= RELAY_PERIOD)
     }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -5,11 +5,15 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     path::{Path, PathBuf},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use hyper::Method;
-use lupinseam::http_client::{Call, HttpClient, WholeAnswer};
+use lupinseam::{
+    clock::SystemClock,
+    http_client::{Call, HttpClient, WholeAnswer},
+};
 use serde::Serialize;
 use serde_json::{Value, json};
 use smol::Timer;
@@ -183,7 +187,10 @@
             _list: list,
             rating_address: rating.address("address")?,
             _rating: rating,
-            client: HttpClient::new(Duration::from_secs(2)),
+            client: HttpClient::new(
+                Duration::from_secs(2),
+                Arc::new(SystemClock),
+            ),
             vms: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             paths: HashMap::new(),
--- a/standins/src/traffic.rs
+++ b/standins/src/traffic.rs
@@ -12,7 +12,7 @@
 
 use async_global_executor::spawn;
 use hyper::Method;
-use lupinseam::http_client::HttpClient;
+use lupinseam::{clock::SystemClock, http_client::HttpClient};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 use smol::Timer;
@@ -183,7 +183,10 @@
     /// Creates traffic of at most `requests` requests to these VMs.
     pub fn new(seed: u64, requests: u64, vms: Vec<SocketAddr>) -> Traffic {
         Traffic {
-            client: HttpClient::new(Duration::from_secs(1)),
+            client: HttpClient::new(
+                Duration::from_secs(1),
+                Arc::new(SystemClock),
+            ),
             vms: Arc::new(Mutex::new(vms)),
             mix: Arc::new(Mutex::new(Mix::new(seed))),
             records: Arc::default(),
