--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -468,3 +468,5 @@
 pub(crate) mod test_fleet;
 #[cfg(test)]
 pub(crate) mod tests;
+#[cfg(test)]
+mod wake_tests;
