--- a/src/task.rs
+++ b/src/task.rs
@@ -59,3 +59,6 @@
         Wake { sender, receiver }
     }
 }
+
+#[cfg(test)]
+mod tests;
