Soak: requests that crash what runs them, in series and at once at any VM; an order of a roll-out is removed only if no other was given since

Each line gains crashing_requests and most_ended_by_one; two promises, both shown to find a break made by hand.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -25,8 +25,10 @@
     /// Passes everything.
     #[default]
     Pass,
-    /// Closes all connections, refuses new ones, drops datagrams.
+    /// Closes all connections, old and new, drops datagrams.
     Cut,
+    /// Closes all connections and listens no more, as if it had ended.
+    Gone,
     /// Keeps connections and passes nothing.
     Stall,
     /// Passes everything later.
@@ -101,6 +103,10 @@
     /// Changes what the proxy does, also for open connections.
     pub fn set(&self, mode: Mode) {
         *self.mode.lock().unwrap() = mode;
+        if mode == Mode::Gone {
+            // Wakes what listens, so that it ends at once.
+            drop(std::net::TcpStream::connect(self.address));
+        }
     }
 
     /// What the proxy does.
@@ -114,13 +120,34 @@
     target: SocketAddr,
     mode: SharedMode,
 ) {
-    let Ok(listener) = TcpListener::try_from(listener) else { return };
-    while let Ok((client, _)) = listener.accept().await {
-        if current(&mode) == Mode::Cut {
-            drop(client);
-            continue;
+    let Ok(address) = listener.local_addr() else { return };
+    let mut listener = TcpListener::try_from(listener).ok();
+    while let Some(open) = &listener {
+        let Ok((client, _)) = open.accept().await else { return };
+        match current(&mode) {
+            Mode::Cut => drop(client),
+            Mode::Gone => {
+                drop(client);
+                drop(listener.take());
+                listener = listen_again(address, &mode).await;
+            }
+            _ => spawn(connect(client, target, mode.clone())).detach(),
+        }
+    }
+}
+
+/// Listens at an address once more when it is no longer to be gone.
+async fn listen_again(
+    address: SocketAddr,
+    mode: &SharedMode,
+) -> Option<TcpListener> {
+    loop {
+        Timer::after(LOOK).await;
+        if current(mode) != Mode::Gone
+            && let Ok(listener) = TcpListener::bind(address).await
+        {
+            return Some(listener);
         }
-        spawn(connect(client, target, mode.clone())).detach();
     }
 }
 
@@ -149,7 +176,7 @@
             None
         };
         let length = match read.or(timer).await {
-            None if current(&mode) == Mode::Cut => return,
+            None if is_closed(&mode) => return,
             None => continue,
             Some(Ok(0) | Err(_)) => return,
             Some(Ok(length)) => length,
@@ -157,7 +184,7 @@
         let mut part = &buffer[..length];
         match current(&mode) {
             Mode::Pass | Mode::Lossy(_) => {}
-            Mode::Cut => return,
+            Mode::Cut | Mode::Gone => return,
             Mode::Stall => wait_out_stall(&mode).await,
             Mode::Delay(time) => {
                 Timer::after(time).await;
@@ -185,6 +212,10 @@
     }
 }
 
+fn is_closed(mode: &SharedMode) -> bool {
+    matches!(current(mode), Mode::Cut | Mode::Gone)
+}
+
 async fn wait_out_stall(mode: &SharedMode) {
     while current(mode) == Mode::Stall {
         Timer::after(LOOK).await;
@@ -204,7 +235,7 @@
     while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
         let datagram = &buffer[..length];
         let share = match current(&mode) {
-            Mode::Cut | Mode::Stall => continue,
+            Mode::Cut | Mode::Gone | Mode::Stall => continue,
             Mode::Lossy(share) => share,
             Mode::Delay(time) => {
                 Timer::after(time).await;
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -31,6 +31,9 @@
 /// Share of the calls before which a caller begins another session.
 const SESSION_ENDS: f64 = 0.1;
 
+/// What says that a request is held back.
+const HELD_BACK: &str = "crashes_upstreams";
+
 /// Pause after a refusal or a connection that did not open.
 const REST: Duration = Duration::from_millis(60);
 
@@ -87,6 +90,11 @@
         (1..=count).map(caller).collect()
     }
 
+    /// Whether they are to stop.
+    pub fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
     /// Tells the callers to stop after the request at hand.
     pub fn stop(&self) {
         self.is_over.store(true, Ordering::Relaxed);
@@ -95,7 +103,7 @@
     fn call_on(&self, number: u64, mut rng: ChaCha8Rng) {
         let mut kept = HashMap::new();
         let mut session = 0;
-        while !self.is_over.load(Ordering::Relaxed) {
+        while !self.is_over() {
             let kind = self.draw_kind(&mut rng);
             let key = self.draw_key(kind, &mut rng);
             // Most requests stay on a connection that is open already, also
@@ -182,6 +190,7 @@
         self.calls.lock().unwrap().push(Call {
             is_own: is_own(kind, &id, &got),
             is_whole: got.whole,
+            is_held_back: got.body.contains(HELD_BACK),
             status,
             id,
             kind,
@@ -202,7 +211,7 @@
     let deadline_ms = DEADLINE.as_millis();
     let path = kind.path(id);
     let (method, more) = match kind {
-        Kind::Read | Kind::Probe(_) => ("GET", ""),
+        Kind::Read | Kind::Probe(_) | Kind::Deadly(_) => ("GET", ""),
         Kind::Once => ("POST", "Content-Length: 0\r\n"),
         Kind::Write | Kind::Tell => (
             "POST",
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    deadly,
     evidence::{Call, Change, Evidence, Kind, Order, Run, Scope},
     upstreams::UNREADABLE,
 };
@@ -45,7 +46,7 @@
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
 /// Added to bounds in time: what a call takes within the soak itself.
-const SLACK: Duration = Duration::from_millis(300);
+pub(super) const SLACK: Duration = Duration::from_millis(300);
 
 /// The organisation of every key.
 const ORGANISATION: &str = "village";
@@ -83,6 +84,10 @@
     RetryBudget,
     /// An entry that cannot be read names no upstream.
     Unreadable,
+    /// A request that crashes what runs it is sent no more.
+    Deadly,
+    /// No request is held back for what another did.
+    OthersTaken,
     /// A planned stop cuts no request.
     PlannedStop,
     /// When all troubles are over, requests are served.
@@ -121,13 +126,18 @@
         exposure,
         retry_budget,
         unreadable,
+        deadly::stopped,
+        deadly::others_taken,
         planned_stops,
         recovery,
     ];
     checks.iter().flat_map(|check| check(evidence)).collect()
 }
 
-fn violation(promise: Promise, what: impl Into<String>) -> Violation {
+pub(super) fn violation(
+    promise: Promise,
+    what: impl Into<String>,
+) -> Violation {
     Violation { promise, what: what.into() }
 }
 
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -5,6 +5,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use super::deadly;
+
 /// Trouble at a VM or the store excuses it for this long afterwards; the
 /// platform's `contact_ms`.
 pub const CONTACT_TIME: Duration = Duration::from_millis(3000);
@@ -22,6 +24,8 @@
     Tell,
     /// A question on a route that was added; the number names the route.
     Probe(u64),
+    /// Crashes each upstream that runs it; the number names it.
+    Deadly(u64),
 }
 
 impl Kind {
@@ -32,7 +36,10 @@
 
     /// Whether it may run more than once.
     pub fn may_repeat(self) -> bool {
-        matches!(self, Kind::Read | Kind::Write | Kind::Probe(_))
+        matches!(
+            self,
+            Kind::Read | Kind::Write | Kind::Probe(_) | Kind::Deadly(_)
+        )
     }
 
     /// Whether its route is open to keyholders only.
@@ -48,6 +55,7 @@
             Kind::Write => format!("/write/{id}"),
             Kind::Tell => format!("/tell/{id}"),
             Kind::Probe(number) => format!("/added-{number}/{id}"),
+            Kind::Deadly(number) => deadly::path(number),
         }
     }
 }
@@ -77,6 +85,8 @@
     pub is_whole: bool,
     /// Whether the answer is all of what an upstream made for this call.
     pub is_own: bool,
+    /// Whether it was refused as one that crashes what runs it.
+    pub is_held_back: bool,
 }
 
 /// A run of a request at an upstream.
@@ -86,6 +96,8 @@
     pub id: String,
     /// The upstream.
     pub upstream: String,
+    /// Which life of the upstream, counted from 1.
+    pub life: u64,
     /// The version of its software.
     pub software: String,
     /// When it began.
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! * [`faults`]: what goes wrong, drawn from a seed; `inject` brings it about.
 //! * `world`: the site, and what is due in it.
 //! * [`upstreams`], [`callers`], [`client`]: who stands around the VMs.
+//! * [`deadly`]: requests that crash the upstreams that run them.
 //! * [`evidence`]: what was seen.
 //! * [`check`]: whether that keeps every promise.
 //!
@@ -19,6 +20,7 @@
 pub mod callers;
 pub mod check;
 pub mod client;
+pub mod deadly;
 pub mod evidence;
 pub mod faults;
 pub mod upstreams;
@@ -104,6 +106,10 @@
     pub calls: usize,
     /// Calls that were answered whole with a 2xx.
     pub served: usize,
+    /// Different requests that crash what runs them.
+    pub crashing_requests: usize,
+    /// The most upstreams that ended under one of those.
+    pub most_ended_by_one: usize,
     /// What was violated.
     pub violations: Vec<Violation>,
 }
@@ -116,6 +122,8 @@
             "faults": self.faults,
             "requests": self.calls,
             "served": self.served,
+            "crashing_requests": self.crashing_requests,
+            "most_ended_by_one": self.most_ended_by_one,
             "violations": violations.collect::<Vec<_>>(),
         })
     }
--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -11,7 +11,7 @@
 use rand::Rng;
 use serde_json::json;
 
-use super::evidence::Run;
+use super::{deadly::is_deadly, evidence::Run};
 use crate::{
     gateway_site::{MODELS, PLAIN, upstream_record},
     http_raw::{RawRequest, answer, chunk},
@@ -29,6 +29,9 @@
 /// Time that a plain request takes.
 const WORK_TIME: Duration = Duration::from_millis(12);
 
+/// Longest time until an upstream is gone that runs a deadly request.
+const CRASH_TIME: Duration = Duration::from_millis(200);
+
 /// Share of the requests that a failing upstream treats badly.
 const FAULTY_SHARE: f64 = 0.6;
 
@@ -80,7 +83,9 @@
     behaviour: Arc<AtomicU8>,
     way: Proxy,
     /// When its present life began, in milliseconds; rises with each.
-    born: u64,
+    born: Arc<AtomicU64>,
+    /// Whether it runs a request that crashes it.
+    is_hit: Arc<AtomicBool>,
 }
 
 /// The upstream whose entries cannot be read.
@@ -131,27 +136,36 @@
         runs: &Runs,
     ) -> Worker {
         let behaviour = Arc::new(AtomicU8::new(Behaviour::Well as u8));
+        let born = Arc::new(AtomicU64::new(1));
+        let is_hit = Arc::new(AtomicBool::new(false));
         let script = Serving {
             id: id.to_owned(),
             software: software.to_owned(),
             started_at,
             runs: runs.clone(),
             behaviour: behaviour.clone(),
+            born: born.clone(),
+            is_hit: is_hit.clone(),
         };
         let upstream = Upstream::start(id, script.into_script());
         let way = Proxy::tcp(upstream.address).expect("a port");
         let software = software.to_owned();
-        Worker { upstream, service, software, behaviour, way, born: 1 }
+        Worker { upstream, service, software, behaviour, way, born, is_hit }
     }
 
     /// Crashes: its connections break, and it is gone until it starts again.
     pub fn crash(&self) {
-        self.way.set(Mode::Cut);
+        self.way.set(Mode::Gone);
+    }
+
+    /// Whether a request is about to crash it; it is only once.
+    pub fn takes_deadly(&self) -> bool {
+        self.is_hit.swap(false, Ordering::Relaxed)
     }
 
     /// Starts again under its name, at its address.
-    pub fn start_again(&mut self, store: &PlatformStore) {
-        self.born += 1;
+    pub fn start_again(&self, store: &PlatformStore) {
+        self.born.fetch_add(1, Ordering::Relaxed);
         self.way.set(Mode::Pass);
         self.record(store, "ready");
     }
@@ -176,7 +190,7 @@
         let address = self.way.address;
         let mut record =
             upstream_record(address, self.service, &self.software, state);
-        record["born"] = json!(self.born);
+        record["born"] = json!(self.born.load(Ordering::Relaxed));
         store.put(&self.key(), &record);
     }
 
@@ -203,6 +217,8 @@
     started_at: Instant,
     runs: Runs,
     behaviour: Arc<AtomicU8>,
+    born: Arc<AtomicU64>,
+    is_hit: Arc<AtomicBool>,
 }
 
 impl Serving {
@@ -229,6 +245,10 @@
             return vec![Act::Send(answer(503, &head, ""))];
         }
         self.note(request, |received| &mut received.runs);
+        if is_deadly(&request.path) {
+            self.is_hit.store(true, Ordering::Relaxed);
+            return vec![Act::Wait(CRASH_TIME), Act::Close];
+        }
         let is_stream = self.serves_streams(request);
         match behaviour {
             Behaviour::LosingAnswers => {
@@ -255,6 +275,7 @@
         let run = Run {
             id: request.header("lupinseam-attempt-id").to_owned(),
             upstream: self.id.clone(),
+            life: self.born.load(Ordering::Relaxed),
             software: self.software.clone(),
             at: self.started_at.elapsed(),
             path: request.path.clone(),
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -15,6 +15,7 @@
     Outcome, Soak,
     callers::{Callers, Door},
     check::{RETRY_EXTRA, RETRY_SHARE, REVOKE_TIME, check},
+    deadly,
     evidence::{Change, Evidence, Kind, Scope},
     faults::{Fault, Target},
     upstreams::{Runs, SERVICES, UNREADABLE, Worker},
@@ -49,6 +50,9 @@
 /// that its record stays.
 const LEAVE_TIME: Duration = Duration::from_secs(3);
 
+/// Time until an upstream is back that a deadly request has ended.
+const BACK_AFTER: Duration = Duration::from_millis(1500);
+
 /// A fault that is under way.
 pub(super) struct Active {
     pub(super) fault: Fault,
@@ -62,6 +66,7 @@
     StartVm(usize),
     RemoveRecord(String),
     StartUpstream(String),
+    /// Removes the order of this version, unless another was given since.
     EndRollOut(String),
 }
 
@@ -80,6 +85,8 @@
     pub(super) runs: Runs,
     pub(super) callers: Arc<Callers>,
     pub(super) threads: Vec<thread::JoinHandle<()>>,
+    /// Those that send deadly requests.
+    pub(super) deadly: Vec<thread::JoinHandle<()>>,
     pub(super) active: Vec<Active>,
     pub(super) later: Vec<(Duration, Later)>,
     /// Planned stops under way, with their troubles.
@@ -137,6 +144,7 @@
             runs,
             callers,
             threads: Vec::new(),
+            deadly: Vec::new(),
             active: Vec::new(),
             later: Vec::new(),
             stopping: HashMap::new(),
@@ -163,6 +171,7 @@
         });
         world.balance();
         world.threads = world.callers.run(plan.callers, seed);
+        world.deadly = deadly::run(&world.callers, seed);
         world
     }
 
@@ -237,6 +246,7 @@
         for (_, what) in due {
             self.carry_out(what);
         }
+        self.look_at_crashes(now);
         self.look_at_processes(now);
         self.look_at_roll_out(now);
     }
@@ -248,10 +258,15 @@
             }
             Later::StartVm(_) => {}
             Later::RemoveRecord(key) => self.site.store.remove(&key),
-            Later::EndRollOut(key) => self.site.store.remove(&key),
+            Later::EndRollOut(software) => {
+                let key = format!("op/rollout/{MODELS}");
+                let order = self.site.store.get(&key).unwrap_or_default();
+                if order["target_version"] == software.as_str() {
+                    self.site.store.remove(&key);
+                }
+            }
             Later::StartUpstream(id) => {
-                let found =
-                    self.workers.iter_mut().find(|w| w.upstream.id == id);
+                let found = self.workers.iter().find(|w| w.upstream.id == id);
                 if let Some(worker) = found {
                     worker.start_again(&self.site.store);
                 }
@@ -259,6 +274,19 @@
         }
     }
 
+    /// Ends the upstreams that run a deadly request; they are back after some
+    /// time.
+    fn look_at_crashes(&mut self, now: Duration) {
+        for worker in self.workers.iter().chain(&self.left) {
+            if worker.takes_deadly() {
+                worker.crash();
+                let id = worker.upstream.id.clone();
+                let back_at = now + BACK_AFTER;
+                self.later.push((back_at, Later::StartUpstream(id)));
+            }
+        }
+    }
+
     /// Starts the VMs again that have ended after a planned stop.
     fn look_at_processes(&mut self, now: Duration) {
         let stopping: Vec<usize> = self.stopping.keys().copied().collect();
@@ -281,6 +309,7 @@
         if status["target_version"] != software.as_str() {
             return;
         }
+        let ordered = software.clone();
         let keeps = match status["state"].as_str() {
             Some("completed") => software,
             Some("reverted") => {
@@ -300,9 +329,8 @@
         for worker in over {
             self.let_go(worker, now);
         }
-        let key = format!("op/rollout/{MODELS}");
         let at = now + Duration::from_secs(1);
-        self.later.push((at, Later::EndRollOut(key)));
+        self.later.push((at, Later::EndRollOut(ordered)));
         self.active.retain(|a| a.target != Target::Operator);
     }
 
@@ -356,7 +384,7 @@
             }
         }
         self.callers.stop();
-        for thread in self.threads.drain(..) {
+        for thread in self.threads.drain(..).chain(self.deadly.drain(..)) {
             // A caller that panicked has printed why.
             let _ = thread.join();
         }
@@ -364,6 +392,8 @@
         let received = std::mem::take(&mut *self.runs.lock().unwrap());
         self.evidence.runs = received.runs;
         self.evidence.declined = received.declined;
+        let (crashing_requests, most_ended_by_one) =
+            deadly::summary(&self.evidence);
         let calls = &self.evidence.calls;
         let served = calls.iter().filter(|c| c.status == 200 && c.is_whole);
         Outcome {
@@ -371,6 +401,8 @@
             faults: self.faults.len(),
             calls: calls.len(),
             served: served.count(),
+            crashing_requests,
+            most_ended_by_one,
             violations: check(&self.evidence),
         }
     }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -40,6 +40,7 @@
         status: 200,
         is_whole: true,
         is_own: true,
+        is_held_back: false,
     }
 }
 
@@ -47,6 +48,7 @@
     Run {
         id: call.id.clone(),
         upstream: "i-1".to_owned(),
+        life: 1,
         software: "v1".to_owned(),
         at: call.sent_at + seconds(0.01),
         path: call.kind.path(&call.id),
@@ -323,6 +325,44 @@
     assert_eq!(found, [Promise::Unreadable]);
 }
 
+#[test]
+fn a_deadly_request_that_goes_on_is_found() {
+    // Three ends by 10.2 s and each half second from 14 s on, another life.
+    let with = |later: usize, ends: u64| {
+        broken_by(|e| {
+            for number in 0..ends + later as u64 {
+                let is_early = number < ends;
+                let sent_s = match is_early {
+                    true => 10.0 + number as f64 * 0.1,
+                    false => 14.0 + number as f64 * 0.5,
+                };
+                let id = format!("d-{number}");
+                let call = call(&id, Kind::Deadly(1), sent_s);
+                e.runs.push(Run { life: number, ..run_of(&call) });
+                e.calls.push(call);
+            }
+        })
+    };
+    assert_eq!(with(3, 3), []);
+    assert_eq!(with(4, 3), [Promise::Deadly]);
+    assert_eq!(with(4, 2), [], "the third end is late");
+    let one_life = broken_by(|e| {
+        for number in 0..9 {
+            let id = format!("d-{number}");
+            let call = call(&id, Kind::Deadly(1), 10.0 + number as f64);
+            e.runs.push(run_of(&call));
+            e.calls.push(call);
+        }
+    });
+    assert_eq!(one_life, [], "which ends once");
+}
+
+#[test]
+fn another_request_that_is_held_back_is_found() {
+    let held = broken_by(|e| e.calls[0].is_held_back = true);
+    assert_eq!(held, [Promise::OthersTaken]);
+}
+
 #[test]
 fn a_site_that_does_not_recover_is_found() {
     assert_eq!(broken_by(|e| e.recovery = (10, 8)), [Promise::Recovery]);
