An end of an upstream that came back unheard is another end; two culprits that meet do not release each other

An end has a number beside its life, and one that is held back stays so while any of its ends is not explained.

--- a/src/crashes/end_check.rs
+++ b/src/crashes/end_check.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 use crate::{
+    clock::BootInstant,
     crashes::{digest::RequestDigest, record::NextStep},
     event::Event,
     gateway::{Gateway, fields},
@@ -21,12 +22,13 @@
 /// process that ends closes its sockets one after the other.
 const SECOND_LOOK: Duration = Duration::from_millis(150);
 
-/// Takes in that an attempt was lost at an upstream that had it for `had`.
+/// Takes in that an attempt was lost at an upstream where it began at
+/// `began_at`.
 pub(crate) fn note_lost(
     gateway: &Arc<Gateway>,
     member: &Arc<Member>,
     request: RequestDigest,
-    had: Duration,
+    began_at: BootInstant,
 ) {
     let now = gateway.clock.now();
     let life = member.upstream.short;
@@ -35,7 +37,8 @@
         // It was leaving: its end was planned.
         return;
     }
-    let (next, changes) = gateway.crashes.note_lost(request, life, had, now);
+    let (next, changes) =
+        gateway.crashes.note_lost(request, life, began_at, now);
     gateway.note_crash_changes(&changes);
     match next {
         NextStep::Nothing => gateway.early_beat.wake(),
--- a/src/crashes/keeping.rs
+++ b/src/crashes/keeping.rs
@@ -40,7 +40,11 @@
             continue;
         }
         match write(&gateway, &due).await {
-            Ok(()) => backoff.reset(),
+            Ok(Committed::Done(_)) => backoff.reset(),
+            // Another VM has written it, which this one is to hear of first.
+            Ok(Committed::Refused | Committed::LeaseOver) => {
+                task::sleep(backoff.wait()).await;
+            }
             Err(error) => {
                 Event::HeldNotKept.record(fields(json!({
                     "requests": due.len(),
@@ -74,19 +78,11 @@
 async fn write(
     gateway: &Gateway,
     values: &[NewValue],
-) -> Result<(), StoreError> {
+) -> Result<Committed, StoreError> {
     let store = &gateway.store;
     let lease = store.take_lease(REMEMBERED).await?;
     let written = store.write_all(values, Some(lease)).await?;
     // Whatever stands there now, this VM is to know it.
     gateway.peers.look();
-    match written {
-        Committed::Done(_) => Ok(()),
-        Committed::Refused => {
-            Err(StoreError::NotDone("a record is there already".to_owned()))
-        }
-        Committed::LeaseOver => {
-            Err(StoreError::NotDone("the lease is over".to_owned()))
-        }
-    }
+    Ok(written)
 }
--- a/src/crashes/record.rs
+++ b/src/crashes/record.rs
@@ -18,7 +18,7 @@
     clock::BootInstant,
     crashes::{
         digest::RequestDigest,
-        sighting::{Crash, Seen, Sighting},
+        sighting::{Crash, End, Seen, Sighting},
         verdict::{self, Ends},
     },
     http_client::Listening,
@@ -47,8 +47,8 @@
 /// Requests remembered as having run whole: a minute of one VM's.
 const WELL_MOST: usize = 1024;
 
-/// Upstreams of which it is remembered that they have ended.
-const ENDED_MOST: usize = 1024;
+/// Lives of upstreams at which attempts were lost that are remembered.
+const LIVES_MOST: usize = 1024;
 
 /// Rounds of beats in which a VM tells the same: each goes to all of its data
 /// hall, and one datagram in thirty is lost at worst.
@@ -105,13 +105,39 @@
     Released(RequestDigest),
 }
 
+/// Attempts that were lost at an upstream, of which it is open whether it has
+/// ended.
+#[derive(Debug)]
+struct Lost {
+    requests: Vec<(RequestDigest, u16)>,
+    since: BootInstant,
+}
+
 /// One life of an upstream at which attempts were lost.
 #[derive(Debug)]
-enum Life {
-    /// Whether it has ended is open; these were there.
-    Open { lost: Vec<(RequestDigest, u16)>, since: BootInstant },
-    /// It has.
-    Ended { at: BootInstant },
+struct Life {
+    /// How many ends of it are known, and when the last one became known.
+    ends: u8,
+    ended_at: Option<BootInstant>,
+    lost: Option<Lost>,
+    noted_at: BootInstant,
+}
+
+impl Life {
+    fn new(now: BootInstant) -> Life {
+        Life { ends: 0, ended_at: None, lost: None, noted_at: now }
+    }
+
+    /// The last end, if an attempt that began then was under way at it.
+    fn end_of(
+        &self,
+        upstream: ShortHash,
+        began_at: BootInstant,
+    ) -> Option<End> {
+        let was_there = self.ended_at.is_some_and(|at| began_at <= at);
+        let number = self.ends.saturating_sub(1);
+        was_there.then_some(End { upstream, number })
+    }
 }
 
 /// Something to tell in the next rounds of beats.
@@ -153,6 +179,8 @@
     ran_whole: HashMap<RequestDigest, BootInstant>,
     tellings: Vec<Telling>,
     held: BTreeSet<RequestDigest>,
+    /// Those of them of which nothing was forgotten since.
+    firmly_held: BTreeSet<RequestDigest>,
 }
 
 /// The record of one VM.
@@ -185,33 +213,29 @@
         held.map(|request| (*request, state.crashes(*request))).collect()
     }
 
-    /// Takes in that an attempt was lost after an upstream had it for `had`.
+    /// Takes in that an attempt was lost that had begun at `began_at`.
     pub(crate) fn note_lost(
         &self,
         request: RequestDigest,
         upstream: ShortHash,
-        had: Duration,
+        began_at: BootInstant,
         now: BootInstant,
     ) -> (NextStep, Vec<Change>) {
-        let had_ms = u16::try_from(had.as_millis()).unwrap_or(u16::MAX);
+        let had = now.saturating_duration_since(began_at).as_millis();
+        let had_ms = u16::try_from(had).unwrap_or(u16::MAX);
         let mut state = self.lock();
-        match state.lives.get_mut(&upstream) {
-            Some(Life::Ended { .. }) => {
-                let crash = Crash { upstream, had_ms };
-                state.take(request, crash, Source::Own, now);
-                (NextStep::Nothing, state.judge())
-            }
-            Some(Life::Open { lost, .. }) => {
-                lost.push((request, had_ms));
-                (NextStep::Nothing, Vec::new())
-            }
-            None => {
-                let lost = vec![(request, had_ms)];
-                let life = Life::Open { lost, since: now };
-                state.lives.insert(upstream, life);
-                (NextStep::Check, Vec::new())
-            }
+        let life = state.life(upstream, now);
+        if let Some(end) = life.end_of(upstream, began_at) {
+            state.take(request, Crash { end, had_ms }, Source::Own, now);
+            return (NextStep::Nothing, state.judge());
+        }
+        if let Some(lost) = &mut life.lost {
+            lost.requests.push((request, had_ms));
+            return (NextStep::Nothing, Vec::new());
         }
+        let requests = vec![(request, had_ms)];
+        life.lost = Some(Lost { requests, since: now });
+        (NextStep::Check, Vec::new())
     }
 
     /// Takes in what became of an upstream at which attempts were lost.
@@ -222,15 +246,16 @@
         now: BootInstant,
     ) -> Vec<Change> {
         let mut state = self.lock();
+        let life = state.life(upstream, now);
         match listening {
-            Listening::No => state.end(upstream, now),
-            Listening::Yes => {
-                if let Some(Life::Open { .. }) = state.lives.get(&upstream) {
-                    state.lives.remove(&upstream);
-                }
+            // Another VM may have told of this end meanwhile.
+            Listening::No if life.lost.is_some() => {
+                let number = life.ends;
+                state.end(End { upstream, number }, now);
             }
+            Listening::Yes => life.lost = None,
             // Another VM may get to know.
-            Listening::Unknown => {}
+            Listening::No | Listening::Unknown => {}
         }
         state.judge()
     }
@@ -265,7 +290,7 @@
         for Sighting { request, seen } in sightings {
             match seen {
                 Seen::Crashed(crash) => {
-                    state.end(crash.upstream, now);
+                    state.end(crash.end, now);
                     state.take(*request, *crash, source, now);
                 }
                 Seen::RanWhole => {
@@ -315,10 +340,7 @@
     pub(crate) fn sweep(&self, now: BootInstant) -> Vec<Change> {
         let age = |at: BootInstant| now.saturating_duration_since(at);
         let mut state = self.lock();
-        state.lives.retain(|_, life| match life {
-            Life::Open { since, .. } => age(*since) < OPEN_FOR,
-            Life::Ended { at } => age(*at) < REMEMBERED,
-        });
+        state.lives.retain(|_, life| age(life.noted_at) < REMEMBERED);
         state.ran_whole.retain(|_, at| age(*at) < WELL_REMEMBERED);
         let old =
             state.heard_at.iter().filter(|(_, at)| age(**at) >= REMEMBERED);
@@ -338,28 +360,36 @@
 impl State {
     fn crashes(&self, request: RequestDigest) -> Vec<Crash> {
         let ends = self.ends.get(&request).into_iter().flatten();
-        ends.map(|(upstream, had_ms)| Crash {
-            upstream: *upstream,
-            had_ms: *had_ms,
-        })
-        .collect()
+        ends.map(|(end, had_ms)| Crash { end: *end, had_ms: *had_ms })
+            .collect()
     }
 
-    /// Notes that an upstream has ended, with all that it had of this VM.
-    fn end(&mut self, upstream: ShortHash, now: BootInstant) {
-        make_room(&mut self.lives, ENDED_MOST, |life| match life {
-            Life::Open { since, .. } => *since,
-            Life::Ended { at } => *at,
-        });
-        let ended = Life::Ended { at: now };
-        let before = self.lives.insert(upstream, ended);
-        let Some(Life::Open { lost, since }) = before else { return };
-        if !is_recent(Some(&since), OPEN_FOR, now) {
+    /// What is known of a life of an upstream.
+    fn life(&mut self, upstream: ShortHash, now: BootInstant) -> &mut Life {
+        if !self.lives.contains_key(&upstream) {
+            make_room(&mut self.lives, LIVES_MOST, |life| life.noted_at);
+        }
+        let life = self.lives.entry(upstream);
+        let life = life.or_insert_with(|| Life::new(now));
+        life.noted_at = now;
+        life
+    }
+
+    /// Notes an end of an upstream, if it is news, with all that it had of
+    /// this VM.
+    fn end(&mut self, end: End, now: BootInstant) {
+        let life = self.life(end.upstream, now);
+        if end.number < life.ends {
+            return;
+        }
+        life.ends = end.number.saturating_add(1);
+        life.ended_at = Some(now);
+        let Some(lost) = life.lost.take() else { return };
+        if !is_recent(Some(&lost.since), OPEN_FOR, now) {
             return;
         }
-        for (request, had_ms) in lost {
-            let crash = Crash { upstream, had_ms };
-            self.take(request, crash, Source::Own, now);
+        for (request, had_ms) in lost.requests {
+            self.take(request, Crash { end, had_ms }, Source::Own, now);
         }
     }
 
@@ -381,10 +411,10 @@
             self.drop_least_suspect();
         }
         let ends = self.ends.entry(request).or_default();
-        if ends.len() >= ENDS_MOST || ends.contains_key(&crash.upstream) {
+        if ends.len() >= ENDS_MOST || ends.contains_key(&crash.end) {
             return;
         }
-        ends.insert(crash.upstream, crash.had_ms);
+        ends.insert(crash.end, crash.had_ms);
         self.heard_at.insert(request, now);
         self.tell(request, Seen::Crashed(crash), source);
     }
@@ -408,6 +438,7 @@
     /// Forgets the ends that a request saw; returns whether there were any.
     fn forget(&mut self, request: RequestDigest) -> bool {
         self.heard_at.remove(&request);
+        self.firmly_held.remove(&request);
         self.ends.remove(&request).is_some()
     }
 
@@ -428,7 +459,7 @@
 
     /// Finds anew what is held back.
     fn judge(&mut self) -> Vec<Change> {
-        let held = verdict::culprits(&self.ends);
+        let held = verdict::culprits(&self.ends, &self.firmly_held);
         let released = self.held.difference(&held);
         let mut changes: Vec<Change> =
             released.map(|request| Change::Released(*request)).collect();
@@ -437,6 +468,7 @@
             ends: self.ends.get(request).map_or(0, Ends::len),
         });
         changes.extend(new);
+        self.firmly_held.clone_from(&held);
         self.held = held;
         changes
     }
--- a/src/crashes/record/tests.rs
+++ b/src/crashes/record/tests.rs
@@ -9,7 +9,8 @@
 }
 
 fn crash(request: RequestDigest, upstream: u32) -> Sighting {
-    let crash = Crash { upstream: life(upstream), had_ms: 50 };
+    let end = End { upstream: life(upstream), number: 0 };
+    let crash = Crash { end, had_ms: 50 };
     Sighting { request, seen: Seen::Crashed(crash) }
 }
 
@@ -21,7 +22,7 @@
     now: BootInstant,
 ) {
     for number in upstreams {
-        record.note_lost(request, life(number), HAD, now);
+        record.note_lost(request, life(number), now - HAD, now);
         record.settle(life(number), Listening::No, now);
     }
 }
@@ -31,7 +32,7 @@
     let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, DEADLY, 1..=2, now);
     assert!(!record.is_held(DEADLY, now));
-    record.note_lost(DEADLY, life(3), HAD, now);
+    record.note_lost(DEADLY, life(3), now - HAD, now);
     let changes = record.settle(life(3), Listening::No, now);
     assert_eq!(changes, [Change::Held { request: DEADLY, ends: 3 }]);
     assert!(record.is_held(DEADLY, now));
@@ -42,9 +43,9 @@
 fn a_lost_attempt_counts_only_where_its_upstream_has_ended() {
     let (record, now) = (CrashRecord::default(), BootInstant::now());
     for number in 1..=5 {
-        let first = record.note_lost(DEADLY, life(number), HAD, now);
+        let first = record.note_lost(DEADLY, life(number), now - HAD, now);
         assert_eq!(first, (NextStep::Check, Vec::new()));
-        let second = record.note_lost(DEADLY, life(number), HAD, now);
+        let second = record.note_lost(DEADLY, life(number), now - HAD, now);
         assert_eq!(second, (NextStep::Nothing, Vec::new()), "one asks");
         let listening = match number % 2 {
             0 => Listening::Yes,
@@ -68,7 +69,7 @@
     let (record, now) = (CrashRecord::default(), BootInstant::now());
     end_under(&record, OTHER, 1..=2, now);
     for number in 1..=2 {
-        let lost = record.note_lost(DEADLY, life(number), HAD, now);
+        let lost = record.note_lost(DEADLY, life(number), now - HAD, now);
         assert_eq!(lost.0, NextStep::Nothing);
     }
     record.hear(&[crash(DEADLY, 3)], Source::OwnHall, now);
@@ -180,3 +181,35 @@
     assert_eq!(record.lock().ends.len(), SUSPECTS_MOST);
     assert_eq!(record.all_held().len(), 3);
 }
+
+/// The store is away: an upstream starts and ends again before this VM hears
+/// of its new life.
+#[test]
+fn an_end_of_an_upstream_that_came_back_unheard_is_another_end() {
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
+    end_under(&record, DEADLY, 1..=3, now);
+    let later = now + Duration::from_secs(2);
+    for number in 1..=3 {
+        // It began after the end that is known.
+        let lost = record.note_lost(OTHER, life(number), later, later);
+        assert_eq!(lost.0, NextStep::Check);
+        record.settle(life(number), Listening::No, later);
+    }
+    assert!(record.is_held(DEADLY, later) && record.is_held(OTHER, later));
+    // Another VM that is told of both counts them apart as well.
+    let told = record.to_tell(Audience::OwnHall);
+    let other = CrashRecord::default();
+    other.hear(&told, Source::OwnHall, later);
+    assert!(other.is_held(DEADLY, later) && other.is_held(OTHER, later));
+}
+
+/// Two VMs look at once whether an upstream has ended.
+#[test]
+fn an_end_that_another_vm_tells_first_is_not_counted_anew() {
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
+    record.note_lost(DEADLY, life(1), now - HAD, now);
+    record.hear(&[crash(OTHER, 1)], Source::OwnHall, now);
+    record.settle(life(1), Listening::No, now);
+    end_under(&record, DEADLY, 2..=2, now);
+    assert!(!record.is_held(DEADLY, now));
+}
--- a/src/crashes/replay.rs
+++ b/src/crashes/replay.rs
@@ -307,8 +307,9 @@
         let runs = std::mem::take(&mut upstream.runs);
         for run in &runs {
             let crashes = &self.fleet.vms[run.vm].crashes;
-            let had = Duration::from_millis(now_ms - run.began_ms);
-            let (next, _) = crashes.note_lost(run.request, life, had, now);
+            let began_at = now - Duration::from_millis(now_ms - run.began_ms);
+            let (next, _) =
+                crashes.note_lost(run.request, life, began_at, now);
             if next == NextStep::Check {
                 crashes.settle(life, Listening::No, now);
             }
--- a/src/crashes/sighting.rs
+++ b/src/crashes/sighting.rs
@@ -4,10 +4,11 @@
 
 use crate::{crashes::digest::RequestDigest, message::ShortHash};
 
-/// An upstream that ended while it had a request.
+/// One end of an upstream.
 ///
-/// The upstream stands for one life of it, so that one end counts once,
-/// whoever tells of it and however often.
+/// It is of one life, so that one end counts once, whoever tells of it and
+/// however often. Where the store is away, an upstream may start and end again
+/// before anybody hears of its new life; the number tells such ends apart.
 #[derive(
     Clone,
     Copy,
@@ -20,10 +21,19 @@
     Serialize,
     Deserialize,
 )]
-pub struct Crash {
+pub struct End {
     /// The life of the upstream.
     pub upstream: ShortHash,
-    /// How long it had the request when it ended, in milliseconds.
+    /// How many ends of that life were known before.
+    pub number: u8,
+}
+
+/// An upstream that ended while it had a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Its end.
+    pub end: End,
+    /// How long it had the request by then, in milliseconds.
     pub had_ms: u16,
 }
 
--- a/src/crashes/verdict.rs
+++ b/src/crashes/verdict.rs
@@ -12,7 +12,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
 };
 
-use crate::{crashes::digest::RequestDigest, message::ShortHash};
+use crate::crashes::{digest::RequestDigest, sighting::End};
 
 /// Upstreams that must have ended under a request, with no other to explain
 /// it, before it is held back. Operators allow three.
@@ -20,26 +20,35 @@
 
 /// The upstreams that ended while they had one request, each with how long it
 /// had it, in milliseconds.
-pub(crate) type Ends = BTreeMap<ShortHash, u16>;
+pub(crate) type Ends = BTreeMap<End, u16>;
 
 /// The requests that explain the ends of upstreams, the one with the most
 /// ends first; of two with as many, the one that was there for less long, as
 /// an upstream ends when it begins to run the culprit.
+///
+/// One that is held back already stays so while any of its ends is not
+/// explained by others: two culprits that meet now and then would release each
+/// other, and end three more each time.
 pub(crate) fn culprits(
     ends: &HashMap<RequestDigest, Ends>,
+    held: &BTreeSet<RequestDigest>,
 ) -> BTreeSet<RequestDigest> {
+    let is_open = |request: &RequestDigest, ends: &Ends| {
+        let least = if held.contains(request) { 1 } else { ENDS_HELD };
+        ends.len() >= least
+    };
     let mut open: BTreeMap<RequestDigest, Ends> = ends
         .iter()
-        .filter(|(_, ends)| ends.len() >= ENDS_HELD)
+        .filter(|(request, ends)| is_open(request, ends))
         .map(|(request, ends)| (*request, ends.clone()))
         .collect();
     let mut found = BTreeSet::new();
     while let Some(request) = most_ends(&open) {
         let Some(explained) = open.remove(&request) else { break };
         found.insert(request);
-        open.retain(|_, ends| {
-            ends.retain(|upstream, _| !explained.contains_key(upstream));
-            ends.len() >= ENDS_HELD
+        open.retain(|request, ends| {
+            ends.retain(|end, _| !explained.contains_key(end));
+            is_open(request, ends)
         });
     }
     found
--- a/src/crashes/verdict/tests.rs
+++ b/src/crashes/verdict/tests.rs
@@ -1,17 +1,20 @@
 use super::*;
+use crate::message::ShortHash;
 
 const CULPRIT: RequestDigest = RequestDigest(1);
 const BYSTANDER: RequestDigest = RequestDigest(2);
 const OTHER: RequestDigest = RequestDigest(3);
 
 fn ends(upstreams: &[u32], had_ms: u16) -> Ends {
-    let ends = upstreams.iter().map(|number| (ShortHash(*number), had_ms));
-    ends.collect()
+    let end = |number: &u32| {
+        (End { upstream: ShortHash(*number), number: 0 }, had_ms)
+    };
+    upstreams.iter().map(end).collect()
 }
 
 fn found(ends: &[(RequestDigest, Ends)]) -> Vec<RequestDigest> {
     let ends = ends.iter().cloned().collect();
-    culprits(&ends).into_iter().collect()
+    culprits(&ends, &BTreeSet::new()).into_iter().collect()
 }
 
 #[test]
@@ -47,3 +50,16 @@
     ];
     assert_eq!(found(&all), [CULPRIT, OTHER]);
 }
+
+/// Two culprits meet at an upstream now and then.
+#[test]
+fn one_that_is_held_back_is_released_only_if_others_explain_all_its_ends() {
+    let held = BTreeSet::from([CULPRIT]);
+    let with = |own: &[u32]| {
+        let all =
+            [(CULPRIT, ends(own, 50)), (OTHER, ends(&[2, 3, 4, 5, 6], 50))];
+        culprits(&HashMap::from(all), &held)
+    };
+    assert_eq!(with(&[1, 2, 3]), BTreeSet::from([CULPRIT, OTHER]));
+    assert_eq!(with(&[2, 3, 4]), BTreeSet::from([OTHER]));
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -593,9 +593,12 @@
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         if verdict == Verdict::Lost {
-            let had = now.saturating_duration_since(attempt.began_at);
-            let member = &attempt.member;
-            end_check::note_lost(gateway, member, self.digest(), had);
+            end_check::note_lost(
+                gateway,
+                &attempt.member,
+                self.digest(),
+                attempt.began_at,
+            );
         }
         let says_nothing_of_version = verdict == Verdict::Failed
             && gateway.pool.is_alone_suspect(&attempt.member, now);
--- a/src/gateway/wake_tests.rs
+++ b/src/gateway/wake_tests.rs
@@ -89,8 +89,7 @@
         }
         Act::End(number) => {
             let life = ShortHash(number);
-            let had = Duration::from_millis(50);
-            gateway.crashes.note_lost(REQUEST, life, had, now);
+            gateway.crashes.note_lost(REQUEST, life, now, now);
             gateway.crashes.settle(life, Listening::No, now);
         }
         Act::RanWhole => {
