--- a/src/crashes/record.rs
+++ b/src/crashes/record.rs
@@ -7,7 +7,6 @@
 //! whole anywhere is none.
 
 use std::{
-    cmp::Reverse,
     collections::{BTreeSet, HashMap},
     hash::Hash,
     sync::{Mutex, MutexGuard},
@@ -19,6 +18,7 @@
     crashes::{
         digest::RequestDigest,
         sighting::{Crash, End, Seen, Sighting},
+        tellings::{Audience, Source, Tellings},
         verdict::{self, Ends},
     },
     http_client::Listening,
@@ -50,38 +50,6 @@
 /// Lives of upstreams at which attempts were lost that are remembered.
 const LIVES_MOST: usize = 1024;
 
-/// Rounds of beats in which a VM tells the same: each goes to all of its data
-/// hall, and one datagram in thirty is lost at worst.
-const TOLD_ROUNDS: u8 = 4;
-
-/// Sightings that one beat carries, some 600 bytes.
-const TOLD_MOST: usize = 32;
-
-/// Sightings that wait to be told after a beat.
-const TELLINGS_MOST: usize = 512;
-
-/// Whom a VM has something from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Source {
-    /// It has seen it itself.
-    Own,
-    /// A VM of its data hall, which told all others there as well.
-    OwnHall,
-    /// A VM of another data hall.
-    OtherHall,
-    /// The platform's store, or another VM that was asked for all it knows.
-    Kept,
-}
-
-/// Whom a beat goes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Audience {
-    /// The VMs of the own data hall.
-    OwnHall,
-    /// VMs of others.
-    OtherHalls,
-}
-
 /// What is to be done after an attempt was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NextStep {
@@ -93,7 +61,7 @@
 
 /// A request that is held back from now on, or no longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Change {
+pub(crate) enum HoldChange {
     /// It crashes what runs it.
     Held {
         /// The request.
@@ -140,36 +108,6 @@
     }
 }
 
-/// Something to tell in the next rounds of beats.
-#[derive(Debug)]
-struct Telling {
-    sighting: Sighting,
-    own_hall_left: u8,
-    other_halls_left: u8,
-}
-
-impl Telling {
-    fn new(sighting: Sighting, source: Source) -> Telling {
-        let (own_hall_left, other_halls_left) = match source {
-            Source::Own | Source::OtherHall => (TOLD_ROUNDS, TOLD_ROUNDS),
-            Source::OwnHall => (0, TOLD_ROUNDS),
-            Source::Kept => (0, 0),
-        };
-        Telling { sighting, own_hall_left, other_halls_left }
-    }
-
-    fn is_over(&self) -> bool {
-        self.own_hall_left == 0 && self.other_halls_left == 0
-    }
-
-    fn left(&mut self, audience: Audience) -> &mut u8 {
-        match audience {
-            Audience::OwnHall => &mut self.own_hall_left,
-            Audience::OtherHalls => &mut self.other_halls_left,
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct State {
     lives: HashMap<ShortHash, Life>,
@@ -177,7 +115,7 @@
     /// When an end of each was last heard of.
     heard_at: HashMap<RequestDigest, BootInstant>,
     ran_whole: HashMap<RequestDigest, BootInstant>,
-    tellings: Vec<Telling>,
+    tellings: Tellings,
     held: BTreeSet<RequestDigest>,
     /// Those of them of which nothing was forgotten since.
     firmly_held: BTreeSet<RequestDigest>,
@@ -220,7 +158,7 @@
         upstream: ShortHash,
         began_at: BootInstant,
         now: BootInstant,
-    ) -> (NextStep, Vec<Change>) {
+    ) -> (NextStep, Vec<HoldChange>) {
         let had = now.saturating_duration_since(began_at).as_millis();
         let had_ms = u16::try_from(had).unwrap_or(u16::MAX);
         let mut state = self.lock();
@@ -244,7 +182,7 @@
         upstream: ShortHash,
         listening: Listening,
         now: BootInstant,
-    ) -> Vec<Change> {
+    ) -> Vec<HoldChange> {
         let mut state = self.lock();
         let life = state.life(upstream, now);
         match listening {
@@ -265,7 +203,7 @@
         &self,
         request: RequestDigest,
         now: BootInstant,
-    ) -> Vec<Change> {
+    ) -> Vec<HoldChange> {
         let mut state = self.lock();
         make_room(&mut state.ran_whole, WELL_MOST, |at| *at);
         state.ran_whole.insert(request, now);
@@ -282,7 +220,7 @@
         sightings: &[Sighting],
         source: Source,
         now: BootInstant,
-    ) -> Vec<Change> {
+    ) -> Vec<HoldChange> {
         if sightings.is_empty() {
             return Vec::new();
         }
@@ -307,22 +245,9 @@
     pub(crate) fn to_tell(&self, audience: Audience) -> Vec<Sighting> {
         let mut state = self.lock();
         let State { tellings, ends, .. } = &mut *state;
-        // Whatever ended most comes first, ahead of what was beside it.
-        let ends =
-            |request: &RequestDigest| ends.get(request).map_or(0, Ends::len);
-        tellings.sort_by_key(|t| Reverse(ends(&t.sighting.request)));
-        let mut told = Vec::new();
-        for telling in tellings.iter_mut() {
-            let sighting = telling.sighting;
-            let left = telling.left(audience);
-            if *left > 0 && told.len() < TOLD_MOST {
-                *left -= 1;
-                told.push(sighting);
-            }
-        }
-        tellings.retain(|telling| !telling.is_over());
-        tellings.truncate(TELLINGS_MOST);
-        told
+        let ends = |request: &RequestDigest| ends.get(request);
+        tellings
+            .take(audience, |told| ends(&told.request).map_or(0, Ends::len))
     }
 
     /// What another VM is handed that asks for all that is known.
@@ -337,7 +262,7 @@
     }
 
     /// Forgets what is too old.
-    pub(crate) fn sweep(&self, now: BootInstant) -> Vec<Change> {
+    pub(crate) fn sweep(&self, now: BootInstant) -> Vec<HoldChange> {
         let age = |at: BootInstant| now.saturating_duration_since(at);
         let mut state = self.lock();
         state.lives.retain(|_, life| age(life.noted_at) < REMEMBERED);
@@ -403,7 +328,7 @@
     ) {
         if is_recent(self.ran_whole.get(&request), WELL_REMEMBERED, now) {
             // Who has not had it yet takes it for a culprit.
-            self.tell_ran_whole(request);
+            self.tell(request, Seen::RanWhole, Source::Own);
             return;
         }
         if !is_recent(self.heard_at.get(&request), REMEMBERED, now) {
@@ -420,19 +345,7 @@
     }
 
     fn tell(&mut self, request: RequestDigest, seen: Seen, source: Source) {
-        let telling = Telling::new(Sighting { request, seen }, source);
-        if !telling.is_over() {
-            self.tellings.push(telling);
-        }
-    }
-
-    fn tell_ran_whole(&mut self, request: RequestDigest) {
-        let seen = Seen::RanWhole;
-        let is_told =
-            |telling: &Telling| telling.sighting == Sighting { request, seen };
-        if !self.tellings.iter().any(is_told) {
-            self.tell(request, seen, Source::Own);
-        }
+        self.tellings.add(Sighting { request, seen }, source);
     }
 
     /// Forgets the ends that a request saw; returns whether there were any.
@@ -458,15 +371,16 @@
     }
 
     /// Finds anew what is held back.
-    fn judge(&mut self) -> Vec<Change> {
+    fn judge(&mut self) -> Vec<HoldChange> {
         let held = verdict::culprits(&self.ends, &self.firmly_held);
         let released = self.held.difference(&held);
-        let mut changes: Vec<Change> =
-            released.map(|request| Change::Released(*request)).collect();
-        let new = held.difference(&self.held).map(|request| Change::Held {
-            request: *request,
-            ends: self.ends.get(request).map_or(0, Ends::len),
-        });
+        let mut changes: Vec<HoldChange> =
+            released.map(|request| HoldChange::Released(*request)).collect();
+        let new =
+            held.difference(&self.held).map(|request| HoldChange::Held {
+                request: *request,
+                ends: self.ends.get(request).map_or(0, Ends::len),
+            });
         changes.extend(new);
         self.firmly_held.clone_from(&held);
         self.held = held;
--- a/src/facts/mesh.rs
+++ b/src/facts/mesh.rs
@@ -15,8 +15,8 @@
 use crate::{
     chains::store::StoreVersion,
     crashes::{
-        record::{Audience, Source},
         sighting::Sighting,
+        tellings::{Audience, Source},
     },
     event::Event,
     facts::{knowledge::ChangedItem, knowledge_pack, peers::Receiver},
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,8 +20,9 @@
 use crate::{
     clock::{BootInstant, SharedClock},
     crashes::{
-        record::{Change, CrashRecord, Source},
+        record::{CrashRecord, HoldChange},
         sighting::{Seen, Sighting},
+        tellings::Source,
     },
     event::Event,
     facts::{
@@ -402,17 +403,17 @@
     }
 
     /// Logs which requests are held back from now on, or no longer.
-    pub(crate) fn note_crash_changes(&self, changes: &[Change]) {
+    pub(crate) fn note_crash_changes(&self, changes: &[HoldChange]) {
         for change in changes {
             match change {
-                Change::Held { request, ends } => {
+                HoldChange::Held { request, ends } => {
                     self.metrics.requests_held.inc();
                     Event::RequestHeld.record(fields(json!({
                         "request": request.to_string(),
                         "upstreams_ended": ends,
                     })));
                 }
-                Change::Released(request) => {
+                HoldChange::Released(request) => {
                     self.metrics.requests_held.dec();
                     Event::RequestReleased.record(fields(
                         json!({ "request": request.to_string() }),
