--- a/src/crashes/record/tests.rs
+++ b/src/crashes/record/tests.rs
@@ -214,3 +214,20 @@
     end_under(&record, DEADLY, 2..=2, now);
     assert!(!record.is_held(DEADLY, now));
 }
+
+/// The way to an upstream was cut when it was asked whether it has ended.
+#[test]
+fn what_stayed_open_for_too_long_is_asked_anew() {
+    let (record, now) = (CrashRecord::default(), BootInstant::now());
+    record.note_lost(DEADLY, life(1), now - HAD, now);
+    record.settle(life(1), Listening::Unknown, now);
+    let soon = now + Duration::from_secs(1);
+    let lost = record.note_lost(DEADLY, life(1), soon - HAD, soon);
+    assert_eq!(lost.0, NextStep::Nothing, "another VM may tell");
+    let later = now + OPEN_FOR;
+    let lost = record.note_lost(OTHER, life(1), later - HAD, later);
+    assert_eq!(lost.0, NextStep::Check);
+    record.settle(life(1), Listening::No, later);
+    // What was lost before is too old to have been there.
+    assert_eq!(record.lock().ends.len(), 1);
+}
