--- a/src/crashes/record.rs
+++ b/src/crashes/record.rs
@@ -167,7 +167,9 @@
             state.take(request, Crash { end, had_ms }, Source::Own, now);
             return (NextStep::Nothing, state.judge());
         }
-        if let Some(lost) = &mut life.lost {
+        if let Some(lost) = &mut life.lost
+            && is_recent(Some(&lost.since), OPEN_FOR, now)
+        {
             lost.requests.push((request, had_ms));
             return (NextStep::Nothing, Vec::new());
         }
