--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::id::StartMs;
 use crate::placing::member::PEER_COUNT_LIFETIME;
 use crate::placing::{hall_way::CUT_PAUSE, health::Verdict};
 
@@ -50,6 +51,25 @@
     assert_eq!(picks(&pool, &want, now), ["i-2"]);
 }
 
+/// It ended under the request, or was merely silent, and has started anew: the
+/// one that was asked is no more.
+#[test]
+fn one_that_has_started_again_since_it_was_tried_may_be_picked() {
+    let now = BootInstant::now();
+    let life = |started| UpstreamEntry {
+        started: Some(StartMs(started)),
+        ..entry("i-1", "a", "v1")
+    };
+    let pool = pool(&[life(1)], now);
+    let tried = ["i-1".parse().unwrap()];
+    let service = "writers".parse().unwrap();
+    assert!(!pool.has_other(&service, &tried, now));
+    pool.set(life(2), now);
+    assert!(pool.has_other(&service, &tried, now));
+    let want = Want { tried: &tried, ..Want::default() };
+    assert_eq!(picks(&pool, &want, now), ["i-1"]);
+}
+
 #[test]
 fn versions_are_picked_by_the_rule() {
     let now = BootInstant::now();
