--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,7 +26,8 @@
         trace::{End, Trace},
     },
     http_client::{Call, Exchange, Reuse, SendError},
-    id::{ModelId, ServiceId, UpstreamId, VersionId},
+    id::{ModelId, ServiceId, VersionId},
+    message::ShortHash,
     placing::{
         admission,
         health::Verdict,
@@ -101,8 +102,8 @@
     pub(crate) started_at: BootInstant,
     /// The model to ask, where the caller leaves the choice.
     pub(crate) model: Option<ModelId>,
-    /// Upstreams that were asked.
-    pub(crate) tried: Vec<UpstreamId>,
+    /// Lives of upstreams that were asked.
+    pub(crate) tried: Vec<ShortHash>,
     /// Upstreams that the request was sent to, of those.
     pub(crate) sent: u32,
     /// Whether it may have run anywhere.
@@ -282,7 +283,7 @@
         let model = self.model.clone();
         trace.begin(&member, model.clone(), now);
         trace.note_version(&version);
-        self.tried.push(member.entry.id.clone());
+        self.tried.push(member.upstream.short);
         let session = self.use_session(&member.entry.software, now);
         let tokens = self.inbound.prompt_tokens.unwrap_or(0);
         let read_before = member.reading(now);
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -95,8 +95,8 @@
     pub rule: VersionRule,
     /// What it would like to find in an upstream's memory.
     pub prompt: Option<SharedPrompt>,
-    /// Upstreams that were asked already.
-    pub tried: &'a [UpstreamId],
+    /// Lives of upstreams that were asked already.
+    pub tried: &'a [ShortHash],
     /// Requests for each slot of every upstream from which it is turned away.
     pub most_fill: f64,
 }
@@ -439,11 +439,11 @@
         if open.is_empty() { Err(NoMember::Unknown) } else { Ok(open) }
     }
 
-    /// Whether an upstream that is not among `tried` may take a request.
+    /// Whether an upstream whose life is not among `tried` may take a request.
     pub fn has_other(
         &self,
         service: &ServiceId,
-        tried: &[UpstreamId],
+        tried: &[ShortHash],
         now: BootInstant,
     ) -> bool {
         let members = self.read();
@@ -717,8 +717,8 @@
 }
 
 /// Whether an upstream takes requests and was not asked.
-fn is_open(member: &Member, tried: &[UpstreamId], now: BootInstant) -> bool {
-    member.takes_requests(now) && !tried.contains(&member.entry.id)
+fn is_open(member: &Member, tried: &[ShortHash], now: BootInstant) -> bool {
+    member.takes_requests(now) && !tried.contains(&member.upstream.short)
 }
 
 /// Keeps the upstreams whose software may answer.
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -46,7 +46,7 @@
     leaving.state = UpstreamState::Leaving;
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v1"), leaving];
     let pool = pool(&entries, now);
-    let tried = ["i-1".parse().unwrap()];
+    let tried = [ShortHash::of("i-1")];
     let want = Want { tried: &tried, ..Want::default() };
     assert_eq!(picks(&pool, &want, now), ["i-2"]);
 }
@@ -61,7 +61,7 @@
         ..entry("i-1", "a", "v1")
     };
     let pool = pool(&[life(1)], now);
-    let tried = ["i-1".parse().unwrap()];
+    let tried = [ShortHash::of(&life(1).life().to_string())];
     let service = "writers".parse().unwrap();
     assert!(!pool.has_other(&service, &tried, now));
     pool.set(life(2), now);
@@ -307,7 +307,7 @@
     let entries = [entry("i-1", "a", "v1"), entry("i-2", "b", "v1")];
     let pool = pool(&entries, now);
     let service = "writers".parse().unwrap();
-    let first = ["i-1".parse().unwrap()];
+    let first = [ShortHash::of("i-1")];
     assert!(pool.has_other(&service, &first, now));
     pool.evacuate(&"b".parse().unwrap());
     assert!(!pool.has_other(&service, &first, now));
