Scripted upstreams keep no copy of a connection that has ended

Each connection's copy stayed open, until the process had no descriptors left for the proxies (20,000).

--- a/standins/src/scripted.rs
+++ b/standins/src/scripted.rs
@@ -1,6 +1,7 @@
 //! An upstream of the platform that does what a script says.
 
 use std::{
+    collections::HashMap,
     io::{BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -34,7 +35,8 @@
     script: Mutex<Script>,
     received: Mutex<Vec<RawRequest>>,
     gone: Mutex<Vec<String>>,
-    open: Mutex<Vec<TcpStream>>,
+    /// Connections that are open, by number.
+    open: Mutex<HashMap<u64, TcpStream>>,
     has_crashed: AtomicBool,
 }
 
@@ -66,16 +68,21 @@
         });
         let served = shared.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            let streams = listener.incoming().flatten();
+            for (number, stream) in (0..).zip(streams) {
                 if served.has_crashed.load(Ordering::SeqCst) {
                     // Dropping the listener refuses whoever comes next.
                     return;
                 }
                 if let Ok(copy) = stream.try_clone() {
-                    served.open.lock().unwrap().push(copy);
+                    served.open.lock().unwrap().insert(number, copy);
                 }
                 let served = served.clone();
-                thread::spawn(move || serve(&served, &stream, address));
+                thread::spawn(move || {
+                    serve(&served, &stream, address);
+                    // The connection closes with its last copy.
+                    served.open.lock().unwrap().remove(&number);
+                });
             }
         });
         Upstream { id: id.to_owned(), address, shared }
@@ -112,7 +119,7 @@
         self.has_crashed.store(true, Ordering::SeqCst);
         // Wakes the thread that listens, so that it ends.
         drop(TcpStream::connect(address));
-        for stream in self.open.lock().unwrap().drain(..) {
+        for (_, stream) in self.open.lock().unwrap().drain() {
             // A peer that is gone already needs no farewell.
             let _ = stream.shutdown(Shutdown::Both);
         }
