An attempt of a session is noted in one step; what only tests or nobody used is gone

begin_session took the lock, hashed the session and looked the service up twice for each attempt. note_session and the default of Rollouts were there for tests, which begin and end an attempt and state the session's time now. Whether a session was relayed is decided in one place; note_over returns nothing, since nobody asked. Behaviour as before.

--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -254,15 +254,12 @@
         }
     }
 
-    /// Notes that a later life has taken its place; returns whether it had not
-    /// been leaving.
-    pub(super) fn note_over(&self) -> bool {
+    /// Notes that a later life has taken its place.
+    pub(super) fn note_over(&self) {
         self.is_over.store(true, Ordering::Relaxed);
-        let has_crashed = self.upstream.mark_leaving();
-        if has_crashed {
+        if self.upstream.mark_leaving() {
             self.has_crashed.store(true, Ordering::Relaxed);
         }
-        has_crashed
     }
 
     /// Whether a later life has taken its place although it was not leaving.
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -210,9 +210,11 @@
                 held.take(&entry, now);
                 return false;
             }
-            Succession::Changed => held.upstream.mark_leaving(),
+            Succession::Changed => {
+                held.upstream.mark_leaving();
+            }
             Succession::Later => held.note_over(),
-        };
+        }
         self.begin_life(entry, now);
         true
     }
--- a/src/rollouts/fleet_tests.rs
+++ b/src/rollouts/fleet_tests.rs
@@ -127,7 +127,8 @@
             VersionRule::Prefer(version) => version,
             _ => version("v1"),
         };
-        rollouts.note_session(&service(), session, &software, now);
+        rollouts.begin_session(&service(), session, &software, now);
+        rollouts.end_session(&service(), session, now);
         software
     }
 }
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -16,10 +16,6 @@
     },
 };
 
-/// Time after the end of its last request in which a session goes on, where
-/// the operators state none.
-const SESSION_TIME: Duration = Duration::from_secs(5);
-
 /// Added to that time: a request may have waited at its caller's before.
 const SESSION_SLACK: Duration = Duration::from_secs(1);
 
@@ -106,8 +102,9 @@
         VersionChoice { rule, reason: Some(reason) }
     }
 
-    /// Notes which version a session's request went to.
-    pub fn note_session(
+    /// Notes that an attempt of a session begins, and which version it goes
+    /// to; it is under way until [`Rollouts::end_session`].
+    pub fn begin_session(
         &self,
         service: &ServiceId,
         session: &str,
@@ -117,23 +114,7 @@
         let session = ShortHash::of(session);
         let mut sessions = self.sessions.lock().expect("sessions lock");
         let of_service = sessions.entry(service.clone()).or_default();
-        of_service.note(session, software, self.session_lifetime, now);
-    }
-
-    /// The same, for as long as an attempt is under way: until
-    /// [`Rollouts::end_session`].
-    pub fn begin_session(
-        &self,
-        service: &ServiceId,
-        session: &str,
-        software: &VersionId,
-        now: BootInstant,
-    ) {
-        self.note_session(service, session, software, now);
-        let mut sessions = self.sessions.lock().expect("sessions lock");
-        if let Some(of_service) = sessions.get_mut(service) {
-            of_service.begin(ShortHash::of(session));
-        }
+        of_service.begin(session, software, self.session_lifetime, now);
     }
 
     /// Notes that an attempt of a session has ended.
@@ -290,12 +271,6 @@
     }
 }
 
-impl Default for Rollouts {
-    fn default() -> Rollouts {
-        Rollouts::new(SESSION_TIME)
-    }
-}
-
 /// The roll-out that a VM tells of, if it is known here.
 fn find<'a>(
     rollouts: &'a mut HashMap<ServiceId, Rollout>,
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -4,6 +4,9 @@
     rollouts::{comparison::BAD_ANSWERS, registry::Rollouts},
 };
 
+/// Time for which a session goes on after its last request.
+const SESSION_TIME: Duration = Duration::from_secs(5);
+
 const ALLOWED: Duration = Duration::from_secs(20);
 
 fn service() -> ServiceId {
@@ -15,7 +18,7 @@
 }
 
 fn running(now: BootInstant) -> Rollouts {
-    let rollouts = Rollouts::default();
+    let rollouts = Rollouts::new(SESSION_TIME);
     let order = Order { target: version("v2"), time_allowed: ALLOWED };
     assert!(rollouts.order(service(), order, now));
     let status = Status { target: version("v2"), progress: Progress::Running };
@@ -97,7 +100,8 @@
     for number in 0..1000 {
         let session = format!("session-{number}");
         let old = version("v1");
-        rollouts.note_session(&service(), &session, &old, at);
+        rollouts.begin_session(&service(), &session, &old, at);
+        rollouts.end_session(&service(), &session, at);
         let later = at + Duration::from_secs(4);
         let rule = rollouts.rule(&service(), Some(&session), "r", later).rule;
         assert_eq!(rule, VersionRule::Avoid(version("v2")));
@@ -107,13 +111,14 @@
 #[test]
 fn a_session_that_began_before_the_order_on_another_vm_stays() {
     let now = BootInstant::now();
-    let here = Rollouts::default();
-    let there = Rollouts::default();
+    let here = Rollouts::new(SESSION_TIME);
+    let there = Rollouts::new(SESSION_TIME);
     let old = version("v1");
     let names: Vec<String> =
         (0..500).map(|number| format!("session-{number}")).collect();
     for name in &names {
-        there.note_session(&service(), name, &old, now);
+        there.begin_session(&service(), name, &old, now);
+        there.end_session(&service(), name, now);
     }
     let order = Order { target: version("v2"), time_allowed: ALLOWED };
     for rollouts in [&here, &there] {
--- a/src/rollouts/sessions.rs
+++ b/src/rollouts/sessions.rs
@@ -36,8 +36,8 @@
 }
 
 impl Sessions {
-    /// Notes which version an attempt of a session goes to.
-    pub(crate) fn note(
+    /// Notes that an attempt of a session begins, and which version it goes to.
+    pub(crate) fn begin(
         &mut self,
         session: ShortHash,
         software: &VersionId,
@@ -50,20 +50,14 @@
         if let Some(held) = self.held.get_mut(&session) {
             held.software = software.clone();
             held.used_at = now;
+            held.under_way += 1;
         } else if self.held.len() < SESSIONS_MOST {
             let software = software.clone();
-            let held = Session { software, under_way: 0, used_at: now };
+            let held = Session { software, under_way: 1, used_at: now };
             self.held.insert(session, held);
         }
     }
 
-    /// Notes that the attempt just noted is under way.
-    pub(crate) fn begin(&mut self, session: ShortHash) {
-        if let Some(held) = self.held.get_mut(&session) {
-            held.under_way += 1;
-        }
-    }
-
     /// Notes that an attempt of a session has ended.
     pub(crate) fn end(&mut self, session: ShortHash, now: BootInstant) {
         if let Some(held) = self.held.get_mut(&session) {
--- a/src/rollouts/told.rs
+++ b/src/rollouts/told.rs
@@ -130,13 +130,13 @@
             let used_at = at.checked_sub(idle).unwrap_or(at);
             let news = Session { used_at, hall, is_relayed };
             let held = self.sessions.entry(session.session).or_insert(news);
-            if held.hall == hall {
-                held.is_relayed |= is_relayed;
-            }
+            // Where it has moved to is told, too.
+            let was_told_here = held.hall == hall && held.is_relayed;
             if held.used_at < used_at {
-                // Where it has moved to is told, too.
-                let was_here = held.hall == hall && held.is_relayed;
-                *held = Session { is_relayed: is_relayed || was_here, ..news };
+                *held = news;
+            }
+            if held.hall == hall {
+                held.is_relayed = is_relayed || was_told_here;
             }
         }
     }
