A suspect is one entry with its ends and its time; sightings of crashes are made in one place

Two maps had the same keys, and two places made the same sightings. What is in the store already is not encoded again four times a second.

--- a/src/crashes/keeping.rs
+++ b/src/crashes/keeping.rs
@@ -68,9 +68,11 @@
     let held = gateway.crashes.held().into_iter();
     let missing = held.filter_map(|(request, crashes)| {
         let key = document::crashing_key(request);
-        let is_there = gateway.knowledge.version_of(&key).is_some();
+        if gateway.knowledge.version_of(&key).is_some() {
+            return None;
+        }
         let value = document::write_crashes(&crashes);
-        (!is_there).then_some(NewValue { key, value, expected: None })
+        Some(NewValue { key, value, expected: None })
     });
     missing.take(WRITES_MOST).collect()
 }
--- a/src/crashes/record.rs
+++ b/src/crashes/record.rs
@@ -108,12 +108,18 @@
     }
 }
 
+/// A request under which upstreams have ended.
+#[derive(Debug)]
+struct Suspect {
+    ends: Ends,
+    /// When an end was last heard of.
+    heard_at: BootInstant,
+}
+
 #[derive(Debug, Default)]
 struct State {
     lives: HashMap<ShortHash, Life>,
-    ends: HashMap<RequestDigest, Ends>,
-    /// When an end of each was last heard of.
-    heard_at: HashMap<RequestDigest, BootInstant>,
+    suspects: HashMap<RequestDigest, Suspect>,
     ran_whole: HashMap<RequestDigest, BootInstant>,
     tellings: Tellings,
     held: BTreeSet<RequestDigest>,
@@ -140,8 +146,7 @@
         now: BootInstant,
     ) -> bool {
         let state = self.lock();
-        is_recent(state.heard_at.get(&request), REMEMBERED, now)
-            && state.held.contains(&request)
+        state.is_suspect(request, now) && state.held.contains(&request)
     }
 
     /// The requests that are held back, with the ends that they explain.
@@ -168,7 +173,7 @@
             return (NextStep::Nothing, state.judge());
         }
         if let Some(lost) = &mut life.lost
-            && is_recent(Some(&lost.since), OPEN_FOR, now)
+            && is_recent(lost.since, OPEN_FOR, now)
         {
             lost.requests.push((request, had_ms));
             return (NextStep::Nothing, Vec::new());
@@ -246,31 +251,32 @@
     /// What the next beat to these VMs tells.
     pub(crate) fn to_tell(&self, audience: Audience) -> Vec<Sighting> {
         let mut state = self.lock();
-        let State { tellings, ends, .. } = &mut *state;
-        let ends = |request: &RequestDigest| ends.get(request);
-        tellings
-            .take(audience, |told| ends(&told.request).map_or(0, Ends::len))
+        let State { tellings, suspects, .. } = &mut *state;
+        tellings.take(audience, |told| {
+            suspects.get(&told.request).map_or(0, |s| s.ends.len())
+        })
     }
 
     /// What another VM is handed that asks for all that is known.
     pub(crate) fn all_held(&self) -> Vec<Sighting> {
         let held = self.held().into_iter();
         held.flat_map(|(request, crashes)| {
-            let sighting =
-                move |crash| Sighting { request, seen: Seen::Crashed(crash) };
-            crashes.into_iter().map(sighting)
+            Sighting::of_crashes(request, crashes)
         })
         .collect()
     }
 
     /// Forgets what is too old.
     pub(crate) fn sweep(&self, now: BootInstant) -> Vec<HoldChange> {
-        let age = |at: BootInstant| now.saturating_duration_since(at);
         let mut state = self.lock();
-        state.lives.retain(|_, life| age(life.noted_at) < REMEMBERED);
-        state.ran_whole.retain(|_, at| age(*at) < WELL_REMEMBERED);
-        let old =
-            state.heard_at.iter().filter(|(_, at)| age(**at) >= REMEMBERED);
+        state
+            .lives
+            .retain(|_, life| is_recent(life.noted_at, REMEMBERED, now));
+        state.ran_whole.retain(|_, at| is_recent(*at, WELL_REMEMBERED, now));
+        let suspects = state.suspects.iter();
+        let old = suspects.filter(|(_, suspect)| {
+            !is_recent(suspect.heard_at, REMEMBERED, now)
+        });
         let old: Vec<RequestDigest> =
             old.map(|(request, _)| *request).collect();
         for request in old {
@@ -286,11 +292,19 @@
 
 impl State {
     fn crashes(&self, request: RequestDigest) -> Vec<Crash> {
-        let ends = self.ends.get(&request).into_iter().flatten();
+        let suspect = self.suspects.get(&request);
+        let ends = suspect.into_iter().flat_map(|suspect| &suspect.ends);
         ends.map(|(end, had_ms)| Crash { end: *end, had_ms: *had_ms })
             .collect()
     }
 
+    /// Whether ends under a request are known that are not too old.
+    fn is_suspect(&self, request: RequestDigest, now: BootInstant) -> bool {
+        self.suspects.get(&request).is_some_and(|suspect| {
+            is_recent(suspect.heard_at, REMEMBERED, now)
+        })
+    }
+
     /// What is known of a life of an upstream.
     fn life(&mut self, upstream: ShortHash, now: BootInstant) -> &mut Life {
         if !self.lives.contains_key(&upstream) {
@@ -312,7 +326,7 @@
         life.ends = end.number.saturating_add(1);
         life.ended_at = Some(now);
         let Some(lost) = life.lost.take() else { return };
-        if !is_recent(Some(&lost.since), OPEN_FOR, now) {
+        if !is_recent(lost.since, OPEN_FOR, now) {
             return;
         }
         for (request, had_ms) in lost.requests {
@@ -328,21 +342,25 @@
         source: Source,
         now: BootInstant,
     ) {
-        if is_recent(self.ran_whole.get(&request), WELL_REMEMBERED, now) {
+        let ran_at = self.ran_whole.get(&request);
+        if ran_at.is_some_and(|at| is_recent(*at, WELL_REMEMBERED, now)) {
             // Who has not had it yet takes it for a culprit.
             self.tell(request, Seen::RanWhole, Source::Own);
             return;
         }
-        if !is_recent(self.heard_at.get(&request), REMEMBERED, now) {
+        if !self.is_suspect(request, now) {
             self.forget(request);
             self.drop_least_suspect();
         }
-        let ends = self.ends.entry(request).or_default();
+        let suspect = self.suspects.entry(request);
+        let suspect = suspect
+            .or_insert_with(|| Suspect { ends: Ends::new(), heard_at: now });
+        let ends = &mut suspect.ends;
         if ends.len() >= ENDS_MOST || ends.contains_key(&crash.end) {
             return;
         }
         ends.insert(crash.end, crash.had_ms);
-        self.heard_at.insert(request, now);
+        suspect.heard_at = now;
         self.tell(request, Seen::Crashed(crash), source);
     }
 
@@ -352,21 +370,19 @@
 
     /// Forgets the ends that a request saw; returns whether there were any.
     fn forget(&mut self, request: RequestDigest) -> bool {
-        self.heard_at.remove(&request);
         self.firmly_held.remove(&request);
-        self.ends.remove(&request).is_some()
+        self.suspects.remove(&request).is_some()
     }
 
     /// Makes room for one more suspect.
     fn drop_least_suspect(&mut self) {
-        if self.ends.len() < SUSPECTS_MOST {
+        if self.suspects.len() < SUSPECTS_MOST {
             return;
         }
-        let heard_at = |request| self.heard_at.get(request).copied();
         let least = self
-            .ends
+            .suspects
             .iter()
-            .min_by_key(|(request, ends)| (ends.len(), heard_at(request)));
+            .min_by_key(|(_, suspect)| (suspect.ends.len(), suspect.heard_at));
         if let Some(request) = least.map(|(request, _)| *request) {
             self.forget(request);
         }
@@ -374,14 +390,17 @@
 
     /// Finds anew what is held back.
     fn judge(&mut self) -> Vec<HoldChange> {
-        let held = verdict::culprits(&self.ends, &self.firmly_held);
+        let suspects = self.suspects.iter();
+        let ends =
+            suspects.map(|(request, suspect)| (*request, &suspect.ends));
+        let held = verdict::culprits(ends, &self.firmly_held);
         let released = self.held.difference(&held);
         let mut changes: Vec<HoldChange> =
             released.map(|request| HoldChange::Released(*request)).collect();
         let new =
             held.difference(&self.held).map(|request| HoldChange::Held {
                 request: *request,
-                ends: self.ends.get(request).map_or(0, Ends::len),
+                ends: self.suspects.get(request).map_or(0, |s| s.ends.len()),
             });
         changes.extend(new);
         self.firmly_held.clone_from(&held);
@@ -393,12 +412,8 @@
 /// Whether something was known at a time that is not too long ago. Whatever
 /// decides asks this, and does not wait for [`CrashRecord::sweep`]: that has
 /// not run when a VM is woken.
-fn is_recent(
-    at: Option<&BootInstant>,
-    limit: Duration,
-    now: BootInstant,
-) -> bool {
-    at.is_some_and(|at| now.saturating_duration_since(*at) < limit)
+fn is_recent(at: BootInstant, limit: Duration, now: BootInstant) -> bool {
+    now.saturating_duration_since(at) < limit
 }
 
 /// Drops the entry with the earliest time if there are `most` already.
--- a/src/crashes/record/tests.rs
+++ b/src/crashes/record/tests.rs
@@ -179,7 +179,7 @@
         .collect();
     record.hear(&told, Source::OwnHall, now);
     assert!(record.is_held(DEADLY, now));
-    assert_eq!(record.lock().ends.len(), SUSPECTS_MOST);
+    assert_eq!(record.lock().suspects.len(), SUSPECTS_MOST);
     assert_eq!(record.all_held().len(), 3);
 }
 
@@ -229,5 +229,5 @@
     assert_eq!(lost.0, NextStep::Check);
     record.settle(life(1), Listening::No, later);
     // What was lost before is too old to have been there.
-    assert_eq!(record.lock().ends.len(), 1);
+    assert_eq!(record.lock().suspects.len(), 1);
 }
--- a/src/crashes/sighting.rs
+++ b/src/crashes/sighting.rs
@@ -54,3 +54,15 @@
     /// What was seen of it.
     pub seen: Seen,
 }
+
+impl Sighting {
+    /// The sightings of upstreams that ended while they had a request.
+    pub(crate) fn of_crashes(
+        request: RequestDigest,
+        crashes: Vec<Crash>,
+    ) -> impl Iterator<Item = Sighting> {
+        let crashes = crashes.into_iter();
+        crashes
+            .map(move |crash| Sighting { request, seen: Seen::Crashed(crash) })
+    }
+}
--- a/src/crashes/verdict.rs
+++ b/src/crashes/verdict.rs
@@ -9,7 +9,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
 };
 
 use crate::crashes::{digest::RequestDigest, sighting::End};
@@ -29,8 +29,8 @@
 /// One that is held back already stays so while any of its ends is not
 /// explained by others: two culprits that meet now and then would release each
 /// other, and end three more each time.
-pub(crate) fn culprits(
-    ends: &HashMap<RequestDigest, Ends>,
+pub(crate) fn culprits<'a>(
+    ends: impl Iterator<Item = (RequestDigest, &'a Ends)>,
     held: &BTreeSet<RequestDigest>,
 ) -> BTreeSet<RequestDigest> {
     let is_open = |request: &RequestDigest, ends: &Ends| {
@@ -38,9 +38,8 @@
         ends.len() >= least
     };
     let mut open: BTreeMap<RequestDigest, Ends> = ends
-        .iter()
         .filter(|(request, ends)| is_open(request, ends))
-        .map(|(request, ends)| (*request, ends.clone()))
+        .map(|(request, ends)| (request, ends.clone()))
         .collect();
     let mut found = BTreeSet::new();
     while let Some(request) = most_ends(&open) {
--- a/src/crashes/verdict/tests.rs
+++ b/src/crashes/verdict/tests.rs
@@ -13,8 +13,8 @@
 }
 
 fn found(ends: &[(RequestDigest, Ends)]) -> Vec<RequestDigest> {
-    let ends = ends.iter().cloned().collect();
-    culprits(&ends, &BTreeSet::new()).into_iter().collect()
+    let ends = ends.iter().map(|(request, ends)| (*request, ends));
+    culprits(ends, &BTreeSet::new()).into_iter().collect()
 }
 
 #[test]
@@ -58,7 +58,7 @@
     let with = |own: &[u32]| {
         let all =
             [(CULPRIT, ends(own, 50)), (OTHER, ends(&[2, 3, 4, 5, 6], 50))];
-        culprits(&HashMap::from(all), &held)
+        culprits(all.iter().map(|(request, ends)| (*request, ends)), &held)
     };
     assert_eq!(with(&[1, 2, 3]), BTreeSet::from([CULPRIT, OTHER]));
     assert_eq!(with(&[2, 3, 4]), BTreeSet::from([OTHER]));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,7 +21,7 @@
     clock::{BootInstant, SharedClock},
     crashes::{
         record::{CrashRecord, HoldChange},
-        sighting::{Seen, Sighting},
+        sighting::Sighting,
         tellings::Source,
     },
     event::Event,
@@ -375,10 +375,8 @@
                 })));
             }
             Fact::CrashingRequest(request, crashes) => {
-                let seen =
-                    |crash| Sighting { request, seen: Seen::Crashed(crash) };
                 let told: Vec<Sighting> =
-                    crashes.into_iter().map(seen).collect();
+                    Sighting::of_crashes(request, crashes).collect();
                 self.hear_sightings(&told, Source::Kept);
             }
             Fact::Peer(vm, record) => {
