Sight: what an upstream says of itself in an answer is decoded and stands in its request's line

The lines could not tell whether a VM had not heard that an upstream leaves or wants rest, or had heard it and lost it again: no line said what an answer said of its upstream. A line's attempts now have `says_leaving` and `rest_wanted_ms`. Nothing is decided by either yet.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -399,6 +399,7 @@
         attempt: &Attempt,
         resume_after: Option<u64>,
         limit: Duration,
+        trace: &mut Trace,
     ) -> Result<(Exchange, AnswerHead), Fault> {
         let reuse = match self.route.repeat {
             Repeat::Any => Reuse::Pooled,
@@ -442,8 +443,11 @@
             headers::read_answer(status, &exchange.headers, &self.inbound.id);
         let now = self.gateway.clock.now();
         attempt.member.note_heard(now);
-        if let Some(load) = head.load {
-            self.gateway.pool.note_load(&attempt.member, load, now);
+        if let Some(statement) = &head.statement {
+            trace.note_statement(statement);
+            if let Some(load) = statement.load {
+                self.gateway.pool.note_load(&attempt.member, load, now);
+            }
         }
         if !head.is_ours && !head.not_run {
             self.may_have_run = true;
@@ -499,7 +503,7 @@
         let line = admission::wait_at(attempt.fill_before, takes);
         let patience = self.route.aim.mul_f64(RETRY_AFTER_AIM) + line;
         let limit = self.limit(attempt, patience);
-        let (mut exchange, _) = self.send(attempt, None, limit).await?;
+        let (mut exchange, _) = self.send(attempt, None, limit, trace).await?;
         exchange.allow_end_at_close();
         let headers = headers::answer_headers(&exchange.headers);
         let now = self.gateway.clock.now();
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -168,7 +168,8 @@
         trace: &mut Trace,
     ) -> Result<Opened, Fault> {
         let limit = self.head_limit(&attempt);
-        let (exchange, head) = match self.send(&attempt, None, limit).await {
+        let sent = self.send(&attempt, None, limit, trace).await;
+        let (exchange, head) = match sent {
             Ok(sent) => sent,
             Err(fault) => {
                 if let Some(verdict) = fault.verdict() {
@@ -409,7 +410,7 @@
         attempt.model = model;
         let limit = self.job.head_limit(&attempt);
         let last = self.last_event;
-        let sent = self.job.send(&attempt, last, limit).await;
+        let sent = self.job.send(&attempt, last, limit, trace).await;
         let failed = |relay: &mut EventRelay, label, reason: String| {
             relay.note_end(label, &reason);
             Err(reason)
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -15,7 +15,12 @@
     gateway::inbound::Inbound,
     id::{ModelId, OrganisationId},
     metrics::{Metrics, OTHER},
-    placing::{cascade::Kept, member::Member, pool::VersionRule},
+    placing::{
+        cascade::Kept,
+        member::Member,
+        pool::VersionRule,
+        statement::{Rest, Statement},
+    },
     rollouts::choice::{ChoiceReason, VersionChoice},
     unit::Percent,
 };
@@ -33,6 +38,10 @@
     began_ms: u64,
     ended_ms: Option<u64>,
     end: String,
+    /// Whether the upstream said that it is leaving.
+    says_leaving: bool,
+    /// The rest that the upstream asked for.
+    rest_wanted: Option<Rest>,
     confidence: Option<u8>,
     kept: Option<Kept>,
 }
@@ -145,6 +154,8 @@
             began_ms: self.passed_ms(),
             ended_ms: None,
             end: "running".to_owned(),
+            says_leaving: false,
+            rest_wanted: None,
             confidence: None,
             kept: None,
         });
@@ -162,6 +173,14 @@
         }
     }
 
+    /// Notes what the upstream says of itself in its answer.
+    pub(crate) fn note_statement(&mut self, statement: &Statement) {
+        if let Some(last) = self.attempts.last_mut() {
+            last.says_leaving = statement.is_leaving;
+            last.rest_wanted.clone_from(&statement.rest);
+        }
+    }
+
     /// Notes what the model thinks of its answer, and why it is passed on if
     /// it is.
     pub(crate) fn note_confidence(
@@ -309,6 +328,17 @@
         if let Some(ended_ms) = self.ended_ms {
             fields.insert("ended_ms".into(), ended_ms.into());
         }
+        if self.says_leaving {
+            fields.insert("says_leaving".into(), true.into());
+        }
+        let rest = match &self.rest_wanted {
+            None => None,
+            Some(Rest::For(time)) => Some(json!(time.as_millis() as u64)),
+            Some(Rest::Unreadable(text)) => Some(json!(text)),
+        };
+        if let Some(rest) = rest {
+            fields.insert("rest_wanted_ms".into(), rest);
+        }
         if let Some(confidence) = self.confidence {
             fields.insert("confidence".into(), confidence.into());
         }
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`pool`]: the upstreams as this VM sees them, and the choice among them.
 //! * [`member`]: one of them.
+//! * [`statement`]: what an upstream says of itself in an answer.
 //! * [`seen`]: what this VM tells the others of them.
 //! * [`admission`]: how long the line at an upstream may be.
 //! * [`cascade`]: which model answers.
@@ -19,5 +20,6 @@
 pub mod pool;
 pub mod retry_window;
 pub(crate) mod seen;
+pub mod statement;
 pub mod upstream;
 pub mod warm_up;
