--- /dev/null
+++ b/standins/tests/leaving_upstreams.rs
@@ -0,0 +1,213 @@
+//! Upstreams that say in their answers that they leave.
+//!
+//! An upstream said in each of its answers that it leaves while the platform's
+//! store was silent, so that its record came twelve seconds later. A VM passed
+//! such an answer on, and sent it further requests nine and eleven seconds
+//! after that: nothing read what an answer says of its upstream, and the
+//! record in the store was the only way by which anybody heard of it. What
+//! settled it, of one VM: its first and its last answers of the upstream, and
+//! when it knew.
+//!
+//! ```text
+//! 36.052 edge-basel-hall-b-1 i-221b9ff4fb answered, says_leaving
+//! 47.397 edge-basel-hall-b-1 i-221b9ff4fb answered, says_leaving
+//! 47.625 edge-basel-hall-b-1 UpstreamListed i-221b9ff4fb leaving: true
+//! ```
+
+use std::{
+    path::PathBuf,
+    sync::{Mutex, MutexGuard},
+    thread,
+    time::Duration,
+};
+
+use serde_json::json;
+use standins::{
+    gateway_site::{
+        MODELS, PLAIN, Site, request, stream_request, upstream_record,
+        wait_until,
+    },
+    http_raw::{answer, chunk},
+    platform_store::Mood,
+    scripted::{Act, Script, Streamed, Upstream, answers, stamped, streams},
+};
+
+/// Long enough that no test meets the bound.
+const REVOKE_MS: u64 = 30_000;
+
+/// Time after which an upstream that has said that it leaves is to get
+/// nothing, as operators state it.
+const DRAIN: Duration = Duration::from_secs(2);
+
+const LEAVING: (&str, &str) = ("Server-Leaving", "1");
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// The VMs of a site have fixed addresses, so one site runs at a time.
+fn alone() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(|failed| failed.into_inner())
+}
+
+fn site_with(upstreams: &[(&Upstream, &str)]) -> Site {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+    let mut site = Site::new(program, &["vm"], REVOKE_MS);
+    for (upstream, service) in upstreams {
+        site.list(upstream, service, "v1");
+    }
+    site.start_vm();
+    for (upstream, _) in upstreams {
+        wait_listed(&site, &upstream.id, 1);
+    }
+    site
+}
+
+/// Waits until the VM has heard so many records of an upstream.
+fn wait_listed(site: &Site, upstream: &str, records: usize) {
+    wait_until("the VM has heard of the upstream", || {
+        let lines = site.vms[0].lines("E043");
+        let of_it = lines.iter().filter(|line| line["upstream"] == upstream);
+        of_it.count() >= records
+    });
+}
+
+/// Answers with this status, and says that it leaves.
+fn leaves(status: u16) -> Script {
+    Box::new(move |request| {
+        let more = [LEAVING];
+        vec![Act::Send(answer(status, &stamped(request, &more), "x"))]
+    })
+}
+
+/// Turns requests away, and says that it leaves.
+fn leaves_declining() -> Script {
+    Box::new(|request| {
+        let more = [("Lupinseam-Not-Executed", "1"), LEAVING];
+        vec![Act::Send(answer(503, &stamped(request, &more), ""))]
+    })
+}
+
+/// Streams one event, and says that it leaves.
+fn leaves_streaming() -> Script {
+    Box::new(|request| {
+        let more = [
+            ("content-type", "text/event-stream"),
+            ("transfer-encoding", "chunked"),
+            ("Lupinseam-Confidence", "100"),
+            LEAVING,
+        ];
+        let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
+        for (name, value) in stamped(request, &more) {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        let event = chunk("id: 1\ndata: e1\n\n");
+        let parts = [head.as_bytes(), b"\r\n", event.as_slice(), b"0\r\n\r\n"];
+        vec![Act::Send(parts.concat())]
+    })
+}
+
+/// A request for a stream whose prompt no other one shares, so that each goes
+/// where there is least to read.
+fn stream_of(id: &str) -> String {
+    let subject = id.bytes().fold(7_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
+    let text = stream_request("/write/x", id);
+    text.replace("b2:40", &format!("{subject:x}:40"))
+}
+
+/// Asks for a plain answer and a stream, so many times.
+fn ask(site: &Site, name: &str, times: usize) {
+    for number in 0..times {
+        let id = format!("{name}-{number}");
+        let got = site.vms[0].ask(&request("GET", "/read/x", &id, ""));
+        assert!([200, 500].contains(&got.status), "{got:?}");
+        let got = site.vms[0].ask(&stream_of(&format!("{name}-s-{number}")));
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
+
+fn received(upstreams: &[&Upstream]) -> Vec<usize> {
+    upstreams.iter().map(|upstream| upstream.received().len()).collect()
+}
+
+#[test]
+fn one_that_says_so_in_any_answer_gets_no_more_requests() {
+    let _alone = alone();
+    let answering = Upstream::start("i-1", answers(200, "x"));
+    let failing = Upstream::start("i-2", answers(200, "x"));
+    let declining = Upstream::start("i-3", answers(200, "x"));
+    let staying = Upstream::start("i-4", answers(200, "x"));
+    let streaming = Upstream::start("m-1", streams(|_| Streamed::default()));
+    let other = Upstream::start("m-2", streams(|_| Streamed::default()));
+    let site = site_with(&[
+        (&answering, PLAIN),
+        (&failing, PLAIN),
+        (&declining, PLAIN),
+        (&staying, PLAIN),
+        (&streaming, MODELS),
+        (&other, MODELS),
+    ]);
+    // Nobody hears of it through the store.
+    site.store.set_mood(Mood::Silent);
+    answering.set_script(leaves(200));
+    failing.set_script(leaves(500));
+    declining.set_script(leaves_declining());
+    streaming.set_script(leaves_streaming());
+    let leaving = [&answering, &failing, &declining, &streaming];
+    let before = received(&leaving);
+    let mut round = 0;
+    wait_until("each has said that it leaves", || {
+        ask(&site, &format!("before-{round}"), 1);
+        round += 1;
+        let now = received(&leaving);
+        now.iter().zip(&before).all(|(now, before)| now > before)
+    });
+    thread::sleep(DRAIN);
+    let told = received(&leaving);
+    ask(&site, "after", 40);
+    assert_eq!(received(&leaving), told, "sent there after it was told");
+    assert!(staying.received().len() >= 40 && !other.received().is_empty());
+}
+
+/// Its record says `ready` until the store has taken its leave, and may lapse
+/// and be written again meanwhile; only a later start brings it back.
+#[test]
+fn no_record_of_the_same_life_brings_it_back() {
+    let _alone = alone();
+    let leaving = Upstream::start("i-1", answers(200, "x"));
+    let staying = Upstream::start("i-2", answers(200, "x"));
+    let model = Upstream::start("m-1", streams(|_| Streamed::default()));
+    let site = site_with(&[(&staying, PLAIN), (&model, MODELS)]);
+    let write = |start_ms: u64, cold_ms: u64| {
+        let mut record =
+            upstream_record(leaving.address, PLAIN, "v1", "ready");
+        record["born"] = json!(start_ms);
+        record["warmup_left_ms"] = json!(cold_ms);
+        site.store.put("servers/i-1", &record);
+    };
+    write(1_000, 0);
+    wait_listed(&site, "i-1", 1);
+    leaving.set_script(leaves(200));
+    let before = received(&[&leaving]);
+    wait_until("it has said that it leaves", || {
+        ask(&site, "before", 1);
+        received(&[&leaving]) > before
+    });
+    thread::sleep(DRAIN);
+    let told = received(&[&leaving]);
+    write(1_000, 1);
+    wait_listed(&site, "i-1", 2);
+    ask(&site, "read-again", 20);
+    assert_eq!(received(&[&leaving]), told, "after its record was changed");
+    site.store.remove("servers/i-1");
+    wait_until("its record is gone", || !site.vms[0].lines("E044").is_empty());
+    write(1_000, 0);
+    wait_listed(&site, "i-1", 3);
+    ask(&site, "back", 20);
+    assert_eq!(received(&[&leaving]), told, "after its record was back");
+    leaving.set_script(answers(200, "x"));
+    write(2_000, 0);
+    wait_listed(&site, "i-1", 4);
+    ask(&site, "again", 20);
+    assert!(received(&[&leaving]) > told, "a later life gets requests");
+}
