What an upstream says in an answer about leaving is heard, and kept for its life

Callers saw nothing but requests served by upstreams that were about to end, with the risk that their streams break. Cause: leaving was a property of the record in the store, and nothing read what an answer says; the record came twelve seconds late. And had an answer set the same mark, the old record, read once more, would have looked like a return.

The mend holds because one place takes in the head of every answer, whatever was asked and however the attempt goes on, and because the upstream's own word is kept apart from its record and by life: only a later start ends it, not a record that changes, lapses or comes back.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -445,9 +445,8 @@
         attempt.member.note_heard(now);
         if let Some(statement) = &head.statement {
             trace.note_statement(statement);
-            if let Some(load) = statement.load {
-                self.gateway.pool.note_load(&attempt.member, load, now);
-            }
+            let gateway = &self.gateway;
+            gateway.hear(&attempt.member, statement);
         }
         if !head.is_ours && !head.not_run {
             self.may_have_run = true;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! One entry VM before a platform: what its tasks and listeners share.
 //!
 //! * [`settings`]: its settings.
+//! * [`own_words`]: hearing what upstreams say of themselves.
 //! * [`record`]: keeping the VMs recorded in the store.
 //! * [`server`]: its life, from start to planned stop.
 //! * [`watch`]: following the platform's store.
@@ -50,6 +51,7 @@
 pub(crate) mod forward;
 pub mod inbound;
 pub(crate) mod ingress;
+pub(crate) mod own_words;
 pub(crate) mod relay_events;
 pub(crate) mod trace;
 
--- /dev/null
+++ b/src/gateway/own_words.rs
@@ -0,0 +1,37 @@
+//! Hearing what upstreams say of themselves.
+//!
+//! Every answer of an upstream comes through [`Gateway::hear`], whatever was
+//! asked and however the attempt goes on; what is kept of it stands in
+//! [`own_word`](crate::placing::own_word).
+
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    gateway::{Gateway, fields},
+    placing::{
+        member::Member,
+        statement::{OwnNews, Statement},
+    },
+};
+
+impl Gateway {
+    /// Takes in what an upstream says of itself in an answer.
+    pub(crate) fn hear(&self, member: &Member, statement: &Statement) {
+        let now = self.clock.now();
+        let news = self.pool.take_statement(member, statement, now);
+        for news in news {
+            self.note_own_news(member, news);
+        }
+    }
+
+    fn note_own_news(&self, member: &Member, news: OwnNews) {
+        let life = member.entry.life().to_string();
+        let said = &self.metrics.upstreams_said;
+        said.with_label_values(&[news.label()]).inc();
+        match news {
+            OwnNews::Leaving => Event::UpstreamLeaving
+                .record(fields(json!({ "upstream": life, "by": "answer" }))),
+        }
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,8 @@
     pub list_age_ms: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// What upstreams have said of themselves in answers that was news.
+    pub upstreams_said: IntCounterVec,
     /// Upstreams that were seen to have ended under requests.
     pub upstreams_ended: IntCounter,
     /// Requests that are held back since upstreams ended under them.
@@ -167,6 +169,12 @@
             ),
             in_flight: r
                 .gauge("lupinseam_in_flight", "Requests being worked on."),
+            upstreams_said: r.counters(
+                "lupinseam_upstreams_said_total",
+                "What upstreams have said of themselves in answers, when it \
+                 was news.",
+                &["what"],
+            ),
             upstreams_ended: r.counter(
                 "lupinseam_upstreams_ended_total",
                 "Upstreams that this VM saw end under its requests.",
@@ -253,6 +261,7 @@
             &self.peer_bytes,
             &self.claims,
             &self.orders,
+            &self.upstreams_said,
         ] {
             family.with_label_values(&[""]);
         }
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -20,6 +20,7 @@
     placing::{
         hall_way::HallWay,
         health::Health,
+        own_word::OwnWord,
         upstream::{Serves, Upstream, UpstreamRecord},
         warm_up::SentLately,
     },
@@ -191,6 +192,7 @@
 impl Member {
     pub(super) fn new(
         entry: UpstreamEntry,
+        own_word: Arc<OwnWord>,
         way: Arc<HallWay>,
         now: BootInstant,
     ) -> Member {
@@ -203,7 +205,8 @@
             checks_fence: false,
         };
         let short = ShortHash::of(&entry.life().to_string());
-        let upstream = Upstream::with_short(record, short, false, now);
+        let upstream =
+            Upstream::with_word(record, short, own_word, false, now);
         Member {
             upstream: Arc::new(upstream),
             health: Health::new(now),
@@ -236,9 +239,11 @@
         is_there && !self.upstream.is_leaving()
     }
 
-    /// Its record with the state it is in by now.
+    /// Its record with the state that was recorded last. What the upstream
+    /// itself has said is left out: a record that still says `ready` would
+    /// look like its return.
     pub(super) fn told(&self) -> UpstreamEntry {
-        let state = match self.upstream.is_leaving() {
+        let state = match self.upstream.is_marked_leaving() {
             true => UpstreamState::Leaving,
             false => UpstreamState::Ready,
         };
@@ -257,6 +262,7 @@
     /// Notes that a later life has taken its place.
     pub(super) fn note_over(&self) {
         self.is_over.store(true, Ordering::Relaxed);
+        // Whoever had said so has ended as planned.
         if self.upstream.mark_leaving() {
             self.has_crashed.store(true, Ordering::Relaxed);
         }
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! * [`pool`]: the upstreams as this VM sees them, and the choice among them.
 //! * [`member`]: one of them.
-//! * [`statement`]: what an upstream says of itself in an answer.
+//! * [`statement`]: what an upstream says of itself in an answer;
+//!   [`own_word`]: what is kept of that for its life.
 //! * [`seen`]: what this VM tells the others of them.
 //! * [`admission`]: how long the line at an upstream may be.
 //! * [`cascade`]: which model answers.
@@ -17,6 +18,7 @@
 pub mod hall_way;
 pub mod health;
 pub mod member;
+pub mod own_word;
 pub mod pool;
 pub mod retry_window;
 pub(crate) mod seen;
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -25,7 +25,9 @@
             LoadReport, Member, Succession, UpstreamEntry, UpstreamState,
             VANISHED_GRACE,
         },
+        own_word::UnlistedWords,
         seen::SeenLately,
+        statement::{OwnNews, Statement},
         warm_up::{Roster, WarmUp, WarmUpSlack},
     },
     rendezvous,
@@ -173,6 +175,8 @@
     /// What the other VMs are to hear of.
     seen: Mutex<SeenLately>,
     told: Mutex<ToldWork>,
+    /// What lives that are not listed have said of themselves.
+    unlisted: Mutex<UnlistedWords>,
 }
 
 impl Pool {
@@ -190,6 +194,7 @@
             mean_reading_us: AtomicU32::new(0),
             seen: Mutex::default(),
             told: Mutex::default(),
+            unlisted: Mutex::default(),
         }
     }
 
@@ -221,7 +226,9 @@
 
     fn begin_life(&self, entry: UpstreamEntry, now: BootInstant) {
         let way = self.way(&entry.data_hall);
-        let member = Arc::new(Member::new(entry, way, now));
+        let life = ShortHash::of(&entry.life().to_string());
+        let own_word = self.unlisted.lock().expect("words lock").take(life);
+        let member = Arc::new(Member::new(entry, own_word, way, now));
         if member.entry.state == UpstreamState::Leaving {
             member.upstream.mark_leaving();
         }
@@ -238,6 +245,10 @@
         let Some(member) = self.member(id) else { return };
         if is_sure {
             member.upstream.mark_leaving();
+            // Its record may only have lapsed.
+            let word = member.upstream.own_word.clone();
+            let mut unlisted = self.unlisted.lock().expect("words lock");
+            unlisted.keep(member.upstream.short, word, now);
             self.change(|by_id| {
                 by_id.remove(id);
             });
@@ -557,13 +568,30 @@
         Duration::from_micros(us.into())
     }
 
-    /// Takes in the load that an upstream states in an answer.
-    pub fn note_load(
+    /// Takes in what an upstream says of itself in an answer; returns what is
+    /// news.
+    pub fn take_statement(
         &self,
         member: &Member,
-        load: LoadReport,
+        statement: &Statement,
         now: BootInstant,
-    ) {
+    ) -> Vec<OwnNews> {
+        let mut news = Vec::new();
+        let word = &member.upstream.own_word;
+        if statement.is_leaving && !member.upstream.is_leaving() {
+            news.push(OwnNews::Leaving);
+        }
+        if statement.is_leaving {
+            word.note_leaving();
+        }
+        if let Some(load) = statement.load {
+            self.note_load(member, load, now);
+        }
+        news
+    }
+
+    /// Takes in the load that an upstream states in an answer.
+    fn note_load(&self, member: &Member, load: LoadReport, now: BootInstant) {
         if member.note_stated(load, self.mean_reading(), now) {
             let short = member.upstream.short;
             self.seen.lock().expect("seen lock").note_load(short, load, now);
@@ -746,4 +774,6 @@
 #[cfg(test)]
 mod replay;
 #[cfg(test)]
+mod statement_tests;
+#[cfg(test)]
 mod tests;
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -6,7 +6,7 @@
 pub(super) const SLACK: WarmUpSlack =
     WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
 
-fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
+pub(super) fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.parse().unwrap(),
         started: None,
@@ -20,7 +20,7 @@
     }
 }
 
-fn pool(entries: &[UpstreamEntry], now: BootInstant) -> Pool {
+pub(super) fn pool(entries: &[UpstreamEntry], now: BootInstant) -> Pool {
     let pool = Pool::new("vm-1", "a".parse().unwrap(), SLACK);
     for entry in entries {
         pool.set(entry.clone(), now);
@@ -28,7 +28,11 @@
     pool
 }
 
-fn picks(pool: &Pool, want: &Want<'_>, now: BootInstant) -> Vec<String> {
+pub(super) fn picks(
+    pool: &Pool,
+    want: &Want<'_>,
+    now: BootInstant,
+) -> Vec<String> {
     let service = "writers".parse().unwrap();
     let mut names: Vec<String> = (0..200)
         .filter_map(|_| pool.pick(&service, want, now).ok())
--- a/src/placing/statement.rs
+++ b/src/placing/statement.rs
@@ -2,8 +2,17 @@
 
 use std::time::Duration;
 
+use hyper::{HeaderMap, header::RETRY_AFTER};
+
 use crate::placing::member::LoadReport;
 
+/// Statuses by which an upstream turns a request away for now; a time to come
+/// back beside any other says nothing of it.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+
+/// Characters that are kept of a time to come back that is none.
+const REST_TEXT_MOST: usize = 40;
+
 /// All that one answer says of the upstream that gave it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Statement {
@@ -26,6 +35,27 @@
 }
 
 impl Rest {
+    /// Reads it from an answer's head: of several times, the longest.
+    pub fn read(status: u16, headers: &HeaderMap) -> Option<Rest> {
+        if !TURNED_AWAY.contains(&status) {
+            return None;
+        }
+        let rests = headers.get_all(RETRY_AFTER).iter().map(|value| {
+            let text = String::from_utf8_lossy(value.as_bytes());
+            Rest::parse(&text)
+        });
+        rests.max_by_key(Rest::time)
+    }
+
+    fn parse(text: &str) -> Rest {
+        let seconds = text.trim().parse().ok();
+        let time = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+        time.map_or_else(
+            || Rest::Unreadable(text.chars().take(REST_TEXT_MOST).collect()),
+            Rest::For,
+        )
+    }
+
     /// How long it is, as far as that can be read.
     pub fn time(&self) -> Option<Duration> {
         match self {
@@ -34,3 +64,22 @@
         }
     }
 }
+
+/// What an answer tells of its upstream that was not known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OwnNews {
+    /// It is leaving.
+    Leaving,
+}
+
+impl OwnNews {
+    /// Its name in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            OwnNews::Leaving => "leaving",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/placing/statement/tests.rs
@@ -0,0 +1,66 @@
+use hyper::header::HeaderValue;
+use proptest::prelude::*;
+
+use super::*;
+
+fn read(status: u16, values: &[&[u8]]) -> Option<Rest> {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        let value = HeaderValue::from_bytes(value).unwrap();
+        headers.append(RETRY_AFTER, value);
+    }
+    Rest::read(status, &headers)
+}
+
+#[test]
+fn a_rest_is_seconds_beside_a_request_that_was_turned_away() {
+    let three = Some(Rest::For(Duration::from_secs(3)));
+    assert_eq!(read(503, &[b"3"]), three);
+    assert_eq!(read(429, &[b" 3 "]), three);
+    let part = Rest::For(Duration::from_millis(250));
+    assert_eq!(read(503, &[b"0.25"]), Some(part));
+    assert_eq!(read(503, &[]), None);
+    for status in [200, 301, 421, 500, 504] {
+        assert_eq!(read(status, &[b"3"]), None, "beside {status}");
+    }
+}
+
+#[test]
+fn of_several_times_the_longest_holds() {
+    let three = Some(Rest::For(Duration::from_secs(3)));
+    assert_eq!(read(503, &[b"1", b"3", b"2"]), three);
+    assert_eq!(read(503, &[b"soon", b"3"]), three);
+}
+
+#[test]
+fn what_is_no_time_is_known_as_such() {
+    for text in
+        ["", "-1", "NaN", "inf", "1e300", "Thu, 01 Dec 1994 16:00:00 GMT"]
+    {
+        let read = read(503, &[text.as_bytes()]);
+        assert_eq!(read, Some(Rest::Unreadable(text.into())), "{text}");
+    }
+}
+
+proptest! {
+    /// Upstreams may send anything that can stand in a header.
+    #[test]
+    fn any_value_is_a_time_or_a_short_text(
+        status in prop_oneof![Just(503), Just(429), 100..600_u16],
+        values in prop::collection::vec(
+            prop::collection::vec(0x20..=0xff_u8, 0..200), 0..3),
+    ) {
+        let mut headers = HeaderMap::new();
+        for value in &values {
+            if let Ok(value) = HeaderValue::from_bytes(value) {
+                headers.append(RETRY_AFTER, value);
+            }
+        }
+        match Rest::read(status, &headers) {
+            Some(Rest::Unreadable(text)) => {
+                prop_assert!(text.chars().count() <= REST_TEXT_MOST);
+            }
+            Some(Rest::For(_)) | None => {}
+        }
+    }
+}
--- a/src/placing/upstream.rs
+++ b/src/placing/upstream.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -15,6 +15,7 @@
     clock::BootInstant,
     id::{DataHallId, ModelId, ServiceId, UpstreamId},
     message::ShortHash,
+    placing::own_word::OwnWord,
 };
 
 /// Failures in a row after which an upstream gets only trial requests.
@@ -102,8 +103,11 @@
     /// The short hash that VMs tell each other of it by: of its name, or of
     /// one life where it may start again under that.
     pub short: ShortHash,
+    /// What it has said of itself.
+    pub own_word: Arc<OwnWord>,
     seen_at: BootInstant,
     in_flight: AtomicU32,
+    /// Whether the platform says that it is leaving, or a VM that was told.
     leaving: AtomicBool,
     load: Mutex<Option<Load>>,
     breaker: Mutex<Breaker>,
@@ -142,13 +146,15 @@
         now: BootInstant,
     ) -> Upstream {
         let short = ShortHash::of(record.id.as_str());
-        Upstream::with_short(record, short, is_new, now)
+        Upstream::with_word(record, short, Arc::default(), is_new, now)
     }
 
-    /// The same, with the short hash that it is told by.
-    pub fn with_short(
+    /// The same, with the short hash that it is told by and what it has said
+    /// of itself before.
+    pub fn with_word(
         record: UpstreamRecord,
         short: ShortHash,
+        own_word: Arc<OwnWord>,
         is_new: bool,
         now: BootInstant,
     ) -> Upstream {
@@ -156,6 +162,7 @@
         Upstream {
             short,
             record,
+            own_word,
             seen_at: if is_new { now } else { long_ago },
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -165,7 +172,7 @@
     }
 
     /// Counts a request of this VM until the guard is dropped.
-    pub fn begin(self: &std::sync::Arc<Self>) -> InFlight {
+    pub fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlight(self.clone())
     }
@@ -175,9 +182,15 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Marks it as leaving; returns whether that is news.
+    /// Marks it as leaving by another's word; returns whether that is news.
     pub fn mark_leaving(&self) -> bool {
         !self.leaving.swap(true, Ordering::Relaxed)
+            && !self.own_word.is_leaving()
+    }
+
+    /// Whether another says that it is leaving.
+    pub fn is_marked_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
     }
 
     /// Takes back the mark, when the platform lists it as live again.
@@ -185,9 +198,9 @@
         self.leaving.store(false, Ordering::Relaxed);
     }
 
-    /// Whether it is leaving.
+    /// Whether it is leaving, by anybody's word.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.is_marked_leaving() || self.own_word.is_leaving()
     }
 
     /// Takes in a load figure unless a newer one is known.
@@ -308,7 +321,7 @@
 
 /// Counts a request at an upstream while it lives.
 #[derive(Debug)]
-pub struct InFlight(std::sync::Arc<Upstream>);
+pub struct InFlight(Arc<Upstream>);
 
 impl Drop for InFlight {
     fn drop(&mut self) {
@@ -318,8 +331,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::sync::Arc;
-
     use super::*;
 
     fn upstream(now: BootInstant) -> Arc<Upstream> {
--- a/standins/tests/leaving_upstreams.rs
+++ b/standins/tests/leaving_upstreams.rs
@@ -5,13 +5,16 @@
 //! such an answer on, and sent it further requests nine and eleven seconds
 //! after that: nothing read what an answer says of its upstream, and the
 //! record in the store was the only way by which anybody heard of it. What
-//! settled it, of one VM: its first and its last answers of the upstream, and
-//! when it knew.
+//! settled it, of one VM that writes down what answers say and does not heed
+//! it; its store stays silent, so no record disturbs:
 //!
 //! ```text
-//! 36.052 edge-basel-hall-b-1 i-221b9ff4fb answered, says_leaving
-//! 47.397 edge-basel-hall-b-1 i-221b9ff4fb answered, says_leaving
-//! 47.625 edge-basel-hall-b-1 UpstreamListed i-221b9ff4fb leaving: true
+//! 0.000 vm-0 i-1 answered, says_leaving
+//! 0.003 vm-0 m-1 answered, says_leaving
+//! 0.049 vm-0 i-3 declined: 503, says_leaving
+//! 2.166 vm-0 i-1 answered, says_leaving
+//! 2.169 vm-0 m-1 answered, says_leaving
+//! 2.170 vm-0 i-3 declined: 503, says_leaving
 //! ```
 
 use std::{
