Test that fails: a stream that nobody can go on with takes the whole retry budget

After one such stream the next request whose upstream fails gets that failure, though another upstream would answer it and the budget allows four attempts.

--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -441,6 +441,16 @@
     request("POST", path, id, more)
 }
 
+/// The same, with a prompt that no other one shares, so that each goes where
+/// there is least to read.
+pub fn lone_stream_request(path: &str, id: &str) -> String {
+    let subject = id.bytes().fold(7_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
+    let text = stream_request(path, id);
+    text.replace("b2:40", &format!("{subject:x}:40"))
+}
+
 /// Sends bytes and reads the answer to its end.
 pub fn exchange(address: SocketAddr, bytes: &[u8]) -> Got {
     exchange_within(address, bytes, LIMIT)
--- a/standins/tests/leaving_upstreams.rs
+++ b/standins/tests/leaving_upstreams.rs
@@ -27,8 +27,8 @@
 use serde_json::json;
 use standins::{
     gateway_site::{
-        Got, MODELS, PLAIN, Site, request, stream_request, upstream_record,
-        wait_until,
+        Got, MODELS, PLAIN, Site, lone_stream_request, request,
+        upstream_record, wait_until,
     },
     http_raw::{answer, chunk},
     platform_store::Mood,
@@ -89,13 +89,13 @@
     })
 }
 
-/// Streams one event, and says that it leaves.
-fn leaves_streaming() -> Script {
-    Box::new(|request| {
+/// Streams one event of this confidence, and says that it leaves.
+fn leaves_streaming(confidence: &'static str) -> Script {
+    Box::new(move |request| {
         let more = [
             ("content-type", "text/event-stream"),
             ("transfer-encoding", "chunked"),
-            ("Lupinseam-Confidence", "100"),
+            ("Lupinseam-Confidence", confidence),
             LEAVING,
         ];
         let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
@@ -108,23 +108,13 @@
     })
 }
 
-/// A request for a stream whose prompt no other one shares, so that each goes
-/// where there is least to read.
-fn stream_of(id: &str) -> String {
-    let subject = id.bytes().fold(7_u32, |sum, byte| {
-        sum.wrapping_mul(31).wrapping_add(byte.into())
-    });
-    let text = stream_request("/write/x", id);
-    text.replace("b2:40", &format!("{subject:x}:40"))
-}
-
 /// Asks for a plain answer and a stream.
 ///
 /// Both attempts of the plain one may go to an upstream that fails and one
 /// that turns it away, so not all are served.
 fn ask(site: &Site, id: &str) -> [Got; 2] {
     let plain = request("GET", "/read/x", id, "");
-    let stream = stream_of(&format!("{id}-s"));
+    let stream = lone_stream_request("/write/x", &format!("{id}-s"));
     [plain, stream].map(|text| site.vms[0].ask(&text))
 }
 
@@ -163,7 +153,7 @@
     answering.set_script(leaves(200));
     failing.set_script(leaves(500));
     declining.set_script(leaves_declining());
-    streaming.set_script(leaves_streaming());
+    streaming.set_script(leaves_streaming("100"));
     let leaving = [&answering, &failing, &declining, &streaming];
     let before = received(&leaving);
     let mut round = 0;
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -12,7 +12,7 @@
 use standins::{
     gateway_site::{
         KEY, MODELS, PLAIN, Site, SiteVm, configuration, configuration_with,
-        request, stream_request, wait_until,
+        lone_stream_request, request, stream_request, wait_until,
     },
     http_raw::{RawRequest, answer, chunk},
     platform_store::Mood,
@@ -250,6 +250,35 @@
     assert_eq!(with_id(&[&one, &two], "r-1"), 1);
 }
 
+/// The budget is for attempts that are sent; other streams need it.
+#[test]
+fn a_stream_that_nobody_can_go_on_with_costs_no_retries() {
+    let _alone = alone();
+    let breaking = Upstream::start(
+        "i-1",
+        streams(|request| Streamed {
+            last: 6,
+            breaks_after: request.path.ends_with("breaks").then_some(3),
+            ..Streamed::default()
+        }),
+    );
+    let failing = Upstream::start("i-2", answers(500, "no"));
+    let mut site = site(REVOKE_MS);
+    site.retry_share = 0.0;
+    site.retry_extra = 4;
+    site.list(&breaking, MODELS, "v1");
+    site.start_vm();
+    wait_listed(&site.vms[0], "i-1", false);
+    let got = site.vms[0].ask(&stream_request("/write/breaks", "r-1"));
+    assert_eq!((got.status, got.whole), (200, false), "{got:?}");
+    site.list(&failing, MODELS, "v1");
+    wait_listed(&site.vms[0], "i-2", false);
+    // The one whose stream broke is asked last.
+    let got = site.vms[0].ask(&lone_stream_request("/write/x", "r-2"));
+    assert_eq!(with_id(&[&failing], "r-2"), 1);
+    assert_eq!(got.body, events(1, 6), "it is tried again: {got:?}");
+}
+
 #[test]
 fn a_doubtful_answer_is_dropped_for_the_larger_model() {
     let _alone = alone();
