Test that fails: a doubtful answer is dropped though nobody else can be asked

The only upstream has just said that it leaves, so the larger model cannot be asked of anybody, and the caller gets 502 in place of the answer at hand.

--- a/standins/tests/leaving_upstreams.rs
+++ b/standins/tests/leaving_upstreams.rs
@@ -212,3 +212,14 @@
     ask_served(&site, "again", 20);
     assert!(received(&[&leaving]) > told, "a later life gets requests");
 }
+
+/// The answer at hand would be dropped for one that nobody can give.
+#[test]
+fn a_doubtful_answer_is_kept_where_nobody_else_can_be_asked() {
+    let _alone = alone();
+    let only = Upstream::start("m-1", leaves_streaming("10"));
+    let site = site_with(&[(&only, MODELS)]);
+    let got = site.vms[0].ask(&lone_stream_request("/write/x", "r-1"));
+    assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    assert_eq!(got.body, "id: 1\ndata: e1\n\n");
+}
