A stream that nobody can go on with takes nothing from the retry budget

Callers whose upstream failed got that failure, though another would have answered, for up to a window of the budget after one stream had broken off where no upstream was left: the loop took a retry, found nobody, and began again until the budget was empty, without ever waiting.

Now the upstream is chosen first and the retry taken after; where nobody is left, the stream breaks off at once, as it did in the end. Ruled out: that the attempts were sent (none was).

--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -382,12 +382,21 @@
         drop(source);
         loop {
             let now = self.job.gateway.clock.now();
-            let can_resume = self.job.may_resume(now)
-                && self.job.gateway.try_retry(&self.job.service);
-            if !can_resume {
+            if !self.job.may_resume(now) {
                 return self.break_off(reason);
             }
-            match self.try_resume(model.clone(), now).await {
+            // Where nobody is left to ask, nothing is taken from the budget,
+            // which other requests need.
+            let mut attempt = match self.begin(now) {
+                Ok(attempt) => attempt,
+                Err(nobody) => return self.break_off(nobody),
+            };
+            attempt.model.clone_from(&model);
+            if !self.job.gateway.try_retry(&self.job.service) {
+                self.note_end("not_sent", "the retry budget is spent");
+                return self.break_off(reason);
+            }
+            match self.try_resume(attempt).await {
                 Ok(source) => {
                     self.source = Some(source);
                     return Ok(());
@@ -397,17 +406,21 @@
         }
     }
 
+    /// Chooses the upstream that is asked for the rest.
+    fn begin(&mut self, now: BootInstant) -> Result<Attempt, String> {
+        let Some(trace) = &mut self.trace else {
+            return Err("ended".to_owned());
+        };
+        self.job.begin(trace, now).map_err(|error| error.to_string())
+    }
+
     async fn try_resume(
         &mut self,
-        model: Option<ModelId>,
-        now: BootInstant,
+        mut attempt: Attempt,
     ) -> Result<Source, String> {
         let Some(trace) = &mut self.trace else {
             return Err("ended".to_owned());
         };
-        let mut attempt =
-            self.job.begin(trace, now).map_err(|error| error.to_string())?;
-        attempt.model = model;
         let limit = self.job.head_limit(&attempt);
         let last = self.last_event;
         let sent = self.job.send(&attempt, last, limit, trace).await;
