Test that fails: a silent stream is given up although no upstream is left for it

A stream that may be resumed, at the only upstream, falls silent for 3.2 s: its caller gets one event and a broken stream, where waiting would bring the rest.

--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -826,12 +826,12 @@
     assert_eq!(line["attempts"][0]["upstream"], "i-1");
 }
 
-#[test]
-fn a_silent_stream_that_nobody_can_go_on_with_is_waited_for() {
-    let _guard = alone();
-    // Longer than the silence after which another upstream is asked.
-    let long = Duration::from_millis(3200);
-    let script = Box::new(move |request: &RawRequest| {
+/// Longer than the silence after which another upstream is asked.
+const LONG_SILENCE: Duration = Duration::from_millis(3200);
+
+/// A script that streams two events with a long silence between them.
+fn streams_with_silence() -> Script {
+    Box::new(move |request: &RawRequest| {
         let more = [
             ("content-type", "text/event-stream"),
             ("transfer-encoding", "chunked"),
@@ -844,18 +844,31 @@
         vec![
             Act::Send(head.into_bytes()),
             Act::Send(chunk("id: 1\ndata: e1\n\n")),
-            Act::Wait(long),
+            Act::Wait(LONG_SILENCE),
             Act::Send(chunk("id: 2\ndata: e2\n\n")),
             Act::Send(b"0\r\n\r\n".to_vec()),
         ]
-    });
-    let upstream = Upstream::start("i-1", script);
+    })
+}
+
+/// Neither a stream that may not be resumed nor one for which no upstream is
+/// left.
+#[test]
+fn a_silent_stream_that_nobody_can_go_on_with_is_waited_for() {
+    let _guard = alone();
+    for path in ["/tell/x", "/write/x"] {
+        is_waited_for(path);
+    }
+}
+
+fn is_waited_for(path: &str) {
+    let upstream = Upstream::start("i-1", streams_with_silence());
     let site = site_with(&[(&upstream, MODELS)]);
     let begun = Instant::now();
-    let got = site.vms[0].ask(&stream_request("/tell/x", "r-1"));
-    assert!(got.whole, "{got:?}");
+    let got = site.vms[0].ask(&stream_request(path, "r-1"));
+    assert!(got.whole, "{path}: {got:?}");
     assert_eq!(got.body.matches("id: ").count(), 2);
-    assert!(begun.elapsed() >= long);
+    assert!(begun.elapsed() >= LONG_SILENCE);
     assert_eq!(upstream.received().len(), 1);
 }
 
