A silent stream is given up only where an upstream is left for the rest of it

Callers got a broken stream after a pause at the only upstream that was open to them, though it went on a moment later: whether a stream may be resumed was asked of the route's attempts and the budget, and not of the upstreams. With upstreams that leave or rest this would have become frequent.

The question is now one for all, and is asked again every 150 ms while a stream is silent, so that one which could not be moved when it fell silent is moved once somebody is left. Ruled out: that the silence was too short to matter (3.2 s, given up after 0.36 s).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -83,7 +83,7 @@
 const READING_PATIENCE_MOST: Duration = Duration::from_millis(2500);
 
 /// Time between two looks at a silent upstream.
-const WATCH_PERIOD: Duration = Duration::from_millis(150);
+pub(crate) const WATCH_PERIOD: Duration = Duration::from_millis(150);
 
 /// Wait that a caller is told when every upstream is cold and has what it
 /// bears.
@@ -577,9 +577,9 @@
             && self.has_other_upstream()
     }
 
-    /// Whether an upstream is left that was not asked: without one, a silent
-    /// attempt that is given up ends as a failure, where waiting may still
-    /// bring its answer.
+    /// Whether an upstream is left that was not asked and may be: without one,
+    /// a silent attempt or stream that is given up ends as a failure, where
+    /// waiting may still bring the rest.
     fn has_other_upstream(&self) -> bool {
         let now = self.gateway.clock.now();
         self.gateway.pool.has_other(&self.service, &self.tried, now)
@@ -590,6 +590,7 @@
         self.route.repeat == Repeat::Any
             && now < self.deadline
             && self.has_attempt()
+            && self.has_other_upstream()
     }
 
     /// Whether the route's attempts and the retry budget leave one more.
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::BootInstant,
     gateway::{
-        forward::{Attempt, Fault, Job, Reply, ReplyBody},
+        forward::{Attempt, Fault, Job, Reply, ReplyBody, WATCH_PERIOD},
         trace::{End, Trace},
     },
     http_client::Exchange,
@@ -21,6 +21,7 @@
     placing::{
         cascade::{Doubt, Kept, larger_model},
         health::Verdict,
+        member::Member,
     },
     platform::headers::{self, AnswerHead},
     sse::Splitter,
@@ -118,13 +119,7 @@
                 chunk.map_err(|error| Stop::Broken(error.to_string()))
             };
             let silent = async {
-                let now = job.gateway.clock.now();
-                let left = job.left(now);
-                let (least, most) = match job.may_resume(now) {
-                    true => (Some(limit), left.min(LOST_AFTER)),
-                    false => (None, left),
-                };
-                job.watch_silence(&member, now, least, most).await;
+                job.watch_stream(&member, limit).await;
                 Err(Stop::Silent)
             };
             match read.or(silent).await? {
@@ -161,6 +156,28 @@
 }
 
 impl Job {
+    /// Returns when a stream from this upstream, which has been silent for
+    /// `limit` or longer, is to be asked for elsewhere.
+    ///
+    /// Whether that is possible is looked at again and again: an upstream may
+    /// be left only once a rest or a cut is over.
+    async fn watch_stream(&self, member: &Member, limit: Duration) {
+        let since = self.gateway.clock.now();
+        loop {
+            let now = self.gateway.clock.now();
+            let left = self.left(now);
+            if self.may_resume(now) {
+                let most = self.left(since).min(LOST_AFTER);
+                self.watch_silence(member, since, Some(limit), most).await;
+                return;
+            }
+            if left.is_zero() || member.is_over() {
+                return;
+            }
+            task::sleep(left.min(WATCH_PERIOD)).await;
+        }
+    }
+
     /// Asks one upstream for a stream, up to its first events.
     pub(crate) async fn ask_stream(
         &mut self,
