--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -12,7 +12,8 @@
 use standins::{
     gateway_site::{
         KEY, MODELS, PLAIN, Site, SiteVm, configuration, configuration_with,
-        lone_stream_request, request, stream_request, wait_until,
+        lone_stream_request, request, stream_request, upstream_record,
+        wait_until,
     },
     http_raw::{RawRequest, answer, chunk},
     platform_store::Mood,
@@ -942,3 +943,42 @@
     assert_eq!(status, 503);
     assert!(passed >= Duration::from_millis(300), "refused at {passed:?}");
 }
+
+/// Nothing more comes from a life that is over, and nobody may go on with this
+/// stream: its caller is told so, and not held until its deadline.
+#[test]
+fn a_stream_whose_upstream_has_started_again_ends() {
+    let _guard = alone();
+    let silent: Script = Box::new(|request| {
+        let mut acts = streams(|_| Streamed::default())(request);
+        acts.truncate(3);
+        acts.push(Act::Wait(Duration::from_secs(20)));
+        acts
+    });
+    let upstream = Upstream::start("i-1", silent);
+    let mut site = site(REVOKE_MS);
+    let start = |born: u64| {
+        let mut record =
+            upstream_record(upstream.address, MODELS, "v1", "ready");
+        record["born"] = json!(born);
+        record
+    };
+    site.store.put("servers/i-1", &start(1));
+    site.start_vm();
+    wait_listed(&site.vms[0], "i-1", false);
+    let (vm, store) = (&site.vms[0], &site.store);
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| {
+            let got = vm.ask(&stream_request("/tell/x", "r-1"));
+            (got, Instant::now())
+        });
+        wait_until("it streams", || !upstream.received().is_empty());
+        thread::sleep(Duration::from_millis(300));
+        store.put("servers/i-1", &start(2));
+        let again_at = Instant::now();
+        let (got, ended_at) = asked.join().unwrap();
+        assert_eq!((got.status, got.whole), (200, false), "{got:?}");
+        let held = ended_at - again_at;
+        assert!(held < Duration::from_secs(2), "held for {held:?}");
+    });
+}
