A stream of a life that is over ends when that is known

Its caller was held until the deadline, and its VM looked at the stream without a pause meanwhile: the watch returned at once since the upstream was over, and the relay waited again since nobody else may go on. Nothing more comes from a life that is over, so there is nothing to wait for; the stream is broken off visibly.

--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -380,10 +380,14 @@
         }
     }
 
-    /// Whether a silent source is all there is, and there is time left.
+    /// Whether a silent source is all there is, more may come from it, and
+    /// there is time left.
     fn must_wait(&self) -> bool {
         let now = self.job.gateway.clock.now();
-        now < self.job.deadline && !self.job.may_resume(now)
+        let is_over = |source: &Source| source.attempt.member.is_over();
+        now < self.job.deadline
+            && !self.source.as_ref().is_none_or(is_over)
+            && !self.job.may_resume(now)
     }
 
     /// Asks another upstream for the rest.
