A doubtful answer is kept where no upstream can be asked for a larger model's

Callers got 502 in place of an answer that was at hand: it was dropped before it was known whether anybody could be asked instead, which after the upstream's own word about leaving, or while others are full, cold or at rest, nobody can.

Now the choice is asked first, with the same rules as the attempt that follows and without its effects; the request's line says `kept: no_upstream`. Before: 502; after: the answer, whole (only upstream, leaving, confidence 10).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -248,6 +248,29 @@
         self.gateway.rollouts.rule(&self.service, session, id, now)
     }
 
+    /// What the request asks of the choice among those not `tried`.
+    fn want<'a>(
+        &self,
+        version: &VersionChoice,
+        tried: &'a [ShortHash],
+    ) -> Want<'a> {
+        let takes = self.gateway.service_times.of(&self.service);
+        Want {
+            rule: version.rule.clone(),
+            prompt: self.shared_prompt(),
+            tried,
+            most_fill: admission::fill_limit(self.route.aim, takes),
+        }
+    }
+
+    /// Whether there is an upstream for another attempt, be it the one that
+    /// was asked last.
+    pub(crate) fn can_ask_again(&self, now: BootInstant) -> bool {
+        let tried = self.tried.split_last().map_or(&[][..], |(_, rest)| rest);
+        let want = self.want(&self.version_choice(now), tried);
+        self.gateway.pool.can_pick(&self.service, &want, now)
+    }
+
     /// Chooses an upstream and counts it as busy.
     pub(crate) fn begin(
         &mut self,
@@ -255,15 +278,8 @@
         now: BootInstant,
     ) -> Result<Attempt, Error> {
         self.check_not_held()?;
-        let prompt = self.shared_prompt();
-        let takes = self.gateway.service_times.of(&self.service);
         let version = self.version_choice(now);
-        let want = Want {
-            rule: version.rule.clone(),
-            prompt,
-            tried: &self.tried,
-            most_fill: admission::fill_limit(self.route.aim, takes),
-        };
+        let want = self.want(&version, &self.tried);
         let picked = self.gateway.pool.pick(&self.service, &want, now);
         let member = picked.map_err(|no_member| match no_member {
             NoMember::Unknown => Error::new(ErrorKind::NoUpstream)
@@ -277,7 +293,7 @@
             NoMember::Full => Error::new(ErrorKind::Overloaded)
                 .context(format!("{} is full", self.service))
                 .with_retry_after(admission::return_after(
-                    takes,
+                    self.gateway.service_times.of(&self.service),
                     rand::random(),
                 )),
         })?;
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -216,6 +216,7 @@
         model: &ModelId,
         confidence: Percent,
     ) -> Result<ModelId, Kept> {
+        let now = self.gateway.clock.now();
         let doubt = Doubt {
             route: &self.route,
             model,
@@ -225,8 +226,12 @@
             tokens: attempt.tokens,
         };
         let times = &self.gateway.read_times;
-        let now = self.gateway.clock.now();
-        larger_model(&doubt, times, attempt.read_before, now)
+        let larger = larger_model(&doubt, times, attempt.read_before, now)?;
+        // An answer that is at hand is better than one that nobody gives.
+        match self.can_ask_again(now) {
+            true => Ok(larger),
+            false => Err(Kept::NoUpstream),
+        }
     }
 
     async fn open(
--- a/src/placing/cascade.rs
+++ b/src/placing/cascade.rs
@@ -119,6 +119,8 @@
     NoTime,
     /// No attempt is left.
     NoAttempt,
+    /// No upstream can be asked.
+    NoUpstream,
 }
 
 impl Kept {
@@ -129,6 +131,7 @@
             Kept::Sure => "sure",
             Kept::NoTime => "no_time",
             Kept::NoAttempt => "no_attempt",
+            Kept::NoUpstream => "no_upstream",
         }
     }
 }
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -406,12 +406,7 @@
         now: BootInstant,
     ) -> Result<Arc<Member>, NoMember> {
         let members = self.read();
-        let all = members.by_service.get(service);
-        let all = all.map_or(&[][..], Vec::as_slice);
-        let open = self.open_to(all, service, want, now)?;
-        if open.iter().all(|member| member.fill(now) >= want.most_fill) {
-            return Err(NoMember::Full);
-        }
+        let open = self.candidates(&members, service, want, now)?;
         let chosen = match want.prompt {
             Some(prompt) => self.soonest(prompt, &open, now),
             None => self.emptiest(&open, now),
@@ -423,6 +418,33 @@
         Ok(chosen.clone())
     }
 
+    /// Whether there is an upstream for one more attempt.
+    pub fn can_pick(
+        &self,
+        service: &ServiceId,
+        want: &Want<'_>,
+        now: BootInstant,
+    ) -> bool {
+        self.candidates(&self.read(), service, want, now).is_ok()
+    }
+
+    /// The upstreams among which an attempt may choose.
+    fn candidates<'a>(
+        &self,
+        members: &'a Members,
+        service: &ServiceId,
+        want: &Want<'_>,
+        now: BootInstant,
+    ) -> Result<Vec<&'a Arc<Member>>, NoMember> {
+        let all = members.by_service.get(service);
+        let all = all.map_or(&[][..], Vec::as_slice);
+        let open = self.open_to(all, service, want, now)?;
+        if open.iter().all(|member| member.fill(now) >= want.most_fill) {
+            return Err(NoMember::Full);
+        }
+        Ok(open)
+    }
+
     /// The upstreams of `all` that may take a request, the sound ones if there
     /// are any.
     fn open_to<'a>(
