--- a/src/gateway/own_words.rs
+++ b/src/gateway/own_words.rs
@@ -52,3 +52,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/own_words/tests.rs
@@ -0,0 +1,90 @@
+//! One VM hears from an upstream that it leaves, while the store is away; six
+//! data halls with forty VMs each, where a beat goes to one VM of another hall
+//! in each round.
+
+use std::time::Duration;
+
+use crate::{
+    clock::Clock,
+    gateway::test_fleet::Fleet,
+    placing::{
+        member::{UpstreamEntry, UpstreamState},
+        statement::Statement,
+    },
+};
+
+const HALLS: usize = 6;
+const VMS_OF_HALL: usize = 40;
+
+/// Time in which all VMs of the hall are to know, and nearly all of the others.
+const HALL_MS: u64 = 1_000;
+const FLEET_MS: u64 = 4_000;
+
+/// Part of the VMs of other halls that are to know by then.
+const OTHERS_LEAST: f64 = 0.95;
+
+fn entry(id: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.parse().unwrap(),
+        started: None,
+        service: "writers".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_hall: "hall-0".parse().unwrap(),
+        software: "v1".parse().unwrap(),
+        slots: 10,
+        state: UpstreamState::Ready,
+        warm_up_left: Duration::ZERO,
+    }
+}
+
+fn run_until(fleet: &mut Fleet, until_ms: u64) {
+    while fleet.passed_ms < until_ms {
+        fleet.step();
+    }
+}
+
+/// How many of these VMs would send it a request.
+fn senders(fleet: &Fleet, vms: std::ops::Range<usize>) -> usize {
+    let now = fleet.clock.now();
+    let id = "i-1".parse().unwrap();
+    let takes = |vm: &usize| {
+        let member = fleet.vms[*vm].pool.member(&id);
+        member.is_some_and(|member| member.takes_requests(now))
+    };
+    vms.filter(takes).count()
+}
+
+#[test]
+fn what_one_vm_hears_of_leaving_all_know_soon() {
+    let mut fleet = Fleet::new(HALLS, VMS_OF_HALL);
+    let last = fleet.vms.len() - 1;
+    for (number, vm) in fleet.vms.iter().enumerate() {
+        let now = fleet.clock.now();
+        vm.pool.set(entry("i-2"), now);
+        // One VM has not heard of it yet.
+        if number != last {
+            vm.pool.set(entry("i-1"), now);
+        }
+    }
+    run_until(&mut fleet, 2_000);
+    let all = 0..fleet.vms.len();
+    assert_eq!(senders(&fleet, all.clone()), all.len() - 1);
+    let first = &fleet.vms[0];
+    let now = fleet.clock.now();
+    let member = first.pool.member(&"i-1".parse().unwrap()).unwrap();
+    let leaves = Statement { is_leaving: true, ..Statement::default() };
+    first.hear(&member, &leaves, now);
+    fleet.beat_early(0);
+    let told_ms = fleet.passed_ms;
+    run_until(&mut fleet, told_ms + HALL_MS);
+    assert_eq!(senders(&fleet, 0..VMS_OF_HALL), 0, "its own hall");
+    run_until(&mut fleet, told_ms + FLEET_MS);
+    let others = all.len() - VMS_OF_HALL;
+    let left = senders(&fleet, VMS_OF_HALL..all.len());
+    let most = others as f64 * (1.0 - OTHERS_LEAST);
+    assert!(left as f64 <= most, "{left} of {others} still send there");
+    // Those that hear of its record later know it by then.
+    let late = &fleet.vms[last];
+    late.pool.set(entry("i-1"), fleet.clock.now());
+    assert_eq!(senders(&fleet, last..all.len()), 0, "its record came late");
+}
