VMs tell each other which upstreams have said that they leave

While the store was away, only the VM that had an answer of a leaving upstream knew it; callers at the 39 others of its hall, and of all other halls, had their requests sent to an upstream about to end. The fact came by one VM.

A life that says it leaves stands in the beats for ten seconds, and whoever hears it tells it on, since a beat goes to all of a hall but to few VMs of the others; it goes by life, so a later one is not meant, and a VM that has not heard of the life yet keeps the word until it does. 4 bytes a life and beat.

--- a/src/facts/mesh.rs
+++ b/src/facts/mesh.rs
@@ -178,6 +178,7 @@
         work: gateway.pool.own_work(),
         stated: gateway.pool.take_stated(now),
         failures: gateway.pool.take_failures(now),
+        leaving_upstreams: gateway.pool.take_leaving(now),
         evidence: gateway.rollouts.evidence(old, now),
         sightings: Vec::new(),
         hall_evidence: Vec::new(),
@@ -216,6 +217,7 @@
     gateway.pool.set_peer_work(&beat.vm, &beat.work, now);
     gateway.pool.hear_stated(&beat.stated, now);
     let is_near = beat.data_hall == gateway.settings.data_hall;
+    gateway.hear_leaving(&beat.vm, &beat.leaving_upstreams);
     if is_near {
         for unfit in gateway.pool.hear_failures(&beat.failures, now) {
             Event::UpstreamUnfit.record(fields(json!({
--- a/src/facts/peers/tests.rs
+++ b/src/facts/peers/tests.rs
@@ -32,6 +32,7 @@
         work: Vec::<(crate::message::ShortHash, Work)>::new(),
         stated: Vec::new(),
         failures: Vec::new(),
+        leaving_upstreams: Vec::new(),
         evidence: Vec::new(),
         sightings: Vec::new(),
         hall_evidence: Vec::new(),
--- a/src/gateway/own_words.rs
+++ b/src/gateway/own_words.rs
@@ -10,6 +10,7 @@
     clock::BootInstant,
     event::Event,
     gateway::{Gateway, fields},
+    message::ShortHash,
     placing::{
         member::Member,
         statement::{OwnNews, Statement},
@@ -32,13 +33,31 @@
         }
     }
 
+    /// Takes in which upstreams have said to another VM that they are leaving.
+    ///
+    /// A VM tells all of its data hall in a round of beats, and few of the
+    /// others, so whoever hears it tells it on.
+    pub(crate) fn hear_leaving(&self, from: &str, told: &[ShortHash]) {
+        for member in self.pool.hear_leaving(told, self.clock.now()) {
+            Event::UpstreamLeaving.record(fields(json!({
+                "upstream": member.entry.life().to_string(),
+                "by": "vm",
+                "told_by": from,
+            })));
+        }
+    }
+
     fn note_own_news(&self, member: &Member, news: OwnNews) {
         let life = member.entry.life().to_string();
         let said = &self.metrics.upstreams_said;
         said.with_label_values(&[news.label()]).inc();
         match news {
-            OwnNews::Leaving => Event::UpstreamLeaving
-                .record(fields(json!({ "upstream": life, "by": "answer" }))),
+            OwnNews::Leaving => {
+                self.early_beat.wake();
+                Event::UpstreamLeaving.record(fields(
+                    json!({ "upstream": life, "by": "answer" }),
+                ));
+            }
             OwnNews::Resting(time) => {
                 Event::UpstreamRests.record(fields(json!({
                     "upstream": life,
--- a/src/gateway/own_words/tests.rs
+++ b/src/gateway/own_words/tests.rs
@@ -88,3 +88,21 @@
     late.pool.set(entry("i-1"), fleet.clock.now());
     assert_eq!(senders(&fleet, last..all.len()), 0, "its record came late");
 }
+
+#[test]
+fn it_is_told_for_a_while_and_not_for_ever() {
+    let mut fleet = Fleet::new(1, 2);
+    for vm in &fleet.vms {
+        vm.pool.set(entry("i-1"), fleet.clock.now());
+    }
+    let first = fleet.vms[0].clone();
+    let member = first.pool.member(&"i-1".parse().unwrap()).unwrap();
+    let leaves = Statement { is_leaving: true, ..Statement::default() };
+    first.hear(&member, &leaves, fleet.clock.now());
+    let told =
+        |fleet: &Fleet| first.pool.take_leaving(fleet.clock.now()).len();
+    run_until(&mut fleet, 5_000);
+    assert_eq!(told(&fleet), 1, "a datagram may be lost");
+    run_until(&mut fleet, 20_000);
+    assert_eq!(told(&fleet), 0);
+}
--- a/src/message.rs
+++ b/src/message.rs
@@ -217,6 +217,8 @@
     /// Upstreams at which its attempts have failed lately, for the VMs of its
     /// data hall.
     pub failures: Vec<ToldFailure>,
+    /// Lives of upstreams that have said lately that they are leaving.
+    pub leaving_upstreams: Vec<ShortHash>,
     /// What it has seen of the roll-outs that are running, for the VMs of its
     /// data hall.
     pub evidence: Vec<Evidence>,
--- a/src/placing/own_word.rs
+++ b/src/placing/own_word.rs
@@ -186,6 +186,13 @@
     pub(super) fn take(&mut self, life: ShortHash) -> Arc<OwnWord> {
         self.0.remove(&life).map(|kept| kept.word).unwrap_or_default()
     }
+
+    /// Notes that a life is leaving of which another VM has told.
+    pub(super) fn note_leaving(&mut self, life: ShortHash, now: BootInstant) {
+        let word = self.take(life);
+        word.note_leaving();
+        self.keep(life, word, now);
+    }
 }
 
 #[cfg(test)]
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -622,8 +622,8 @@
         if statement.is_leaving && !member.upstream.is_leaving() {
             news.push(OwnNews::Leaving);
         }
-        if statement.is_leaving {
-            word.note_leaving();
+        if statement.is_leaving && word.note_leaving() {
+            self.tell_leaving(member.upstream.short, now);
         }
         let rest = statement.rest.as_ref();
         news.extend(word.take_rest(rest, rand::random(), sent_at, now));
@@ -633,6 +633,41 @@
         news
     }
 
+    fn tell_leaving(&self, life: ShortHash, now: BootInstant) {
+        self.seen.lock().expect("seen lock").note_leaving(life, now);
+    }
+
+    /// The lives that are leaving which the other VMs are to hear of.
+    pub fn take_leaving(&self, now: BootInstant) -> Vec<ShortHash> {
+        self.seen.lock().expect("seen lock").take_leaving(now)
+    }
+
+    /// Takes in which lives have said to another VM that they are leaving, and
+    /// tells them on; returns those of which that is news.
+    pub fn hear_leaving(
+        &self,
+        told: &[ShortHash],
+        now: BootInstant,
+    ) -> Vec<Arc<Member>> {
+        let members = self.read();
+        let mut news = Vec::new();
+        for life in told {
+            let Some(member) = members.by_short.get(life) else {
+                let mut unlisted = self.unlisted.lock().expect("words lock");
+                unlisted.note_leaving(*life, now);
+                continue;
+            };
+            let was_leaving = member.upstream.is_leaving();
+            if member.upstream.own_word.note_leaving() {
+                self.tell_leaving(*life, now);
+            }
+            if !was_leaving {
+                news.push(member.clone());
+            }
+        }
+        news
+    }
+
     /// Takes in the load that an upstream states in an answer.
     fn note_load(&self, member: &Member, load: LoadReport, now: BootInstant) {
         if member.note_stated(load, self.mean_reading(), now) {
--- a/src/placing/seen.rs
+++ b/src/placing/seen.rs
@@ -19,6 +19,13 @@
 /// Failures that one beat tells.
 const FAILURES_MOST: usize = 64;
 
+/// Time for which it is told that an upstream leaves: datagrams get lost, and
+/// in a large fleet each reaches few VMs of the other data halls.
+const LEAVING_TOLD: Duration = Duration::from_secs(10);
+
+/// Lives that leave which one beat tells.
+const LEAVING_MOST: usize = 64;
+
 /// What is to be told of upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct SeenLately {
@@ -28,6 +35,8 @@
     failed: HashMap<ShortHash, Verdict>,
     /// When a failure of each upstream was last told.
     told_at: HashMap<ShortHash, BootInstant>,
+    /// Lives that are leaving, and when that was heard.
+    leaving: HashMap<ShortHash, BootInstant>,
     /// When an upstream last answered this VM.
     answered_at: Option<BootInstant>,
 }
@@ -63,6 +72,19 @@
         matches!(verdict, Verdict::Lost | Verdict::Unreachable)
     }
 
+    /// Notes that a life is leaving, as it has said itself.
+    pub(crate) fn note_leaving(&mut self, life: ShortHash, now: BootInstant) {
+        self.leaving.insert(life, now);
+    }
+
+    /// The lives that are leaving which the others are to hear of.
+    pub(crate) fn take_leaving(&mut self, now: BootInstant) -> Vec<ShortHash> {
+        self.leaving.retain(|_, heard_at| {
+            now.saturating_duration_since(*heard_at) < LEAVING_TOLD
+        });
+        self.leaving.keys().copied().take(LEAVING_MOST).collect()
+    }
+
     /// Takes what upstreams have stated since this was last asked.
     pub(crate) fn take_stated(&mut self, now: BootInstant) -> Vec<StatedLoad> {
         let bounded = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
