--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -632,6 +632,17 @@
         self.post(address, "/admin/faults", faults).await
     }
 
+    /// How many calls a plain service has run and turned away, by name.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be reached.
+    pub async fn service_counts(&self, upstream: &str) -> FleetResult<Value> {
+        let address = self.upstreams[upstream].address;
+        let answer = self.get(address, "/admin/counts").await?;
+        serde_json::from_slice(&answer.body).map_err(|error| error.to_string())
+    }
+
     /// Lets an upstream leave, on the list and by its own word.
     ///
     /// # Errors
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use smol::Timer;
-use trillium::{Conn, Handler};
+use trillium::{Conn, Handler, KnownHeaderName};
 
 use crate::web::{self, Happened, Record, Records};
 
@@ -44,6 +44,10 @@
     pub lose_next: u32,
     /// Each call takes this much longer.
     pub slow_ms: u64,
+    /// Each call is turned away, and this much rest asked for; zero for none.
+    pub rest_s: u32,
+    /// Says in each answer that it leaves, and nowhere else.
+    pub says_leaving: bool,
 }
 
 struct State {
@@ -53,6 +57,7 @@
     faults: Mutex<ServiceFaults>,
     running: AtomicU32,
     runs: AtomicU64,
+    turned_away: AtomicU64,
     leaving_since: AtomicU64,
 }
 
@@ -66,6 +71,7 @@
             faults: Mutex::default(),
             running: AtomicU32::new(0),
             runs: AtomicU64::new(0),
+            turned_away: AtomicU64::new(0),
             leaving_since: AtomicU64::new(0),
         };
         web::run(self.port, Shared(Arc::new(state)));
@@ -88,6 +94,13 @@
                 });
                 web::json(conn, 200, &load)
             }
+            "/admin/counts" => {
+                let counts = json!({
+                    "runs": state.runs.load(Ordering::Relaxed),
+                    "turned_away": state.turned_away.load(Ordering::Relaxed),
+                });
+                web::json(conn, 200, &counts)
+            }
             "/admin/leave" => {
                 let now = web::unix_ms();
                 state.leaving_since.store(now, Ordering::Relaxed);
@@ -111,12 +124,23 @@
             // A request that did not arrive whole does not run.
             Err(_) => return conn.with_status(400).halt(),
         };
+        let faults = *self.faults.lock().unwrap();
+        if faults.says_leaving {
+            conn.response_headers_mut().insert("lupinseam-leaving", "1");
+        }
+        if faults.rest_s > 0 {
+            self.turned_away.fetch_add(1, Ordering::Relaxed);
+            let rest = faults.rest_s.to_string();
+            return conn
+                .with_response_header(KnownHeaderName::RetryAfter, rest)
+                .with_status(503)
+                .halt();
+        }
         self.running.fetch_add(1, Ordering::Relaxed);
         let run = self.runs.fetch_add(1, Ordering::Relaxed) + 1;
         let key = web::header(&conn, "idempotency-key");
         self.records.write(&self.record(&conn, key.clone()));
-        let slow = self.faults.lock().unwrap().slow_ms;
-        let time = self.latency + Duration::from_millis(slow);
+        let time = self.latency + Duration::from_millis(faults.slow_ms);
         if !time.is_zero() {
             Timer::after(time).await;
         }
--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -93,7 +93,7 @@
     run(async {
         let fleet = start(1, |plan| plan).await;
         for upstream in ["signatures-hall-a", "signatures-hall-b"] {
-            let lose = ServiceFaults { lose_next: 1, slow_ms: 0 };
+            let lose = ServiceFaults { lose_next: 1, ..Default::default() };
             fleet.set_upstream_faults(upstream, &lose).await.unwrap();
         }
         let request = once(1, Some("key-1"));
--- a/standins/tests/upstreams.rs
+++ b/standins/tests/upstreams.rs
@@ -9,7 +9,8 @@
 use serde_json::json;
 use smol::Timer;
 use standins::{
-    caller::CameBack, documents::version, engine::EngineFaults, site, web,
+    caller::CameBack, documents::version, engine::EngineFaults, fleet::Fleet,
+    service::ServiceFaults, site, web,
 };
 
 const VM: &str = "vm-hall-a-1";
@@ -82,6 +83,64 @@
     });
 }
 
+/// Calls of a service that one of its upstreams has run and turned away.
+async fn counts(fleet: &Fleet, upstream: &str) -> [u64; 2] {
+    let counts = fleet.service_counts(upstream).await.unwrap();
+    ["runs", "turned_away"].map(|name| counts[name].as_u64().unwrap())
+}
+
+/// What is turned away at once leaves the upstream empty, and the emptiest is
+/// the first choice.
+#[test]
+fn an_upstream_that_asks_for_rest_is_left_alone() {
+    const REST_S: u32 = 3;
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let near = "signatures-hall-a";
+        let faults = ServiceFaults { rest_s: REST_S, ..Default::default() };
+        fleet.set_upstream_faults(near, &faults).await.unwrap();
+        let begun = web::unix_ms();
+        let mut nonce = 0;
+        while web::unix_ms() < begun + u64::from(REST_S) * 1000 - 200 {
+            nonce += 1;
+            let call = ask(&fleet, VM, &once(nonce, None)).await;
+            if nonce > 1 {
+                assert!(call.is_whole(), "{call:?}");
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let [_, turned_away] = counts(&fleet, near).await;
+        assert_eq!(turned_away, 1, "of {nonce} calls");
+        let healed = ServiceFaults::default();
+        fleet.set_upstream_faults(near, &healed).await.unwrap();
+        let [before, _] = counts(&fleet, near).await;
+        while counts(&fleet, near).await[0] < before + 3 {
+            let waited = web::unix_ms() - begun;
+            assert!(waited < 10_000, "it gets no calls again");
+            nonce += 1;
+            ask(&fleet, VM, &once(nonce, None)).await;
+        }
+    });
+}
+
+/// Its own report is asked for a few times a second by one VM, the list comes
+/// later; an answer is there at once.
+#[test]
+fn an_upstream_that_says_in_an_answer_that_it_leaves_gets_no_new_work() {
+    run(async {
+        let fleet = start(1, |plan| plan).await;
+        let near = "signatures-hall-a";
+        let faults =
+            ServiceFaults { says_leaving: true, ..Default::default() };
+        fleet.set_upstream_faults(near, &faults).await.unwrap();
+        for nonce in 1..=20 {
+            let call = ask(&fleet, VM, &once(nonce, None)).await;
+            assert!(call.is_whole(), "{call:?}");
+        }
+        assert_eq!(counts(&fleet, near).await[0], 1);
+    });
+}
+
 #[test]
 fn a_withdrawn_version_gets_no_new_work_even_with_the_store_out() {
     run(async {
