The own interface hears what answers say of their upstreams

Callers got 503 from an upstream that wanted rest, call after call, while another was well, and calls went to one about to end until its report was polled. Both faces now keep the same word of an upstream (`own_word`); each of the two places that read the head of an answer here tells it, the choice leaves out who rests, and a caller is told the soonest return when nobody else is left.

--- a/src/chat_face/choose.rs
+++ b/src/chat_face/choose.rs
@@ -23,7 +23,7 @@
     error::{Error, ErrorKind},
     id::{ModelId, UpstreamId, VersionId},
     message::ShortHash,
-    placing::upstream::UpstreamFacts,
+    placing::{admission, upstream::UpstreamFacts},
     unit::MicroCost,
 };
 
@@ -477,14 +477,7 @@
     let sorted = Sorted::new(facts, wish);
     let pool = sorted.pool();
     if pool.is_empty() {
-        return Err(Error::new(ErrorKind::NoUpstream).context(format!(
-            "of {} replicas {} are leaving, {} failing, {} without the \
-             version",
-            facts.len(),
-            sorted.leaving,
-            sorted.broken,
-            sorted.not_loaded
-        )));
+        return Err(sorted.nobody(facts.len(), seed));
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (taken, preferred) = prefer(&pool, wish.prefix, &mut rng);
@@ -507,6 +500,9 @@
     remote: Vec<&'a UpstreamFacts>,
     leaving: u32,
     broken: u32,
+    resting: u32,
+    /// When the first of those at rest may get a request.
+    soonest: Duration,
     not_loaded: u32,
 }
 
@@ -517,6 +513,8 @@
             remote: Vec::new(),
             leaving: 0,
             broken: 0,
+            resting: 0,
+            soonest: Duration::MAX,
             not_loaded: 0,
         };
         for one in facts {
@@ -524,6 +522,9 @@
                 sorted.leaving += 1;
             } else if one.broken || wish.tried.contains(&one.id) {
                 sorted.broken += 1;
+            } else if !one.rest_left.is_zero() {
+                sorted.resting += 1;
+                sorted.soonest = sorted.soonest.min(one.rest_left);
             } else if !has_loaded(one, wish.version) {
                 sorted.not_loaded += 1;
             } else if one.local {
@@ -535,6 +536,21 @@
         sorted
     }
 
+    /// Why there is no upstream, and when there may be one.
+    fn nobody(&self, known: usize, seed: u64) -> Error {
+        let error = Error::new(ErrorKind::NoUpstream).context(format!(
+            "of {known} replicas {} are leaving, {} failing, {} at rest, {} \
+             without the version",
+            self.leaving, self.broken, self.resting, self.not_loaded
+        ));
+        if self.resting == 0 {
+            return error;
+        }
+        let draw = ChaCha8Rng::seed_from_u64(seed).random();
+        let back = admission::return_after_rest(self.soonest, draw);
+        error.with_retry_after(back)
+    }
+
     /// The own hall, unless it cannot or another has clearly more room.
     fn pool(&self) -> Vec<&'a UpstreamFacts> {
         let overflow = !self.remote.is_empty()
@@ -613,7 +629,7 @@
 impl Room {
     /// Adds up the usable replicas of a model.
     pub fn of(facts: &[UpstreamFacts]) -> Room {
-        let usable = facts.iter().filter(|one| !one.leaving && !one.broken);
+        let usable = facts.iter().filter(|one| one.is_open());
         usable.fold(Room::default(), |room, one| Room {
             requests: room.requests + one.requests,
             slots: room.slots + one.slots,
@@ -623,9 +639,7 @@
 
 /// Whether any replica of a version could take a request.
 pub fn any_usable(facts: &[UpstreamFacts], version: ShortHash) -> bool {
-    facts.iter().any(|one| {
-        !one.leaving && !one.broken && has_loaded(one, Some(version))
-    })
+    facts.iter().any(|one| one.is_open() && has_loaded(one, Some(version)))
 }
 
 /// The age of a moment, in whole milliseconds.
--- a/src/chat_face/dispatch.rs
+++ b/src/chat_face/dispatch.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use hyper::Method;
+use hyper::{HeaderMap, Method};
 use serde_json::Value;
 
 use crate::{
@@ -24,6 +24,7 @@
         choose::{Step, UpstreamWish, pick_upstream},
         decision::{Attempt, AttemptEnd, UpstreamChoice, Verdict},
         estimate::{evidence_key, version_hash},
+        gossip::{Gossiper, log_leaving},
         rating::{self, RatingRequest},
         relay,
         request::{Admitted, Core, Outcome, Planned, Request, ServiceCall},
@@ -31,6 +32,7 @@
         template::VersionEntry,
         vm::Vm,
     },
+    clock::BootInstant,
     error::{Error, ErrorKind},
     event::Event,
     http_client::{
@@ -38,7 +40,10 @@
     },
     id::UpstreamId,
     message::ShortHash,
-    placing::upstream::{BreakerChange, InFlight, Upstream},
+    placing::{
+        statement::Rest,
+        upstream::{BreakerChange, InFlight, Upstream},
+    },
     task::{self, within},
     unit::{MicroCost, Share},
 };
@@ -52,6 +57,9 @@
 /// The status by which an upstream says that it did not take a request.
 const STATUS_UNAVAILABLE: u16 = 503;
 
+/// The header by which an upstream says that it is leaving, with the value 1.
+const LEAVING: &str = "lupinseam-leaving";
+
 /// The status by which an engine says that the version is not loaded.
 const STATUS_NOT_LOADED: u16 = 409;
 
@@ -79,6 +87,7 @@
 pub(crate) struct Chosen {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) choice: UpstreamChoice,
+    chosen_at: BootInstant,
     _in_flight: InFlight,
 }
 
@@ -637,8 +646,9 @@
         // Lets the trial of an open breaker through; the pick saw it closed
         // or due.
         upstream.try_enter(now);
+        upstream.own_word.note_sent(now);
         let in_flight = upstream.begin();
-        Ok(Chosen { upstream, choice, _in_flight: in_flight })
+        Ok(Chosen { upstream, choice, chosen_at: now, _in_flight: in_flight })
     }
 
     /// Notes the attempt that begins.
@@ -685,10 +695,36 @@
             sent.map_err(fault_of)
         };
         let result = self.bounded(limit, work).await;
+        if let Ok(exchange) = &result {
+            self.hear(chosen, exchange.status, &exchange.headers);
+        }
         self.judge_upstream(chosen, result.as_ref().err().copied());
         result
     }
 
+    /// Takes in what an upstream says of itself in an answer.
+    fn hear(&self, chosen: &Chosen, status: u16, headers: &HeaderMap) {
+        let upstream = &chosen.upstream;
+        let is_leaving = headers.get(LEAVING).is_some_and(|v| v == "1");
+        if is_leaving && upstream.own_word.note_leaving() {
+            log_leaving(upstream, "by its own answer");
+            let (vm, short) = (self.vm.clone(), upstream.short);
+            task::spawn(async move {
+                Gossiper::notify_leaving(&vm, short).await;
+            })
+            .detach();
+        }
+        let news = upstream.own_word.take_rest(
+            Rest::read(status, headers).as_ref(),
+            rand::random(),
+            chosen.chosen_at,
+            self.vm.clock.now(),
+        );
+        if let Some(news) = news {
+            news.event().log(format_args!("upstream {}", upstream.record.id));
+        }
+    }
+
     /// Sends an attempt and waits for the whole answer.
     pub(crate) async fn ask_whole(
         &self,
@@ -708,6 +744,7 @@
         let work = async {
             let sent = self.vm.http.send(call, reuse).await;
             let exchange = sent.map_err(fault_of)?;
+            self.hear(chosen, exchange.status, &exchange.headers);
             exchange.read_whole(most).await.map_err(fault_of)
         };
         let result = match can_cancel {
--- a/src/gateway/own_words.rs
+++ b/src/gateway/own_words.rs
@@ -28,7 +28,7 @@
     ) {
         let now = self.clock.now();
         let news = self.pool.take_statement(member, statement, sent_at, now);
-        for news in news {
+        for news in &news {
             self.note_own_news(member, news);
         }
     }
@@ -47,28 +47,23 @@
         }
     }
 
-    fn note_own_news(&self, member: &Member, news: OwnNews) {
+    fn note_own_news(&self, member: &Member, news: &OwnNews) {
         let life = member.entry.life().to_string();
         let said = &self.metrics.upstreams_said;
         said.with_label_values(&[news.label()]).inc();
+        let mut details = json!({ "upstream": life });
         match news {
             OwnNews::Leaving => {
                 self.early_beat.wake();
-                Event::UpstreamLeaving.record(fields(
-                    json!({ "upstream": life, "by": "answer" }),
-                ));
+                details["by"] = "answer".into();
             }
             OwnNews::Resting(time) => {
-                Event::UpstreamRests.record(fields(json!({
-                    "upstream": life,
-                    "rest_ms": time.as_millis() as u64,
-                })))
+                details["rest_ms"] = (time.as_millis() as u64).into();
             }
-            OwnNews::Rested => Event::UpstreamRested
-                .record(fields(json!({ "upstream": life }))),
-            OwnNews::Unreadable(text) => Event::RestUnreadable
-                .record(fields(json!({ "upstream": life, "text": text }))),
+            OwnNews::Unreadable(text) => details["text"] = json!(text),
+            OwnNews::Rested => {}
         }
+        news.event().record(fields(details));
     }
 }
 
--- a/src/placing/statement.rs
+++ b/src/placing/statement.rs
@@ -4,7 +4,7 @@
 
 use hyper::{HeaderMap, header::RETRY_AFTER};
 
-use crate::placing::member::LoadReport;
+use crate::{event::Event, placing::member::LoadReport};
 
 /// Statuses by which an upstream turns a request away for now; a time to come
 /// back beside any other says nothing of it.
@@ -79,6 +79,16 @@
 }
 
 impl OwnNews {
+    /// The event that is logged.
+    pub(crate) fn event(&self) -> Event {
+        match self {
+            OwnNews::Leaving => Event::UpstreamLeaving,
+            OwnNews::Resting(_) => Event::UpstreamRests,
+            OwnNews::Rested => Event::UpstreamRested,
+            OwnNews::Unreadable(_) => Event::RestUnreadable,
+        }
+    }
+
     /// Its name in metrics.
     pub fn label(&self) -> &'static str {
         match self {
