The choice takes the lock of a rest only where there is one

A choice looks at every upstream of a service, hundreds in a large fleet, and each has its own lock; nearly none is at rest. Not measured; what is decided is the same.

--- a/src/placing/own_word.rs
+++ b/src/placing/own_word.rs
@@ -43,6 +43,9 @@
 #[derive(Debug, Default)]
 pub struct OwnWord {
     is_leaving: AtomicBool,
+    /// Whether there is a rest, so that a choice among hundreds of upstreams
+    /// takes the lock of few.
+    has_rest: AtomicBool,
     rest: Mutex<Option<Resting>>,
     /// Whether it has asked for rest by a text that is no time.
     was_unreadable: AtomicBool,
@@ -114,6 +117,7 @@
         let is_news = held_until.is_none_or(|held| held <= now);
         let until = held_until.map_or(until, |held| held.max(until));
         *held = Some(Resting { until, tried_at: None });
+        self.has_rest.store(true, Ordering::Relaxed);
         is_news
     }
 
@@ -125,6 +129,9 @@
 
     /// How long it is to get no request; zero if it may have one.
     pub fn rest_left(&self, now: BootInstant) -> Duration {
+        if !self.has_rest.load(Ordering::Relaxed) {
+            return Duration::ZERO;
+        }
         let rest = *self.rest.lock().expect("rest lock");
         rest.map_or(Duration::ZERO, |rest| rest.left(now))
     }
@@ -133,6 +140,9 @@
     /// whether it takes any, since what was held back would otherwise come all
     /// at once.
     pub fn note_sent(&self, now: BootInstant) {
+        if !self.has_rest.load(Ordering::Relaxed) {
+            return;
+        }
         if let Some(rest) = &mut *self.rest.lock().expect("rest lock") {
             rest.tried_at = Some(now);
         }
@@ -141,10 +151,14 @@
     /// Takes in that it has answered, without asking for rest, what was sent
     /// at `sent_at`; returns whether a rest is over with that.
     fn note_taken(&self, sent_at: BootInstant) -> bool {
+        if !self.has_rest.load(Ordering::Relaxed) {
+            return false;
+        }
         let mut held = self.rest.lock().expect("rest lock");
         let is_over = held.is_some_and(|rest| sent_at >= rest.until);
         if is_over {
             *held = None;
+            self.has_rest.store(false, Ordering::Relaxed);
         }
         is_over
     }
