Soak: upstreams that ask for rest and that leave before their record says so

Two promises, checked from what upstreams said in which answer and what came after it from the same process of the same VM: nothing two seconds after an answer that says leaving was passed on, whatever the store does; at most two in a rest, half a second after it was asked for. A freeze or a restart of the VM excuses it, and trouble on the way to upstreams.

--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -9,6 +9,7 @@
 use super::{
     deadly,
     evidence::{Call, Change, Evidence, Kind, Order, Run, Scope},
+    own_words,
     upstreams::UNREADABLE,
 };
 
@@ -86,6 +87,10 @@
     Unreadable,
     /// A request that crashes what runs it is sent no more.
     Deadly,
+    /// An upstream that asks a VM for rest is left alone by it.
+    RestKept,
+    /// An upstream that says in an answer that it leaves gets nothing new.
+    LeavingHeard,
     /// No request is held back for what another did.
     OthersTaken,
     /// A planned stop cuts no request.
@@ -128,6 +133,7 @@
         unreadable,
         deadly::stopped,
         deadly::others_taken,
+        own_words::heeded,
         planned_stops,
         recovery,
     ];
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::deadly;
+use super::{deadly, own_words::Said};
 
 /// Trouble at a VM or the store excuses it for this long afterwards; the
 /// platform's `contact_ms`.
@@ -169,6 +169,8 @@
     pub runs: Vec<Run>,
     /// Requests that upstreams declined.
     pub declined: Vec<Run>,
+    /// What upstreams have said of themselves.
+    pub said: Vec<Said>,
     /// Changes, with when they were in the store.
     pub changes: Vec<(Duration, Change)>,
     /// Troubles.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -35,6 +35,9 @@
     Upstream(usize, Behaviour),
     /// An upstream leaves, and another comes.
     Leave(usize),
+    /// An upstream leaves and says so in its answers; its record says it
+    /// later, and another comes.
+    LeaveUnrecorded(usize),
     /// An upstream crashes, and starts again under its name.
     StartAgain(usize),
     /// Another writer leaves an entry that cannot be read.
@@ -99,6 +102,7 @@
             | Fault::StopVm(_)
             | Fault::ReloadVm(_)
             | Fault::Leave(_)
+            | Fault::LeaveUnrecorded(_)
             | Fault::StartAgain(_)
             | Fault::Unreadable(_)
             | Fault::AddRoute
@@ -115,7 +119,7 @@
         let vm = rng.random_range(0..vms);
         let upstream = rng.random_range(0..upstreams);
         let way = draw_way(rng);
-        let fault = match rng.random_range(0..36) {
+        let fault = match rng.random_range(0..38) {
             0..3 => Fault::PauseVm(vm),
             3..6 => Fault::KillVm(vm),
             6 => Fault::KillAll,
@@ -135,6 +139,7 @@
             29..31 => Fault::ReplaceKey,
             31..33 => Fault::StartAgain(upstream),
             33 => Fault::Unreadable(rng.random()),
+            36.. => Fault::LeaveUnrecorded(upstream),
             _ => Fault::RollOut { is_bad: rng.random() },
         };
         (fault, Duration::from_millis(rng.random_range(LASTS_MS)))
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -20,6 +20,9 @@
 /// Time that a roll-out is allowed, in seconds.
 const ROLL_OUT_S: u64 = 8;
 
+/// Time until the record of an upstream says what its answers say already.
+const RECORDED_AFTER: Duration = Duration::from_secs(5);
+
 impl World {
     pub(super) fn inject(&mut self, now: Duration) {
         let vms = self.site.vms.len();
@@ -141,6 +144,17 @@
                 self.let_go(left, now);
                 self.add_worker(service, &software);
             }
+            Fault::LeaveUnrecorded(at) => {
+                let leaving = self.workers.remove(at);
+                leaving.say_leaving();
+                let recorded_at = now + RECORDED_AFTER;
+                let id = leaving.upstream.id.clone();
+                self.later.push((recorded_at, Later::RecordLeaving(id)));
+                let (service, software) =
+                    (leaving.service, leaving.software.clone());
+                self.left.push(leaving);
+                self.add_worker(service, &software);
+            }
             Fault::RollOut { is_bad } => self.roll_out(is_bad),
             Fault::Unreadable(kind) => {
                 let store = &self.site.store;
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! * `world`: the site, and what is due in it.
 //! * [`upstreams`], [`callers`], [`client`]: who stands around the VMs.
 //! * [`deadly`]: requests that crash the upstreams that run them.
+//! * [`own_words`]: what upstreams say of themselves, and who heeds it.
 //! * [`evidence`]: what was seen.
 //! * [`check`]: whether that keeps every promise.
 //!
@@ -23,12 +24,14 @@
 pub mod deadly;
 pub mod evidence;
 pub mod faults;
+pub mod own_words;
 pub mod upstreams;
 
 mod inject;
 mod world;
 
 use check::Violation;
+use own_words::Unheeded;
 use world::World;
 
 /// Soak the router before the platform; the last line is JSON, and the exit
@@ -110,6 +113,8 @@
     pub crashing_requests: usize,
     /// The most upstreams that ended under one of those.
     pub most_ended_by_one: usize,
+    /// What was sent against upstreams' own words.
+    pub unheeded: Unheeded,
     /// What was violated.
     pub violations: Vec<Violation>,
 }
@@ -124,6 +129,8 @@
             "served": self.served,
             "crashing_requests": self.crashing_requests,
             "most_ended_by_one": self.most_ended_by_one,
+            "sent_into_rest": self.unheeded.sent_into_rest,
+            "sent_after_leaving": self.unheeded.sent_after_leaving,
             "violations": violations.collect::<Vec<_>>(),
         })
     }
--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use serde_json::json;
 
-use super::{deadly::is_deadly, evidence::Run};
+use super::{deadly::is_deadly, evidence::Run, own_words::Said};
 use crate::{
     gateway_site::{MODELS, PLAIN, upstream_record},
     http_raw::{RawRequest, answer, chunk},
@@ -32,6 +32,9 @@
 /// Longest time until an upstream is gone that runs a deadly request.
 const CRASH_TIME: Duration = Duration::from_millis(200);
 
+/// The rest that a resting upstream asks for.
+const REST: Duration = Duration::from_secs(2);
+
 /// Share of the requests that a failing upstream treats badly.
 const FAULTY_SHARE: f64 = 0.6;
 
@@ -53,17 +56,20 @@
     Declining,
     /// Many of its streams break off within an event.
     BreakingOff,
+    /// It turns many requests away and asks for rest.
+    Resting,
 }
 
 impl Behaviour {
     /// Every behaviour that is a fault.
-    pub const FAULTS: [Behaviour; 6] = [
+    pub const FAULTS: [Behaviour; 7] = [
         Behaviour::Failing,
         Behaviour::LosingAnswers,
         Behaviour::Foreign,
         Behaviour::Surplus,
         Behaviour::Declining,
         Behaviour::BreakingOff,
+        Behaviour::Resting,
     ];
 
     fn from_number(number: u8) -> Behaviour {
@@ -86,6 +92,7 @@
     born: Arc<AtomicU64>,
     /// Whether it runs a request that crashes it.
     is_hit: Arc<AtomicBool>,
+    says_leaving: Arc<AtomicBool>,
 }
 
 /// The upstream whose entries cannot be read.
@@ -98,6 +105,8 @@
     pub runs: Vec<Run>,
     /// Requests that were declined.
     pub declined: Vec<Run>,
+    /// What was said in answers.
+    pub said: Vec<Said>,
 }
 
 /// Shared by all upstreams.
@@ -138,6 +147,7 @@
         let behaviour = Arc::new(AtomicU8::new(Behaviour::Well as u8));
         let born = Arc::new(AtomicU64::new(1));
         let is_hit = Arc::new(AtomicBool::new(false));
+        let says_leaving = Arc::new(AtomicBool::new(false));
         let script = Serving {
             id: id.to_owned(),
             software: software.to_owned(),
@@ -146,11 +156,26 @@
             behaviour: behaviour.clone(),
             born: born.clone(),
             is_hit: is_hit.clone(),
+            says_leaving: says_leaving.clone(),
         };
         let upstream = Upstream::start(id, script.into_script());
         let way = Proxy::tcp(upstream.address).expect("a port");
         let software = software.to_owned();
-        Worker { upstream, service, software, behaviour, way, born, is_hit }
+        Worker {
+            upstream,
+            service,
+            software,
+            behaviour,
+            way,
+            born,
+            is_hit,
+            says_leaving,
+        }
+    }
+
+    /// Says in all its answers from now on that it leaves.
+    pub fn say_leaving(&self) {
+        self.says_leaving.store(true, Ordering::Relaxed);
     }
 
     /// Crashes: its connections break, and it is gone until it starts again.
@@ -219,6 +244,7 @@
     behaviour: Arc<AtomicU8>,
     born: Arc<AtomicU64>,
     is_hit: Arc<AtomicBool>,
+    says_leaving: Arc<AtomicBool>,
 }
 
 impl Serving {
@@ -244,25 +270,50 @@
             let head = stamped(request, &declined);
             return vec![Act::Send(answer(503, &head, ""))];
         }
+        if behaviour == Behaviour::Resting {
+            self.note(request, |received| &mut received.declined);
+            self.say(request, Some(REST));
+            let seconds = REST.as_secs().to_string();
+            let more = [declined[0], ("Retry-After", seconds.as_str())];
+            let head = stamped(request, &more);
+            return vec![Act::Send(answer(503, &head, ""))];
+        }
         self.note(request, |received| &mut received.runs);
         if is_deadly(&request.path) {
             self.is_hit.store(true, Ordering::Relaxed);
             return vec![Act::Wait(CRASH_TIME), Act::Close];
         }
         let is_stream = self.serves_streams(request);
+        let mut leaving = Vec::new();
+        if self.says_leaving.load(Ordering::Relaxed) {
+            self.say(request, None);
+            leaving.push(("Server-Leaving", "1"));
+        }
         match behaviour {
             Behaviour::LosingAnswers => {
                 vec![Act::Wait(WORK_TIME), Act::Close]
             }
             Behaviour::Failing => {
-                let head = stamped(request, &[]);
+                let head = stamped(request, &leaving);
                 vec![Act::Wait(WORK_TIME), Act::Send(answer(500, &head, ""))]
             }
-            _ if is_stream => stream(request, behaviour),
-            _ => plain(request, behaviour),
+            _ if is_stream => stream(request, behaviour, &leaving),
+            _ => plain(request, behaviour, &leaving),
         }
     }
 
+    /// Notes what it says of itself in its answer.
+    fn say(&self, request: &RawRequest, rest: Option<Duration>) {
+        let said = Said {
+            id: request.header("lupinseam-attempt-id").to_owned(),
+            upstream: self.id.clone(),
+            life: self.born.load(Ordering::Relaxed),
+            at: self.started_at.elapsed(),
+            rest,
+        };
+        self.runs.lock().unwrap().said.push(said);
+    }
+
     fn serves_streams(&self, request: &RawRequest) -> bool {
         ["/write/", "/tell/"].iter().any(|p| request.path.starts_with(p))
     }
@@ -295,14 +346,18 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-fn plain(request: &RawRequest, behaviour: Behaviour) -> Vec<Act> {
+fn plain(
+    request: &RawRequest,
+    behaviour: Behaviour,
+    leaving: &[(&str, &str)],
+) -> Vec<Act> {
     let id = request.header("lupinseam-attempt-id");
     let whole = match behaviour {
         Behaviour::Foreign => {
             let head = [("Lupinseam-Attempt-Id", "another")];
             answer(200, &head, "made for another")
         }
-        _ => answer(200, &stamped(request, &[]), &plain_body(id)),
+        _ => answer(200, &stamped(request, leaving), &plain_body(id)),
     };
     let mut acts = vec![Act::Wait(WORK_TIME), Act::Send(whole)];
     if behaviour == Behaviour::Surplus {
@@ -312,7 +367,11 @@
     acts
 }
 
-fn stream(request: &RawRequest, behaviour: Behaviour) -> Vec<Act> {
+fn stream(
+    request: &RawRequest,
+    behaviour: Behaviour,
+    leaving: &[(&str, &str)],
+) -> Vec<Act> {
     let id = request.header("lupinseam-attempt-id");
     let named = match behaviour {
         Behaviour::Foreign => "another",
@@ -322,8 +381,11 @@
         "HTTP/1.1 200 OK\r\nLupinseam-Attempt-Id: {named}\r\n\
          Lupinseam-Response-Seal: s\r\nLupinseam-Confidence: 90\r\n\
          Content-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
+         Transfer-Encoding: chunked\r\n"
     );
+    let leaving =
+        leaving.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+    let head = format!("{head}{}\r\n", leaving.collect::<String>());
     let mut acts = vec![Act::Wait(WORK_TIME), Act::Send(head.into_bytes())];
     let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
     for number in after + 1..=EVENTS {
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -18,6 +18,7 @@
     deadly,
     evidence::{Change, Evidence, Kind, Scope},
     faults::{Fault, Target},
+    own_words,
     upstreams::{Runs, SERVICES, UNREADABLE, Worker},
 };
 use crate::{
@@ -66,6 +67,7 @@
     StartVm(usize),
     RemoveRecord(String),
     StartUpstream(String),
+    RecordLeaving(String),
     /// Removes the order of this version, unless another was given since.
     EndRollOut(String),
 }
@@ -258,6 +260,13 @@
             }
             Later::StartVm(_) => {}
             Later::RemoveRecord(key) => self.site.store.remove(&key),
+            Later::RecordLeaving(id) => {
+                let is_it = |worker: &Worker| worker.upstream.id == id;
+                if let Some(at) = self.left.iter().position(is_it) {
+                    let leaving = self.left.remove(at);
+                    self.let_go(leaving, self.now());
+                }
+            }
             Later::EndRollOut(software) => {
                 let key = format!("op/rollout/{MODELS}");
                 let order = self.site.store.get(&key).unwrap_or_default();
@@ -336,6 +345,7 @@
 
     /// Lets an upstream leave: its record says so, and goes later.
     pub(super) fn let_go(&mut self, worker: Worker, now: Duration) {
+        worker.say_leaving();
         worker.record(&self.site.store, "draining");
         let id = worker.upstream.id.clone();
         self.evidence.changes.push((self.now(), Change::Leaving(id)));
@@ -392,6 +402,7 @@
         let received = std::mem::take(&mut *self.runs.lock().unwrap());
         self.evidence.runs = received.runs;
         self.evidence.declined = received.declined;
+        self.evidence.said = received.said;
         let (crashing_requests, most_ended_by_one) =
             deadly::summary(&self.evidence);
         let calls = &self.evidence.calls;
@@ -403,6 +414,7 @@
             served: served.count(),
             crashing_requests,
             most_ended_by_one,
+            unheeded: own_words::summary(&self.evidence),
             violations: check(&self.evidence),
         }
     }
@@ -427,6 +439,8 @@
         std::fs::write(folder.join("calls"), lines(calls.collect()))?;
         let runs = evidence.runs.iter().map(|run| format!("{run:?}"));
         std::fs::write(folder.join("runs"), lines(runs.collect()))?;
+        let said = evidence.said.iter().map(|said| format!("{said:?}"));
+        std::fs::write(folder.join("said"), lines(said.collect()))?;
         let changes = evidence.changes.iter().map(|c| format!("{c:?}"));
         std::fs::write(folder.join("changes"), lines(changes.collect()))?;
         let troubles = evidence.troubles.iter().map(|t| format!("{t:?}"));
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -9,6 +9,7 @@
         Soak,
         check::{Promise, check},
         evidence::{Call, Change, Evidence, Kind, Order, Run, Scope, Trouble},
+        own_words::{Said, summary},
         upstreams::UNREADABLE,
     },
 };
@@ -386,3 +387,78 @@
         assert!(outcome.violations.is_empty(), "{outcome:#?}");
     }
 }
+
+/// An answer that the first good call got, and what came after it from the
+/// same VM to the same upstream.
+fn said_and_came(
+    rest_s: Option<f64>,
+    came_s: &[f64],
+) -> impl Fn(&mut Evidence) {
+    let came_s = came_s.to_vec();
+    move |evidence| {
+        let told = evidence.runs[0].clone();
+        evidence.said.push(Said {
+            id: told.id,
+            upstream: told.upstream,
+            life: told.life,
+            at: told.at,
+            rest: rest_s.map(seconds),
+        });
+        for (number, came_s) in came_s.iter().enumerate() {
+            let id = format!("l-{number}");
+            let later = call(&id, Kind::Read, *came_s);
+            evidence.runs.push(run_of(&later));
+            evidence.calls.push(later);
+        }
+    }
+}
+
+#[test]
+fn what_comes_in_a_rest_is_found() {
+    let in_time = said_and_came(Some(3.0), &[10.2, 10.4, 11.0, 12.0, 13.5]);
+    assert_eq!(broken_by(in_time), []);
+    let in_rest = [10.6, 11.0, 12.9];
+    let too_many = said_and_came(Some(3.0), &in_rest);
+    assert_eq!(broken_by(&too_many), [Promise::RestKept]);
+    let another = |evidence: &mut Evidence| {
+        too_many(evidence);
+        evidence.calls.last_mut().unwrap().vm = 1;
+    };
+    assert_eq!(broken_by(another), [], "another VM was not told");
+    let frozen = |evidence: &mut Evidence| {
+        too_many(evidence);
+        let mut frozen = trouble(Scope::Vm(0), 10.2, 10.5);
+        frozen.what = "PauseVm(0)".to_owned();
+        evidence.troubles.push(frozen);
+    };
+    assert_eq!(broken_by(frozen), [], "a freeze excuses it");
+}
+
+#[test]
+fn what_comes_after_an_answer_that_says_leaving_is_found() {
+    assert_eq!(broken_by(said_and_came(None, &[10.5, 12.0])), []);
+    let late = said_and_came(None, &[10.5, 12.2]);
+    assert_eq!(broken_by(&late), [Promise::LeavingHeard]);
+    let without_store = |evidence: &mut Evidence| {
+        late(evidence);
+        evidence.troubles.push(trouble(Scope::Everyone, 5.0, 15.0));
+    };
+    assert_eq!(
+        broken_by(without_store),
+        [Promise::LeavingHeard],
+        "the store's trouble excuses nothing"
+    );
+    let restarted = |evidence: &mut Evidence| {
+        late(evidence);
+        evidence.calls.last_mut().unwrap().life = 2;
+    };
+    assert_eq!(broken_by(restarted), [], "a restart excuses it");
+    let unheard = |evidence: &mut Evidence| {
+        late(evidence);
+        evidence.calls[0].status = 502;
+    };
+    assert_eq!(broken_by(unheard), [], "no answer of it was passed on");
+    let mut evidence = good();
+    late(&mut evidence);
+    assert_eq!(summary(&evidence).sent_after_leaving, 1);
+}
