--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -870,6 +870,8 @@
 #[cfg(test)]
 mod replay;
 #[cfg(test)]
+mod rest_replay;
+#[cfg(test)]
 mod statement_tests;
 #[cfg(test)]
 mod tests;
