A version that was taken back gets nothing once its order is over

Callers got failures of a version that had been reverted, and sessions changed their version: that it was taken back was a property of its roll-out, which is forgotten when the order is removed or replaced by the next one, while its upstreams go on for some seconds. To the next roll-out it was one of the old versions.

What was taken back is kept for the service, until the same version is ordered again; every choice leaves it out, also where no roll-out is under way. A version that was stopped here and completed by all others is not kept: nobody else is left.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -251,13 +251,14 @@
     /// What the request asks of the choice among those not `tried`.
     fn want<'a>(
         &self,
-        version: &VersionChoice,
+        version: &'a VersionChoice,
         tried: &'a [ShortHash],
     ) -> Want<'a> {
         let takes = self.gateway.service_times.of(&self.service);
         Want {
             rule: version.rule.clone(),
             prompt: self.shared_prompt(),
+            withdrawn: &version.withdrawn,
             tried,
             most_fill: admission::fill_limit(self.route.aim, takes),
         }
@@ -267,7 +268,8 @@
     /// was asked last.
     pub(crate) fn can_ask_again(&self, now: BootInstant) -> bool {
         let tried = self.tried.split_last().map_or(&[][..], |(_, rest)| rest);
-        let want = self.want(&self.version_choice(now), tried);
+        let version = self.version_choice(now);
+        let want = self.want(&version, tried);
         self.gateway.pool.can_pick(&self.service, &want, now)
     }
 
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -97,6 +97,8 @@
     pub rule: VersionRule,
     /// What it would like to find in an upstream's memory.
     pub prompt: Option<SharedPrompt>,
+    /// Versions of software that may not answer it at all.
+    pub withdrawn: &'a [VersionId],
     /// Lives of upstreams that were asked already.
     pub tried: &'a [ShortHash],
     /// Requests for each slot of every upstream from which it is turned away.
@@ -109,6 +111,7 @@
         Want {
             rule: VersionRule::Any,
             prompt: None,
+            withdrawn: &[],
             tried: &[],
             most_fill: FILL_LEAST,
         }
@@ -454,8 +457,13 @@
         want: &Want<'_>,
         now: BootInstant,
     ) -> Result<Vec<&'a Arc<Member>>, NoMember> {
-        let open: Vec<&Arc<Member>> =
-            all.iter().filter(|m| is_open(m, want.tried, now)).collect();
+        let may_answer =
+            |m: &&Arc<Member>| !want.withdrawn.contains(&m.entry.software);
+        let open: Vec<&Arc<Member>> = all
+            .iter()
+            .filter(|m| is_open(m, want.tried, now))
+            .filter(may_answer)
+            .collect();
         if open.is_empty() {
             return Err(NoMember::Unknown);
         }
--- a/src/rollouts/choice.rs
+++ b/src/rollouts/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::placing::pool::VersionRule;
+use crate::{id::VersionId, placing::pool::VersionRule};
 
 /// Which version may answer a request, and what decided so.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,6 +11,8 @@
     pub rule: VersionRule,
     /// What decided so; `None` without a roll-out.
     pub reason: Option<ChoiceReason>,
+    /// Versions that were taken back, which may answer none.
+    pub withdrawn: Vec<VersionId>,
 }
 
 /// What decided which version may answer a request.
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -10,7 +10,7 @@
     rollouts::{
         choice::VersionChoice,
         evidence::{Evidence, HallEvidence},
-        rollout::{Order, Rollout, Status},
+        rollout::{Order, Progress, Rollout, Status},
         sessions::Sessions,
         told::Way,
     },
@@ -19,6 +19,9 @@
 /// Added to that time: a request may have waited at its caller's before.
 const SESSION_SLACK: Duration = Duration::from_secs(1);
 
+/// Versions of a service that are kept as taken back; the eldest are long gone.
+const WITHDRAWN_MOST: usize = 16;
+
 /// A step that a roll-out is due for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Due {
@@ -34,6 +37,10 @@
     /// Time after the end of its last request in which a session goes on.
     session_lifetime: Duration,
     running: Mutex<HashMap<ServiceId, Rollout>>,
+    /// Versions that were taken back, the last one last: their upstreams go
+    /// on for a while after the order is gone or another one given. Taken
+    /// after `running` where both are.
+    withdrawn: Mutex<HashMap<ServiceId, Vec<VersionId>>>,
     /// Taken after `running` where both are.
     sessions: Mutex<HashMap<ServiceId, Sessions>>,
 }
@@ -45,6 +52,7 @@
         Rollouts {
             session_lifetime: session_time + SESSION_SLACK,
             running: Mutex::default(),
+            withdrawn: Mutex::default(),
             sessions: Mutex::default(),
         }
     }
@@ -61,6 +69,8 @@
         if held.is_some_and(|held| held.order == order) {
             return false;
         }
+        self.note_over(&service, held);
+        self.allow_again(&service, &order.target);
         let rollout = Rollout::new(order, self.session_lifetime, now);
         rollouts.insert(service, rollout);
         true
@@ -69,7 +79,12 @@
     /// Takes in the state that stands in the store.
     pub fn set_status(&self, service: &ServiceId, status: &Status) {
         let mut rollouts = self.running.lock().expect("rollouts lock");
-        let Some(rollout) = rollouts.get_mut(service) else { return };
+        let Some(rollout) = rollouts.get_mut(service) else {
+            if status.progress == Progress::Reverted {
+                self.withdraw(service, status.target.clone());
+            }
+            return;
+        };
         if rollout.order.target == status.target {
             rollout.progress = Some(status.progress);
         }
@@ -77,7 +92,39 @@
 
     /// Forgets a roll-out whose order is gone.
     pub fn forget(&self, service: &ServiceId) {
-        self.running.lock().expect("rollouts lock").remove(service);
+        let mut rollouts = self.running.lock().expect("rollouts lock");
+        let over = rollouts.remove(service);
+        self.note_over(service, over.as_ref());
+    }
+
+    /// Keeps that the version of a roll-out was taken back, if it was.
+    fn note_over(&self, service: &ServiceId, over: Option<&Rollout>) {
+        if let Some(over) = over.filter(|over| over.is_taken_back()) {
+            self.withdraw(service, over.order.target.clone());
+        }
+    }
+
+    fn withdraw(&self, service: &ServiceId, version: VersionId) {
+        self.allow_again(service, &version);
+        let mut withdrawn = self.withdrawn.lock().expect("withdrawn lock");
+        let versions = withdrawn.entry(service.clone()).or_default();
+        versions.push(version);
+        if versions.len() > WITHDRAWN_MOST {
+            versions.remove(0);
+        }
+    }
+
+    /// A version that is ordered once more is a new one like any other.
+    fn allow_again(&self, service: &ServiceId, version: &VersionId) {
+        let mut withdrawn = self.withdrawn.lock().expect("withdrawn lock");
+        if let Some(versions) = withdrawn.get_mut(service) {
+            versions.retain(|held| held != version);
+        }
+    }
+
+    fn withdrawn(&self, service: &ServiceId) -> Vec<VersionId> {
+        let withdrawn = self.withdrawn.lock().expect("withdrawn lock");
+        withdrawn.get(service).cloned().unwrap_or_default()
     }
 
     /// Which version may answer a request.
@@ -89,8 +136,9 @@
         now: BootInstant,
     ) -> VersionChoice {
         let mut rollouts = self.running.lock().expect("rollouts lock");
+        let withdrawn = self.withdrawn(service);
         let Some(rollout) = rollouts.get_mut(service) else {
-            return VersionChoice::default();
+            return VersionChoice { withdrawn, ..VersionChoice::default() };
         };
         let sessions = self.sessions.lock().expect("sessions lock");
         let own = session.and_then(|session| {
@@ -99,7 +147,7 @@
             of_service.version(session, self.session_lifetime, now)
         });
         let (rule, reason) = rollout.rule(session, own, request_id, now);
-        VersionChoice { rule, reason: Some(reason) }
+        VersionChoice { rule, reason: Some(reason), withdrawn }
     }
 
     /// Notes that an attempt of a session begins, and which version it goes
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -174,6 +174,16 @@
         }
     }
 
+    /// Whether its version was taken back. One that all others have completed
+    /// is the only one left, whatever this VM has seen of it.
+    pub(super) fn is_taken_back(&self) -> bool {
+        match self.progress {
+            Some(Progress::Reverted) => true,
+            Some(Progress::Completed) => false,
+            Some(Progress::Running) | None => self.stopped_at.is_some(),
+        }
+    }
+
     pub(super) fn is_running(&self) -> bool {
         matches!(self.progress, None | Some(Progress::Running))
     }
