--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -1,6 +1,7 @@
 //! Where a request goes, how it waits, and when it is turned away.
 //!
-//! * [`pool`]: the upstreams as this VM sees them, and the choice among them.
+//! * [`pool`]: the upstreams as this VM sees them, and the choice among them;
+//!   `pool/told`: what upstreams say and VMs tell of them.
 //! * [`member`]: one of them.
 //! * [`statement`]: what an upstream says of itself in an answer;
 //!   [`own_word`]: what is kept of that for its life.
--- a/src/placing/pool/replay.rs
+++ b/src/placing/pool/replay.rs
@@ -10,7 +10,10 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::{tests::SLACK, *};
-use crate::placing::member::Reading;
+use crate::placing::{
+    health::Verdict,
+    member::{LoadReport, Reading},
+};
 
 const HALLS: usize = 4;
 const VMS_OF_HALL: usize = 8;
--- a/src/placing/pool/rest_replay.rs
+++ b/src/placing/pool/rest_replay.rs
@@ -18,7 +18,11 @@
     tests::{SLACK, entry},
     *,
 };
-use crate::placing::{own_word::OwnWord, statement::Rest, upstream::InFlight};
+use crate::placing::{
+    own_word::OwnWord,
+    statement::{Rest, Statement},
+    upstream::InFlight,
+};
 
 const STEP: Duration = Duration::from_millis(5);
 const WORK: Duration = Duration::from_millis(40);
--- a/src/placing/pool/statement_tests.rs
+++ b/src/placing/pool/statement_tests.rs
@@ -4,7 +4,10 @@
     tests::{entry, picks, pool},
     *,
 };
-use crate::{id::StartMs, placing::statement::Rest};
+use crate::{
+    id::StartMs,
+    placing::statement::{OwnNews, Rest, Statement},
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::id::StartMs;
-use crate::placing::member::PEER_COUNT_LIFETIME;
+use crate::message::Work;
+use crate::placing::member::{LoadReport, PEER_COUNT_LIFETIME};
 use crate::placing::{hall_way::CUT_PAUSE, health::Verdict};
 
 pub(super) const SLACK: WarmUpSlack =
--- /dev/null
+++ b/src/placing/pool/told.rs
@@ -0,0 +1,201 @@
+//! What the VMs tell each other of upstreams, and what upstreams say of
+//! themselves.
+
+use std::{
+    collections::HashSet, sync::Arc, sync::atomic::Ordering, time::Duration,
+};
+
+use super::Pool;
+use crate::{
+    clock::BootInstant,
+    id::UpstreamId,
+    message::{ShortHash, StatedLoad, ToldFailure, Work},
+    placing::{
+        health::Verdict,
+        member::{LoadReport, Member},
+        statement::{OwnNews, Statement},
+    },
+};
+
+impl Pool {
+    /// Takes in what an upstream says of itself in its answer to what was
+    /// sent at `sent_at`; returns what is news.
+    pub fn take_statement(
+        &self,
+        member: &Member,
+        statement: &Statement,
+        sent_at: BootInstant,
+        now: BootInstant,
+    ) -> Vec<OwnNews> {
+        let mut news = Vec::new();
+        let word = &member.upstream.own_word;
+        if statement.is_leaving && !member.upstream.is_leaving() {
+            news.push(OwnNews::Leaving);
+        }
+        if statement.is_leaving && word.note_leaving() {
+            self.tell_leaving(member.upstream.short, now);
+        }
+        let rest = statement.rest.as_ref();
+        news.extend(word.take_rest(rest, rand::random(), sent_at, now));
+        if let Some(load) = statement.load {
+            self.note_load(member, load, now);
+        }
+        news
+    }
+
+    fn tell_leaving(&self, life: ShortHash, now: BootInstant) {
+        self.seen.lock().expect("seen lock").note_leaving(life, now);
+    }
+
+    /// The lives that are leaving which the other VMs are to hear of.
+    pub fn take_leaving(&self, now: BootInstant) -> Vec<ShortHash> {
+        self.seen.lock().expect("seen lock").take_leaving(now)
+    }
+
+    /// Takes in which lives have said to another VM that they are leaving, and
+    /// tells them on; returns those of which that is news.
+    pub fn hear_leaving(
+        &self,
+        told: &[ShortHash],
+        now: BootInstant,
+    ) -> Vec<Arc<Member>> {
+        let members = self.read();
+        let mut news = Vec::new();
+        for life in told {
+            let Some(member) = members.by_short.get(life) else {
+                let mut unlisted = self.unlisted.lock().expect("words lock");
+                unlisted.note_leaving(*life, now);
+                continue;
+            };
+            let was_leaving = member.upstream.is_leaving();
+            if member.upstream.own_word.note_leaving() {
+                self.tell_leaving(*life, now);
+            }
+            if !was_leaving {
+                news.push(member.clone());
+            }
+        }
+        news
+    }
+
+    /// Takes in the load that an upstream states in an answer.
+    pub(super) fn note_load(
+        &self,
+        member: &Member,
+        load: LoadReport,
+        now: BootInstant,
+    ) {
+        if member.note_stated(load, self.mean_reading(), now) {
+            let short = member.upstream.short;
+            self.seen.lock().expect("seen lock").note_load(short, load, now);
+        }
+    }
+
+    /// Takes what upstreams have stated to this VM since it was last taken.
+    pub fn take_stated(&self, now: BootInstant) -> Vec<StatedLoad> {
+        self.seen.lock().expect("seen lock").take_stated(now)
+    }
+
+    /// Takes in what upstreams have stated to another VM.
+    pub fn hear_stated(&self, stated: &[StatedLoad], now: BootInstant) {
+        let each = self.mean_reading();
+        let members = self.read();
+        for told in stated {
+            let member = members.by_short.get(&told.upstream);
+            let age = Duration::from_millis(told.age_ms.into());
+            if let (Some(member), Some(at)) = (member, now.checked_sub(age)) {
+                let load = LoadReport {
+                    running: told.running.into(),
+                    waiting: told.waiting.into(),
+                };
+                if member.note_stated(load, each, at) {
+                    member.health.hear(Verdict::Good, now);
+                }
+            }
+        }
+    }
+
+    /// Takes in how an attempt ended, for the other VMs of the data hall;
+    /// returns whether they should hear of it at once.
+    pub fn note_verdict(
+        &self,
+        member: &Member,
+        verdict: Verdict,
+        now: BootInstant,
+    ) -> bool {
+        let short = member.upstream.short;
+        self.seen.lock().expect("seen lock").note_verdict(short, verdict, now)
+    }
+
+    /// Takes the failures that the others are to hear of.
+    pub fn take_failures(&self, now: BootInstant) -> Vec<ToldFailure> {
+        self.seen.lock().expect("seen lock").take_failures(now)
+    }
+
+    /// Takes in the failures that another VM of the data hall has seen;
+    /// returns the upstreams that are unfit by now.
+    pub fn hear_failures(
+        &self,
+        told: &[ToldFailure],
+        now: BootInstant,
+    ) -> Vec<UpstreamId> {
+        let members = self.read();
+        let mut unfit = Vec::new();
+        for failure in told {
+            let Some(member) = members.by_short.get(&failure.upstream) else {
+                continue;
+            };
+            if member.health.hear(failure.verdict, now).is_some() {
+                unfit.push(member.entry.id.clone());
+            }
+        }
+        unfit
+    }
+
+    /// What this VM has at each upstream that has any of it.
+    pub fn own_work(&self) -> Vec<(ShortHash, Work)> {
+        let members = self.read();
+        let bounded = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+        let work = members.by_id.values().filter_map(|member| {
+            let reading_ms = member.reading_ms.load(Ordering::Relaxed);
+            let work = Work {
+                requests: bounded(member.upstream.in_flight()),
+                reading_ms: bounded(reading_ms),
+            };
+            let has_any = work != Work::default();
+            has_any.then_some((member.upstream.short, work))
+        });
+        work.collect()
+    }
+
+    /// Takes in what another VM has at each upstream.
+    pub fn set_peer_work(
+        &self,
+        vm: &str,
+        work: &[(ShortHash, Work)],
+        now: BootInstant,
+    ) {
+        let members = self.read();
+        let mut told = self.told.lock().expect("told lock");
+        let set = |upstream: &ShortHash, there: Work| {
+            if let Some(member) = members.by_short.get(upstream) {
+                member.set_peer_work(vm, there, now);
+            }
+        };
+        for (upstream, there) in work {
+            set(upstream, *there);
+        }
+        let upstreams: HashSet<ShortHash> =
+            work.iter().map(|(upstream, _)| *upstream).collect();
+        let before = told.at.get(vm).map_or(&[][..], Vec::as_slice);
+        for upstream in before.iter().filter(|u| !upstreams.contains(u)) {
+            set(upstream, Work::default());
+        }
+        told.at.insert(vm.to_owned(), upstreams.into_iter().collect());
+        if told.is_due(now) {
+            for member in members.by_id.values() {
+                member.forget_old_work(now);
+            }
+        }
+    }
+}
