--- a/tests/wire_names.rs
+++ b/tests/wire_names.rs
@@ -16,6 +16,7 @@
     "lupinseam-expected-instance",
     "lupinseam-instance-load",
     "lupinseam-not-executed",
+    "server-leaving",
     "lupinseam-model\"",
     "lupinseam-token-count",
     "lupinseam-request-priority",
