Decode the rate limit that an upstream names, and log it with the attempt

A request's line shows `rate_limit_per_s`, or `rate_limit_unreadable` where the value is no rate. Nothing acts on it yet: it is there to tell whether a limit goes unread or is kept by each VM alone.

--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -19,7 +19,7 @@
         cascade::Kept,
         member::Member,
         pool::VersionRule,
-        statement::{Rest, Statement},
+        statement::{RateLimit, Rest, Statement},
     },
     rollouts::choice::{ChoiceReason, VersionChoice},
     unit::Percent,
@@ -42,6 +42,8 @@
     says_leaving: bool,
     /// The rest that the upstream asked for.
     rest_wanted: Option<Rest>,
+    /// The rate limit that the upstream named.
+    rate_limit: Option<RateLimit>,
     confidence: Option<u8>,
     kept: Option<Kept>,
 }
@@ -156,6 +158,7 @@
             end: "running".to_owned(),
             says_leaving: false,
             rest_wanted: None,
+            rate_limit: None,
             confidence: None,
             kept: None,
         });
@@ -178,6 +181,7 @@
         if let Some(last) = self.attempts.last_mut() {
             last.says_leaving = statement.is_leaving;
             last.rest_wanted.clone_from(&statement.rest);
+            last.rate_limit.clone_from(&statement.rate_limit);
         }
     }
 
@@ -339,6 +343,16 @@
         if let Some(rest) = rest {
             fields.insert("rest_wanted_ms".into(), rest);
         }
+        match &self.rate_limit {
+            None => {}
+            Some(RateLimit::At(rate)) => {
+                fields.insert("rate_limit_per_s".into(), rate.per_s().into());
+            }
+            Some(RateLimit::Unreadable(text)) => {
+                let text = text.as_str();
+                fields.insert("rate_limit_unreadable".into(), text.into());
+            }
+        }
         if let Some(confidence) = self.confidence {
             fields.insert("confidence".into(), confidence.into());
         }
--- a/src/placing/statement.rs
+++ b/src/placing/statement.rs
@@ -2,16 +2,19 @@
 
 use std::time::Duration;
 
-use hyper::{HeaderMap, header::RETRY_AFTER};
+use hyper::{
+    HeaderMap,
+    header::{HeaderValue, RETRY_AFTER},
+};
 
-use crate::{event::Event, placing::member::LoadReport};
+use crate::{event::Event, placing::member::LoadReport, unit::RequestRate};
 
 /// Statuses by which an upstream turns a request away for now; a time to come
 /// back beside any other says nothing of it.
 const TURNED_AWAY: [u16; 2] = [429, 503];
 
-/// Characters that are kept of a time to come back that is none.
-const REST_TEXT_MOST: usize = 40;
+/// Characters that are kept of a value that cannot be read.
+const TEXT_MOST: usize = 40;
 
 /// All that one answer says of the upstream that gave it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -20,6 +23,8 @@
     pub is_leaving: bool,
     /// The rest that it asks this VM for, if any.
     pub rest: Option<Rest>,
+    /// The rate that it names for requests of all VMs together, if any.
+    pub rate_limit: Option<RateLimit>,
     /// The load that it reports.
     pub load: Option<LoadReport>,
 }
@@ -50,10 +55,7 @@
     fn parse(text: &str) -> Rest {
         let seconds = text.trim().parse().ok();
         let time = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
-        time.map_or_else(
-            || Rest::Unreadable(text.chars().take(REST_TEXT_MOST).collect()),
-            Rest::For,
-        )
+        time.map_or_else(|| Rest::Unreadable(shortened(text)), Rest::For)
     }
 
     /// How long it is, as far as that can be read.
@@ -65,6 +67,47 @@
     }
 }
 
+/// How many requests an upstream takes from all VMs together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RateLimit {
+    /// At this rate.
+    At(RequestRate),
+    /// It says something that is no rate.
+    Unreadable(String),
+}
+
+impl RateLimit {
+    /// Reads it from the values of a header: of several rates, the lowest.
+    pub fn read<'a>(
+        values: impl IntoIterator<Item = &'a HeaderValue>,
+    ) -> Option<RateLimit> {
+        let limits = values.into_iter().map(|value| {
+            RateLimit::parse(&String::from_utf8_lossy(value.as_bytes()))
+        });
+        limits.min_by_key(|limit| (limit.rate().is_none(), limit.rate()))
+    }
+
+    fn parse(text: &str) -> RateLimit {
+        let rate = text.trim().parse();
+        rate.map_or_else(
+            |_| RateLimit::Unreadable(shortened(text)),
+            RateLimit::At,
+        )
+    }
+
+    /// The rate, as far as that can be read.
+    pub fn rate(&self) -> Option<RequestRate> {
+        match self {
+            RateLimit::At(rate) => Some(*rate),
+            RateLimit::Unreadable(_) => None,
+        }
+    }
+}
+
+fn shortened(text: &str) -> String {
+    text.chars().take(TEXT_MOST).collect()
+}
+
 /// What an answer tells of its upstream that was not known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnNews {
--- a/src/placing/statement/tests.rs
+++ b/src/placing/statement/tests.rs
@@ -3,6 +3,25 @@
 
 use super::*;
 
+fn limit(values: &[&str]) -> Option<RateLimit> {
+    let values: Vec<HeaderValue> =
+        values.iter().map(|v| HeaderValue::from_str(v).unwrap()).collect();
+    RateLimit::read(&values)
+}
+
+#[test]
+fn a_rate_limit_is_requests_a_second() {
+    let at = |rate: &str| Some(RateLimit::At(rate.parse().unwrap()));
+    assert_eq!(limit(&[]), None);
+    assert_eq!(limit(&["1.4"]), at("1.4"));
+    assert_eq!(limit(&[" 0 "]), at("0"));
+    assert_eq!(limit(&["soon", "3", "1.1", "2"]), at("1.1"));
+    for text in ["", "-1", "NaN", "inf", "1, 2", "soon"] {
+        let read = RateLimit::Unreadable(text.into());
+        assert_eq!(limit(&[text]), Some(read), "{text}");
+    }
+}
+
 fn read(status: u16, values: &[&[u8]]) -> Option<Rest> {
     let mut headers = HeaderMap::new();
     for value in values {
@@ -58,9 +77,16 @@
         }
         match Rest::read(status, &headers) {
             Some(Rest::Unreadable(text)) => {
-                prop_assert!(text.chars().count() <= REST_TEXT_MOST);
+                prop_assert!(text.chars().count() <= TEXT_MOST);
             }
             Some(Rest::For(_)) | None => {}
         }
+        match RateLimit::read(headers.get_all(RETRY_AFTER)) {
+            Some(RateLimit::Unreadable(text)) => {
+                prop_assert!(text.chars().count() <= TEXT_MOST);
+            }
+            Some(RateLimit::At(rate)) => prop_assert!(rate.per_s() >= 0.0),
+            None => {}
+        }
     }
 }
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -90,6 +90,43 @@
     }
 }
 
+/// How many requests are taken in a second.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate {
+    /// In thousandths of a request a second.
+    milli_per_s: u32,
+}
+
+impl RequestRate {
+    /// The highest that is told from others.
+    const MOST_PER_S: f64 = 1e6;
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        f64::from(self.milli_per_s) / 1000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.per_s())
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = Error;
+
+    /// Reads a decimal number; what is too high to matter is the highest.
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let per_s = parse_below(text, "a request rate", f64::INFINITY)?;
+        let per_s = per_s.min(RequestRate::MOST_PER_S);
+        Ok(RequestRate { milli_per_s: (per_s * 1000.0).round() as u32 })
+    }
+}
+
 /// A share or score from 0 to 1.
 #[derive(
     Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize,
@@ -209,6 +246,19 @@
         assert!("nan".parse::<MicroCost>().is_err());
     }
 
+    #[test]
+    fn request_rates_round_trip_and_are_bounded() {
+        let rate = |text: &str| text.parse::<RequestRate>();
+        for text in ["0", "0.3", "1.4", "40", "1000000"] {
+            assert_eq!(rate(text).unwrap().to_string(), text);
+        }
+        assert_eq!(rate("1e300").unwrap(), rate("1e6").unwrap());
+        assert_eq!(rate("1e-9").unwrap().per_s(), 0.0);
+        for text in ["", "-1", "NaN", "inf", "1.1, 2", "1,5"] {
+            assert!(rate(text).is_err(), "{text}");
+        }
+    }
+
     #[test]
     fn shares_are_bounded() {
         assert!(Share::new(1.01).is_err());
--- a/tests/wire_names.rs
+++ b/tests/wire_names.rs
@@ -17,6 +17,7 @@
     "lupinseam-instance-load",
     "lupinseam-not-executed",
     "server-leaving",
+    "server-limit",
     "lupinseam-model\"",
     "lupinseam-token-count",
     "lupinseam-request-priority",
