--- a/src/chat_face/dispatch.rs
+++ b/src/chat_face/dispatch.rs
@@ -41,7 +41,7 @@
     id::UpstreamId,
     message::ShortHash,
     placing::{
-        statement::Rest,
+        statement::{OwnNews, Rest, Statement},
         upstream::{BreakerChange, InFlight, Upstream},
     },
     task::{self, within},
@@ -705,22 +705,23 @@
     /// Takes in what an upstream says of itself in an answer.
     fn hear(&self, chosen: &Chosen, status: u16, headers: &HeaderMap) {
         let upstream = &chosen.upstream;
-        let is_leaving = headers.get(LEAVING).is_some_and(|v| v == "1");
-        if is_leaving && upstream.own_word.note_leaving() {
-            log_leaving(upstream, "by its own answer");
-            let (vm, short) = (self.vm.clone(), upstream.short);
-            task::spawn(async move {
-                Gossiper::notify_leaving(&vm, short).await;
-            })
-            .detach();
-        }
-        let news = upstream.own_word.take_rest(
-            Rest::read(status, headers).as_ref(),
-            rand::random(),
-            chosen.chosen_at,
-            self.vm.clock.now(),
-        );
-        if let Some(news) = news {
+        let statement = Statement {
+            is_leaving: headers.get(LEAVING).is_some_and(|v| v == "1"),
+            rest: Rest::read(status, headers),
+            ..Statement::default()
+        };
+        let (draw, now) = (rand::random(), self.vm.clock.now());
+        let word = &upstream.own_word;
+        for news in word.take(&statement, draw, chosen.chosen_at, now) {
+            if news == OwnNews::Leaving {
+                log_leaving(upstream, "by its own answer");
+                let (vm, short) = (self.vm.clone(), upstream.short);
+                task::spawn(async move {
+                    Gossiper::notify_leaving(&vm, short).await;
+                })
+                .detach();
+                continue;
+            }
             news.event().log(format_args!("upstream {}", upstream.record.id));
         }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -181,6 +181,12 @@
     RequestReleased = 94, Info, "A request that was held back is taken again: it ran whole elsewhere, another one explains the ends, or ten minutes have passed.";
     /// What is held back could not be written to the store.
     HeldNotKept = 95, Warn, "The requests that are held back could not be written to the platform's store; the VMs that are there know them, and it is tried again.";
+    /// An upstream named a rate limit.
+    UpstreamLimited = 96, Info, "An upstream named the rate of requests that it takes from all VMs together; says whether its answer did or another VM. A few VMs share that rate from now on, and the others send it none.";
+    /// A rate limit is over.
+    UpstreamUnlimited = 97, Info, "An upstream that had named a rate limit names none any more; the rate rises for three seconds and is free then.";
+    /// A rate limit is no rate.
+    LimitUnreadable = 98, Warn, "An upstream named a rate limit by a text that is no rate; what was known of its limit holds.";
     /// A request has ended well.
     RequestEnded = 100, Info, "A request has ended with an upstream's answer; one line with all its attempts.";
     /// A request was refused or has failed.
--- a/src/facts/mesh.rs
+++ b/src/facts/mesh.rs
@@ -21,7 +21,7 @@
     event::Event,
     facts::{knowledge::ChangedItem, knowledge_pack, peers::Receiver},
     gateway::{Gateway, fields},
-    message::{PeerReply, PeerRequest, ShortHash, VmBeat},
+    message::{PeerReply, PeerRequest, ShortHash, ToldLimit, VmBeat},
     metrics::Metrics,
     peer::PeerService,
     platform::store::{Item, Items},
@@ -114,6 +114,7 @@
 struct ForOthers {
     hall_evidence: Vec<HallEvidence>,
     sightings: Vec<Sighting>,
+    rate_limits: Vec<ToldLimit>,
 }
 
 impl Round {
@@ -126,6 +127,7 @@
         let for_others = ForOthers {
             hall_evidence: rollouts.hall_evidence(hall, &beat.evidence, now),
             sightings: gateway.crashes.to_tell(Audience::OtherHalls),
+            rate_limits: gateway.pool.take_limits(false, now),
         };
         beat.hall_evidence = rollouts.relays(&beat.evidence, now);
         beat.sightings = gateway.crashes.to_tell(Audience::OwnHall);
@@ -146,6 +148,7 @@
             self.beat.evidence = Vec::new();
             self.beat.hall_evidence = told.hall_evidence;
             self.beat.sightings = told.sightings;
+            self.beat.rate_limits = told.rate_limits;
         }
         self.beat.echo = receiver.echo;
         Some((receiver.address, &self.beat))
@@ -179,6 +182,7 @@
         stated: gateway.pool.take_stated(now),
         failures: gateway.pool.take_failures(now),
         leaving_upstreams: gateway.pool.take_leaving(now),
+        rate_limits: gateway.pool.take_limits(true, now),
         evidence: gateway.rollouts.evidence(old, now),
         sightings: Vec::new(),
         hall_evidence: Vec::new(),
@@ -218,6 +222,7 @@
     gateway.pool.hear_stated(&beat.stated, now);
     let is_near = beat.data_hall == gateway.settings.data_hall;
     gateway.hear_leaving(&beat.vm, &beat.leaving_upstreams);
+    gateway.hear_limits(&beat.vm, &beat.rate_limits, is_near);
     if is_near {
         for unfit in gateway.pool.hear_failures(&beat.failures, now) {
             Event::UpstreamUnfit.record(fields(json!({
--- a/src/facts/peers/tests.rs
+++ b/src/facts/peers/tests.rs
@@ -33,6 +33,7 @@
         stated: Vec::new(),
         failures: Vec::new(),
         leaving_upstreams: Vec::new(),
+        rate_limits: Vec::new(),
         evidence: Vec::new(),
         sightings: Vec::new(),
         hall_evidence: Vec::new(),
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -12,7 +12,7 @@
 use crate::secret::ClusterKey;
 
 /// The release of the frame format; other releases are dropped.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 const TAG_BYTES: usize = 16;
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -288,7 +288,7 @@
                 .context(format!("no upstream of {}", self.service)),
             NoMember::Evacuated => Error::new(ErrorKind::NoUpstream)
                 .context(format!("all of {} is evacuated", self.service)),
-            NoMember::Resting(left) => self.all_at_rest(left),
+            NoMember::BackingOff(left) => self.all_backing_off(left),
             NoMember::Cold => Error::new(ErrorKind::Overloaded)
                 .context(format!("all of {} is cold", self.service))
                 .with_retry_after(RETRY_AFTER_COLD),
@@ -332,11 +332,15 @@
         })
     }
 
-    /// The refusal while no upstream wants requests, for this time yet.
-    fn all_at_rest(&self, left: Duration) -> Error {
+    /// The refusal while all upstreams have asked for fewer requests and none
+    /// may get one, for this time yet.
+    fn all_backing_off(&self, left: Duration) -> Error {
         Error::new(ErrorKind::Overloaded)
-            .context(format!("all of {} is at rest", self.service))
-            .with_retry_after(admission::return_after_rest(
+            .context(format!(
+                "all of {} have asked for fewer requests",
+                self.service
+            ))
+            .with_retry_after(admission::return_after_backoff(
                 left,
                 rand::random(),
             ))
@@ -695,9 +699,9 @@
             }
             Outcome::NotRun(reason) => {
                 let now = self.gateway.clock.now();
-                match self.gateway.pool.rest_left(&self.service, now) {
+                match self.gateway.pool.service_backoff(&self.service, now) {
                     Some(left) => {
-                        let error = self.all_at_rest(left).context(reason);
+                        let error = self.all_backing_off(left).context(reason);
                         self.refuse_with(trace, error)
                     }
                     None => self.refuse(trace, ErrorKind::Overloaded, &reason),
--- a/src/gateway/own_words.rs
+++ b/src/gateway/own_words.rs
@@ -10,7 +10,7 @@
     clock::BootInstant,
     event::Event,
     gateway::{Gateway, fields},
-    message::ShortHash,
+    message::{ShortHash, ToldLimit},
     placing::{
         member::Member,
         statement::{OwnNews, Statement},
@@ -47,6 +47,31 @@
         }
     }
 
+    /// Takes in which rate limits another VM has told of.
+    pub(crate) fn hear_limits(
+        &self,
+        from: &str,
+        told: &[ToldLimit],
+        is_near: bool,
+    ) {
+        let now = self.clock.now();
+        for (member, news) in self.pool.hear_limits(told, is_near, now) {
+            let mut details = json!({
+                "upstream": member.entry.life().to_string(),
+                "by": "vm",
+                "told_by": from,
+            });
+            if let OwnNews::Limited(rate) = news {
+                details["per_s"] = rate.per_s().into();
+                // The own data hall is to hear it from this VM.
+                if !is_near {
+                    self.early_beat.wake();
+                }
+            }
+            news.event().record(fields(details));
+        }
+    }
+
     fn note_own_news(&self, member: &Member, news: &OwnNews) {
         let life = member.entry.life().to_string();
         let said = &self.metrics.upstreams_said;
@@ -60,7 +85,15 @@
             OwnNews::Resting(time) => {
                 details["rest_ms"] = (time.as_millis() as u64).into();
             }
-            OwnNews::Unreadable(text) => details["text"] = json!(text),
+            OwnNews::Limited(rate) => {
+                self.early_beat.wake();
+                details["by"] = "answer".into();
+                details["per_s"] = rate.per_s().into();
+            }
+            OwnNews::Unreadable(text) | OwnNews::LimitUnreadable(text) => {
+                details["text"] = json!(text);
+            }
+            OwnNews::Unlimited => details["by"] = "answer".into(),
             OwnNews::Rested => {}
         }
         news.event().record(fields(details));
--- a/src/gateway/own_words/tests.rs
+++ b/src/gateway/own_words/tests.rs
@@ -9,7 +9,7 @@
     gateway::test_fleet::Fleet,
     placing::{
         member::{UpstreamEntry, UpstreamState},
-        statement::Statement,
+        statement::{RateLimit, Statement},
     },
 };
 
@@ -106,3 +106,50 @@
     run_until(&mut fleet, 20_000);
     assert_eq!(told(&fleet), 0);
 }
+
+/// How many VMs know of a limit that holds.
+fn limited(fleet: &Fleet) -> usize {
+    let now = fleet.clock.now();
+    let id = "i-1".parse().unwrap();
+    let members = fleet.vms.iter().filter_map(|vm| vm.pool.member(&id));
+    let limits =
+        members.filter_map(|member| member.upstream.own_word.limit_per_s(now));
+    limits.count()
+}
+
+#[test]
+fn what_one_vm_hears_of_a_limit_and_of_its_end_all_know_soon() {
+    for (halls, vms_of_hall) in [(4, 2), (HALLS, VMS_OF_HALL)] {
+        let mut fleet = Fleet::new(halls, vms_of_hall);
+        for vm in &fleet.vms {
+            vm.pool.set(entry("i-1"), fleet.clock.now());
+        }
+        run_until(&mut fleet, 2_000);
+        let first = fleet.vms[0].clone();
+        let member = first.pool.member(&"i-1".parse().unwrap()).unwrap();
+        let says = |limit| Statement {
+            rate_limit: Some(limit),
+            ..Statement::default()
+        };
+        let named = says(RateLimit::At("1.4".parse().unwrap()));
+        let unlimited = says(RateLimit::Unlimited);
+        // What is said before and after is no news.
+        first.hear(&member, &unlimited, fleet.clock.now());
+        for statement in [&named, &unlimited] {
+            first.hear(&member, statement, fleet.clock.now());
+            fleet.beat_early(0);
+            let told_ms = fleet.passed_ms;
+            run_until(&mut fleet, told_ms + FLEET_MS);
+            let know = limited(&fleet);
+            let all = fleet.vms.len();
+            let expected = if statement == &named { all } else { 0 };
+            assert!(
+                know.abs_diff(expected) as f64
+                    <= all as f64 * (1.0 - OTHERS_LEAST),
+                "{know} of {all} know of a limit"
+            );
+            run_until(&mut fleet, told_ms + FLEET_MS * 2);
+            assert_eq!(limited(&fleet), expected);
+        }
+    }
+}
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -344,7 +344,7 @@
             fields.insert("rest_wanted_ms".into(), rest);
         }
         match &self.rate_limit {
-            None => {}
+            None | Some(RateLimit::Unlimited) => {}
             Some(RateLimit::At(rate)) => {
                 fields.insert("rate_limit_per_s".into(), rate.per_s().into());
             }
--- a/src/message.rs
+++ b/src/message.rs
@@ -23,7 +23,7 @@
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
     placing::health::Verdict,
     rollouts::evidence::{Evidence, HallEvidence},
-    unit::Mbps,
+    unit::{Mbps, RequestRate},
 };
 
 /// The short hash of a name.
@@ -70,6 +70,17 @@
     pub verdict: Verdict,
 }
 
+/// The rate limit that an upstream named, as one VM tells it to the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The life of the upstream.
+    pub upstream: ShortHash,
+    /// The rate; `None` where it named none any more.
+    pub rate: Option<RequestRate>,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u16,
+}
+
 /// What an upstream stated of its load, as one VM tells it to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatedLoad {
@@ -219,6 +230,9 @@
     pub failures: Vec<ToldFailure>,
     /// Lives of upstreams that have said lately that they are leaving.
     pub leaving_upstreams: Vec<ShortHash>,
+    /// Rate limits that upstreams have named lately: to it, for the VMs of its
+    /// data hall; to any VM that it has heard, for those of other halls.
+    pub rate_limits: Vec<ToldLimit>,
     /// What it has seen of the roll-outs that are running, for the VMs of its
     /// data hall.
     pub evidence: Vec<Evidence>,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -172,7 +172,7 @@
             upstreams_said: r.counters(
                 "lupinseam_upstreams_said_total",
                 "What upstreams have said of themselves in answers, when it \
-                 was news: leaving, resting, rested, unreadable.",
+                 was news: leaving, resting, rested, unreadable, limited, unlimited, limit_unreadable.",
                 &["what"],
             ),
             upstreams_ended: r.counter(
--- a/src/placing/admission.rs
+++ b/src/placing/admission.rs
@@ -59,10 +59,10 @@
 const RETURN_FROM: f64 = 0.5;
 const RETURN_SPREAD: f64 = 1.0;
 
-/// Part of a rest over which the callers spread that come back after it, and
-/// the least time that this takes.
-const REST_SPREAD_PART: f64 = 0.2;
-const REST_SPREAD_LEAST: Duration = Duration::from_millis(100);
+/// Part of the time for which upstreams are to get no request over which the
+/// callers spread that come back after it, and the least time that this takes.
+const BACKOFF_SPREAD_PART: f64 = 0.2;
+const BACKOFF_SPREAD_LEAST: Duration = Duration::from_millis(100);
 
 /// How long the requests of each service take an upstream that has a free
 /// slot for them.
@@ -110,10 +110,10 @@
 }
 
 /// When a caller should come back that was turned away because every upstream
-/// is at rest: once the first takes requests again, `draw` (0 to 1) spreading
-/// those who were told together.
-pub(crate) fn return_after_rest(left: Duration, draw: f64) -> Duration {
-    let spread = left.mul_f64(REST_SPREAD_PART).max(REST_SPREAD_LEAST);
+/// has asked for fewer requests: once the first may get one, `draw` (0 to 1)
+/// spreading those who were told together.
+pub(crate) fn return_after_backoff(left: Duration, draw: f64) -> Duration {
+    let spread = left.mul_f64(BACKOFF_SPREAD_PART).max(BACKOFF_SPREAD_LEAST);
     left + spread.mul_f64(draw)
 }
 
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -9,7 +9,8 @@
 //! * [`admission`]: how long the line at an upstream may be.
 //! * [`cascade`]: which model answers.
 //! * [`retry_window`]: how many further attempts are left.
-//! * [`warm_up`]: what an upstream gets while it is cold.
+//! * [`warm_up`]: what an upstream gets while it is cold; [`rate_limit`]: what
+//!   it gets while it names a limit; [`owners`]: which VMs share that.
 //! * [`health`], [`hall_way`]: whether an upstream, or the way to a data hall,
 //!   is fit for requests.
 //! * [`upstream`]: the load of one upstream.
@@ -20,7 +21,9 @@
 pub mod health;
 pub mod member;
 pub mod own_word;
+pub(crate) mod owners;
 pub mod pool;
+pub(crate) mod rate_limit;
 pub mod retry_window;
 pub(crate) mod seen;
 pub mod statement;
--- a/src/placing/own_word.rs
+++ b/src/placing/own_word.rs
@@ -2,7 +2,8 @@
 //!
 //! Its record in the platform's store comes later, lapses and is read again;
 //! none of that takes back what the upstream itself has said. It leaves until
-//! it ends, and wants rest until the rest is over.
+//! it ends, wants rest until the rest is over, and keeps its rate limit until
+//! it names none.
 
 use std::{
     collections::HashMap,
@@ -16,7 +17,11 @@
 use crate::{
     clock::BootInstant,
     message::ShortHash,
-    placing::statement::{OwnNews, Rest},
+    placing::{
+        rate_limit::{LimitChange, LimitState},
+        statement::{OwnNews, RateLimit, Rest, Statement},
+    },
+    unit::RequestRate,
 };
 
 /// Longest rest that is kept; one who asks for more is tried again by then.
@@ -49,6 +54,9 @@
     rest: Mutex<Option<Resting>>,
     /// Whether it has asked for rest by a text that is no time.
     was_unreadable: AtomicBool,
+    pub(super) limit: LimitState,
+    /// Whether it has named a rate limit by a text that is no rate.
+    was_limit_unreadable: AtomicBool,
 }
 
 /// A rest that is not known to be over.
@@ -78,12 +86,70 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Takes in what it says in its answer to what was sent at `sent_at`;
+    /// returns what is news.
+    ///
+    /// `draw`, from 0 to 1, spreads what the VMs that were told in one moment
+    /// do next.
+    pub fn take(
+        &self,
+        statement: &Statement,
+        draw: f64,
+        sent_at: BootInstant,
+        now: BootInstant,
+    ) -> Vec<OwnNews> {
+        let is_news = statement.is_leaving && self.note_leaving();
+        let leaving = is_news.then_some(OwnNews::Leaving);
+        let rest = self.take_rest(statement.rest.as_ref(), draw, sent_at, now);
+        let limit = statement.rate_limit.as_ref();
+        let limit = limit.and_then(|limit| self.take_limit(limit, draw, now));
+        [leaving, rest, limit].into_iter().flatten().collect()
+    }
+
+    fn take_limit(
+        &self,
+        limit: &RateLimit,
+        draw: f64,
+        now: BootInstant,
+    ) -> Option<OwnNews> {
+        match limit {
+            RateLimit::Unlimited => self.note_limit(None, now, draw, now),
+            RateLimit::At(rate) => {
+                self.note_limit(Some(*rate), now, draw, now)
+            }
+            RateLimit::Unreadable(text) => {
+                let was = &self.was_limit_unreadable;
+                let is_news = !was.swap(true, Ordering::Relaxed);
+                is_news.then(|| OwnNews::LimitUnreadable(text.clone()))
+            }
+        }
+    }
+
+    /// Takes in the rate limit that it named at a time, or that it named none;
+    /// returns what is news.
+    pub(super) fn note_limit(
+        &self,
+        rate: Option<RequestRate>,
+        stated_at: BootInstant,
+        draw: f64,
+        now: BootInstant,
+    ) -> Option<OwnNews> {
+        let change = self.limit.take(rate, stated_at, draw, now)?;
+        Some(match change {
+            LimitChange::Begun(rate) => OwnNews::Limited(rate),
+            LimitChange::Ended => OwnNews::Unlimited,
+        })
+    }
+
+    /// The rate that it takes from all VMs together, in requests a second, if
+    /// it has a limit.
+    pub fn limit_per_s(&self, now: BootInstant) -> Option<f64> {
+        self.limit.per_s(now)
+    }
+
     /// Takes in the rest that it asks for in its answer to what was sent at
     /// `sent_at`, or that it asks for none; returns what is news.
-    ///
-    /// `draw`, from 0 to 1, spreads the return of the VMs that were told in
-    /// one moment.
-    pub fn take_rest(
+    pub(super) fn take_rest(
         &self,
         rest: Option<&Rest>,
         draw: f64,
@@ -140,6 +206,7 @@
     /// whether it takes any, since what was held back would otherwise come all
     /// at once.
     pub fn note_sent(&self, now: BootInstant) {
+        self.limit.note_sent(now);
         if !self.has_rest.load(Ordering::Relaxed) {
             return;
         }
@@ -165,7 +232,9 @@
 
     /// Whether anything of it still holds.
     pub fn holds(&self, now: BootInstant) -> bool {
-        self.is_leaving() || !self.rest_left(now).is_zero()
+        self.is_leaving()
+            || !self.rest_left(now).is_zero()
+            || self.limit_per_s(now).is_some()
     }
 }
 
@@ -201,10 +270,15 @@
         self.0.remove(&life).map(|kept| kept.word).unwrap_or_default()
     }
 
-    /// Notes that a life is leaving of which another VM has told.
-    pub(super) fn note_leaving(&mut self, life: ShortHash, now: BootInstant) {
+    /// Notes what another VM has told of a life.
+    pub(super) fn note(
+        &mut self,
+        life: ShortHash,
+        now: BootInstant,
+        note: impl FnOnce(&OwnWord),
+    ) {
         let word = self.take(life);
-        word.note_leaving();
+        note(&word);
         self.keep(life, word, now);
     }
 }
--- /dev/null
+++ b/src/placing/owners/tests.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+fn hall(name: &str) -> DataHallId {
+    name.parse().unwrap()
+}
+
+/// So many VMs in each of three data halls.
+fn roster(vms_of_hall: usize) -> Roster {
+    let mut roster = Roster::default();
+    for at in 0..vms_of_hall * 3 {
+        let name = ["a", "b", "c"][at % 3];
+        roster.add(&format!("vm-{at}"), &hall(name));
+    }
+    roster
+}
+
+fn owners(roster: &Roster, upstream: u32, most: usize) -> Vec<&str> {
+    let names = roster.0.keys().map(String::as_str);
+    let is_owner = |vm: &&str| {
+        let upstream = ShortHash(upstream);
+        roster.owners(vm, upstream, &hall("a"), most).is_some()
+    };
+    names.filter(is_owner).collect()
+}
+
+#[test]
+fn those_of_the_hall_come_first_and_others_make_up_the_number() {
+    let roster = roster(4);
+    for upstream in 0..100 {
+        for most in [1, 3, 4, 6, 12, 40] {
+            let owners = owners(&roster, upstream, most);
+            assert_eq!(owners.len(), most.min(12));
+            let in_hall = |vm: &&&str| roster.0[**vm].data_hall == hall("a");
+            assert_eq!(owners.iter().filter(in_hall).count(), most.min(4));
+        }
+    }
+}
+
+/// A rate that changes moves few requests to other VMs.
+#[test]
+fn fewer_owners_are_among_more() {
+    let roster = roster(7);
+    for upstream in 0..100 {
+        let more = owners(&roster, upstream, 9);
+        let fewer = owners(&roster, upstream, 5);
+        assert!(fewer.iter().all(|vm| more.contains(vm)));
+    }
+}
+
+#[test]
+fn one_that_is_not_recorded_owns_nothing() {
+    let mut roster = roster(2);
+    let (upstream, hall) = (ShortHash(7), hall("a"));
+    assert_eq!(roster.owners("vm-new", upstream, &hall, 99), None);
+    assert_eq!(roster.owners("vm-0", upstream, &hall, 99), Some(6));
+    assert_eq!(roster.owners_in_hall("vm-0", upstream, &hall, 99), Some(2));
+    assert_eq!(roster.owners_in_hall("vm-1", upstream, &hall, 99), None);
+    roster.remove("vm-0");
+    assert_eq!(roster.owners("vm-0", upstream, &hall, 99), None);
+}
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -24,8 +24,10 @@
             Member, Succession, UpstreamEntry, UpstreamState, VANISHED_GRACE,
         },
         own_word::UnlistedWords,
+        owners::Roster,
+        rate_limit,
         seen::SeenLately,
-        warm_up::{Roster, WarmUp, WarmUpSlack},
+        warm_up::{self, WarmUp, WarmUpSlack},
     },
     rendezvous,
 };
@@ -122,8 +124,9 @@
     Unknown,
     /// All are in data halls whose upstreams are to get no requests.
     Evacuated,
-    /// All have asked this VM for rest, the first of them for this time yet.
-    Resting(Duration),
+    /// All have asked for fewer requests, and the first of them may get one
+    /// after this time.
+    BackingOff(Duration),
     /// All are cold, and have as many requests as they bear.
     Cold,
     /// All are full.
@@ -324,9 +327,7 @@
 
     /// Notes that the store records a VM.
     pub fn add_vm(&self, vm: &str, hall: &DataHallId) {
-        if *hall == self.data_hall {
-            self.roster.write().expect("roster lock").add(vm);
-        }
+        self.roster.write().expect("roster lock").add(vm, hall);
     }
 
     /// Notes that the store no longer records a VM.
@@ -341,15 +342,28 @@
         warm_up: WarmUp,
         now: BootInstant,
     ) -> bool {
-        if member.entry.data_hall != self.data_hall {
-            return false;
-        }
         let roster = self.roster.read().expect("roster lock");
-        let short = member.upstream.short;
-        let part = roster.part(&self.vm, short, warm_up, self.slack);
+        let (short, hall) = (member.upstream.short, &member.entry.data_hall);
+        let most = warm_up.most(self.slack);
+        let part = warm_up::part(&roster, &self.vm, short, hall, most);
         member.sent_cold.lock().expect("sent lock").has_room(part, now)
     }
 
+    /// How long an upstream is to get no request of this VM, by what it has
+    /// asked for; zero if it may have one.
+    pub fn backoff(&self, member: &Member, now: BootInstant) -> Duration {
+        member.rest_left(now).max(self.limit_wait(member, now))
+    }
+
+    fn limit_wait(&self, member: &Member, now: BootInstant) -> Duration {
+        let limit = &member.upstream.own_word.limit;
+        let Some(per_s) = limit.per_s(now) else { return Duration::ZERO };
+        let roster = self.roster.read().expect("roster lock");
+        let (short, hall) = (member.upstream.short, &member.entry.data_hall);
+        let most = rate_limit::owners_most(per_s);
+        limit.wait(roster.owners(&self.vm, short, hall, most), now)
+    }
+
     fn way(&self, hall: &DataHallId) -> Arc<HallWay> {
         let mut ways = self.ways.lock().expect("ways lock");
         ways.entry(hall.clone()).or_default().clone()
@@ -468,7 +482,8 @@
         if open.is_empty() {
             return Err(NoMember::Evacuated);
         }
-        let open = without_resting(open, now).map_err(NoMember::Resting)?;
+        let open =
+            self.without_backoff(open, now).map_err(NoMember::BackingOff)?;
         let open = self.without_cold(open, service, now);
         if open.is_empty() {
             return Err(NoMember::Cold);
@@ -495,14 +510,14 @@
         let evacuated = self.evacuated.read().expect("halls lock");
         all.into_iter().flatten().any(|member| {
             is_open(member, tried, now)
-                && member.rest_left(now).is_zero()
+                && self.backoff(member, now).is_zero()
                 && !evacuated.contains(&member.entry.data_hall)
         })
     }
 
-    /// The time until the first upstream of a service that takes requests
-    /// wants some of this VM again, if all of them are at rest.
-    pub fn rest_left(
+    /// The time until the first upstream of a service may get a request, if
+    /// all of them have asked for fewer.
+    pub fn service_backoff(
         &self,
         service: &ServiceId,
         now: BootInstant,
@@ -510,7 +525,30 @@
         let members = self.read();
         let all = members.by_service.get(service)?.iter();
         let taking = all.filter(|m| m.takes_requests(now)).collect();
-        without_resting(self.without_evacuated(taking), now).err()
+        self.without_backoff(self.without_evacuated(taking), now).err()
+    }
+
+    /// Leaves out the upstreams that are to get no request now; the time that
+    /// the first of them has left if none else is there.
+    fn without_backoff<'a>(
+        &self,
+        open: Vec<&'a Arc<Member>>,
+        now: BootInstant,
+    ) -> Result<Vec<&'a Arc<Member>>, Duration> {
+        let mut free = Vec::with_capacity(open.len());
+        let mut soonest: Option<Duration> = None;
+        for member in open {
+            let left = self.backoff(member, now);
+            if left.is_zero() {
+                free.push(member);
+            } else {
+                soonest = Some(soonest.map_or(left, |least| least.min(left)));
+            }
+        }
+        match soonest {
+            Some(left) if free.is_empty() => Err(left),
+            _ => Ok(free),
+        }
     }
 
     /// Leaves out the upstreams of data halls that are evacuated.
@@ -658,24 +696,6 @@
     member.takes_requests(now) && !tried.contains(&member.upstream.short)
 }
 
-/// Leaves out the upstreams that are at rest; the time that the first of them
-/// has left if none else is there.
-fn without_resting(
-    open: Vec<&Arc<Member>>,
-    now: BootInstant,
-) -> Result<Vec<&Arc<Member>>, Duration> {
-    let is_awake = |m: &&Arc<Member>| m.rest_left(now).is_zero();
-    let awake: Vec<&Arc<Member>> =
-        open.iter().copied().filter(is_awake).collect();
-    match awake.is_empty() {
-        true => match open.iter().map(|m| m.rest_left(now)).min() {
-            Some(left) => Err(left),
-            None => Ok(awake),
-        },
-        false => Ok(awake),
-    }
-}
-
 /// Keeps the upstreams whose software may answer.
 fn by_rule<'a>(
     open: Vec<&'a Arc<Member>>,
--- a/src/placing/pool/statement_tests.rs
+++ b/src/placing/pool/statement_tests.rs
@@ -128,16 +128,17 @@
     let pool = pool(&[entry("i-1", "a", "v1"), entry("i-2", "a", "v1")], now);
     let service = "writers".parse().unwrap();
     says(&pool, "i-1", rests(SECOND * 8), now);
-    assert_eq!(pool.rest_left(&service, now), None, "one is awake");
+    assert_eq!(pool.service_backoff(&service, now), None, "one is awake");
     says(&pool, "i-2", rests(SECOND * 2), now);
-    let NoMember::Resting(left) = refused(&pool, &Want::default(), now) else {
+    let NoMember::BackingOff(left) = refused(&pool, &Want::default(), now)
+    else {
         panic!("the reason is their rest");
     };
     assert!(left >= SECOND * 2 && left < SECOND * 3, "{left:?}");
-    assert_eq!(pool.rest_left(&service, now), Some(left));
+    assert_eq!(pool.service_backoff(&service, now), Some(left));
     // Those that leave or were asked already are not waited for.
     says(&pool, "i-2", leaves(), now);
-    assert!(pool.rest_left(&service, now) >= Some(SECOND * 8));
+    assert!(pool.service_backoff(&service, now) >= Some(SECOND * 8));
     let tried = [ShortHash::of("i-1")];
     let want = Want { tried: &tried, ..Want::default() };
     assert_eq!(refused(&pool, &want, now), NoMember::Unknown);
--- a/src/placing/pool/told.rs
+++ b/src/placing/pool/told.rs
@@ -9,11 +9,12 @@
 use crate::{
     clock::BootInstant,
     id::UpstreamId,
-    message::{ShortHash, StatedLoad, ToldFailure, Work},
+    message::{ShortHash, StatedLoad, ToldFailure, ToldLimit, Work},
     placing::{
         health::Verdict,
         member::{LoadReport, Member},
-        statement::{OwnNews, Statement},
+        seen::Audience,
+        statement::{OwnNews, RateLimit, Statement},
     },
 };
 
@@ -27,22 +28,82 @@
         sent_at: BootInstant,
         now: BootInstant,
     ) -> Vec<OwnNews> {
-        let mut news = Vec::new();
+        let life = member.upstream.short;
+        let was_leaving = member.upstream.is_leaving();
         let word = &member.upstream.own_word;
-        if statement.is_leaving && !member.upstream.is_leaving() {
-            news.push(OwnNews::Leaving);
-        }
-        if statement.is_leaving && word.note_leaving() {
-            self.tell_leaving(member.upstream.short, now);
+        let mut news = word.take(statement, rand::random(), sent_at, now);
+        if news.contains(&OwnNews::Leaving) {
+            self.tell_leaving(life, now);
         }
-        let rest = statement.rest.as_ref();
-        news.extend(word.take_rest(rest, rand::random(), sent_at, now));
+        // Its record or another VM may have said so before.
+        news.retain(|one| *one != OwnNews::Leaving || !was_leaving);
+        self.tell_limit(life, statement, &news, now);
         if let Some(load) = statement.load {
             self.note_load(member, load, now);
         }
         news
     }
 
+    /// Has the other VMs told of a rate limit, each time that it is named and
+    /// when it has ended.
+    fn tell_limit(
+        &self,
+        life: ShortHash,
+        statement: &Statement,
+        news: &[OwnNews],
+        now: BootInstant,
+    ) {
+        let rate = statement.rate_limit.as_ref().and_then(RateLimit::rate);
+        if rate.is_some() || news.contains(&OwnNews::Unlimited) {
+            let mut seen = self.seen.lock().expect("seen lock");
+            seen.note_limit(life, rate, now, Audience::All, now);
+        }
+    }
+
+    /// The rate limits that the other VMs are to hear of: those of the own
+    /// data hall, or of the others.
+    pub(crate) fn take_limits(
+        &self,
+        is_near: bool,
+        now: BootInstant,
+    ) -> Vec<ToldLimit> {
+        self.seen.lock().expect("seen lock").take_limits(is_near, now)
+    }
+
+    /// Takes in which rate limits another VM has told of, and tells them on;
+    /// returns what is news.
+    pub(crate) fn hear_limits(
+        &self,
+        told: &[ToldLimit],
+        is_near: bool,
+        now: BootInstant,
+    ) -> Vec<(Arc<Member>, OwnNews)> {
+        let members = self.read();
+        let mut news = Vec::new();
+        for one in told {
+            let age = Duration::from_millis(one.age_ms.into());
+            let Some(at) = now.checked_sub(age) else { continue };
+            let Some(member) = members.by_short.get(&one.upstream) else {
+                let mut unlisted = self.unlisted.lock().expect("words lock");
+                unlisted.note(one.upstream, now, |word| {
+                    word.note_limit(one.rate, at, rand::random(), now);
+                });
+                continue;
+            };
+            let word = &member.upstream.own_word;
+            let change = word.note_limit(one.rate, at, rand::random(), now);
+            // The whole of a VM's own hall has been told with it.
+            let audience = match change.is_some() && !is_near {
+                true => Audience::All,
+                false => Audience::OtherHalls,
+            };
+            let mut seen = self.seen.lock().expect("seen lock");
+            seen.note_limit(one.upstream, one.rate, at, audience, now);
+            news.extend(change.map(|change| (member.clone(), change)));
+        }
+        news
+    }
+
     fn tell_leaving(&self, life: ShortHash, now: BootInstant) {
         self.seen.lock().expect("seen lock").note_leaving(life, now);
     }
@@ -64,7 +125,9 @@
         for life in told {
             let Some(member) = members.by_short.get(life) else {
                 let mut unlisted = self.unlisted.lock().expect("words lock");
-                unlisted.note_leaving(*life, now);
+                unlisted.note(*life, now, |word| {
+                    word.note_leaving();
+                });
                 continue;
             };
             let was_leaving = member.upstream.is_leaving();
--- /dev/null
+++ b/src/placing/rate_limit/tests.rs
@@ -0,0 +1,171 @@
+//! One upstream's limit, as one VM and as many keep to it.
+
+use proptest::prelude::*;
+
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The span over which operators count, and what they allow in it beyond the
+/// rate.
+const WINDOW: Duration = Duration::from_secs(4);
+const FACTOR: f64 = 1.5;
+const TOLERANCE: f64 = 5.0;
+
+fn rate(text: &str) -> Option<RequestRate> {
+    Some(text.parse().unwrap())
+}
+
+/// What the owners send that each have a request at all times.
+fn sent_by_owners(
+    rate: RequestRate,
+    vms: usize,
+    draws: &[f64],
+) -> Vec<Duration> {
+    let start = BootInstant::now();
+    let owners = owners_most(rate.per_s()).min(vms);
+    let mut sent = Vec::new();
+    for number in 0..owners {
+        let limit = LimitState::default();
+        limit.take(Some(rate), start, draws[number % draws.len()], start);
+        let mut passed = Duration::ZERO;
+        while passed < SECOND * 20 {
+            let now = start + passed;
+            let wait = limit.wait(Some(owners), now);
+            passed += wait;
+            if wait.is_zero() {
+                limit.note_sent(now);
+                sent.push(passed);
+            }
+        }
+    }
+    sent.sort();
+    sent
+}
+
+fn most_in_window(sent: &[Duration]) -> usize {
+    let windows = sent.iter().enumerate().map(|(at, from)| {
+        let within = sent[at..].iter().take_while(|s| **s < *from + WINDOW);
+        within.count()
+    });
+    windows.max().unwrap_or(0)
+}
+
+proptest! {
+    /// Whenever the owners begin, and although each has saved up a request.
+    #[test]
+    fn owners_together_stay_within_the_bound(
+        milli_per_s in 0_u32..50_000,
+        vms in 1_usize..300,
+        draws in prop::collection::vec(0.0..=1.0_f64, 1..8),
+    ) {
+        let per_s = f64::from(milli_per_s) / 1000.0;
+        let rate: RequestRate = per_s.to_string().parse().unwrap();
+        let sent = sent_by_owners(rate, vms, &draws);
+        let allowed = per_s * WINDOW.as_secs_f64() * FACTOR + TOLERANCE;
+        let most = most_in_window(&sent);
+        prop_assert!(most as f64 <= allowed, "{} of {}", most, allowed);
+        // And most of what is named is used, after the first gap.
+        let from = Duration::from_secs(10);
+        let used = sent.iter().filter(|at| **at >= from).count() as f64;
+        let least = (per_s * 0.8 - 0.3) * 10.0;
+        prop_assert!(used >= least, "{} of {}", used, least);
+    }
+
+    /// Whatever upstreams name, in whatever order the VMs hear of it.
+    #[test]
+    fn no_sequence_of_words_fails(
+        words in prop::collection::vec(
+            (any::<u16>(), any::<u16>(), prop::option::of("[0-9]{1,5}")),
+            0..40,
+        ),
+    ) {
+        let start = BootInstant::now();
+        let limit = LimitState::default();
+        let mut now = start;
+        for (passed_ms, age_ms, text) in words {
+            now += Duration::from_millis(passed_ms.into());
+            let age = Duration::from_millis(age_ms.into());
+            let stated_at = now.checked_sub(age).unwrap_or(now);
+            let rate = text.map(|text| text.parse().unwrap());
+            limit.take(rate, stated_at, 0.5, now);
+            let per_s = limit.per_s(now);
+            prop_assert!(per_s.is_none_or(|per_s| per_s > 0.0));
+            limit.note_sent(now);
+            if per_s.is_some() {
+                prop_assert!(!limit.wait(None, now).is_zero());
+            }
+        }
+    }
+}
+
+#[test]
+fn the_newest_word_counts() {
+    let now = BootInstant::now();
+    let limit = LimitState::default();
+    let begun = limit.take(rate("2"), now, 0.0, now);
+    assert_eq!(begun, Some(LimitChange::Begun("2".parse().unwrap())));
+    // What another VM was told before.
+    let before = now.checked_sub(SECOND).unwrap();
+    assert_eq!(limit.take(None, before, 0.0, now), None);
+    assert_eq!(limit.per_s(now), Some(2.0));
+    assert_eq!(limit.take(rate("3"), now + SECOND, 0.0, now + SECOND), None);
+    assert_eq!(limit.per_s(now + SECOND), Some(3.0));
+    let later = now + SECOND * 2;
+    let ended = limit.take(None, later, 0.0, later);
+    assert_eq!(ended, Some(LimitChange::Ended));
+    assert_eq!(limit.take(rate("3"), now + SECOND, 0.0, later), None);
+}
+
+/// What is empty by then would be the first choice of every VM at once.
+#[test]
+fn the_rate_rises_once_the_limit_has_ended() {
+    let now = BootInstant::now();
+    let limit = LimitState::default();
+    limit.take(rate("1"), now, 0.0, now);
+    let ended = now + SECOND;
+    limit.take(None, ended, 0.0, ended);
+    assert_eq!(limit.per_s(ended), Some(1.0));
+    assert_eq!(limit.per_s(ended + SECOND), Some(4.0));
+    // Answers without a limit begin nothing anew.
+    let later = ended + SECOND * 2;
+    assert_eq!(limit.take(None, later, 0.0, later), None);
+    assert_eq!(limit.per_s(later), Some(16.0));
+    assert_eq!(limit.per_s(ended + RISE_TIME), None);
+    // In need again.
+    let later = ended + RISE_TIME;
+    assert!(limit.take(rate("1"), later, 0.0, later).is_some());
+    assert_eq!(limit.per_s(later), Some(1.0));
+}
+
+#[test]
+fn a_limit_that_nobody_is_told_again_is_forgotten() {
+    let now = BootInstant::now();
+    let limit = LimitState::default();
+    limit.take(rate("1"), now, 0.0, now);
+    assert!(limit.per_s(now + BELIEVED_FOR - SECOND).is_some());
+    assert_eq!(limit.per_s(now + BELIEVED_FOR), None);
+}
+
+/// Whether it takes requests again shows in its answers only.
+#[test]
+fn an_upstream_that_names_zero_is_still_asked_now_and_then() {
+    let now = BootInstant::now();
+    for text in ["0", "1e-9"] {
+        let limit = LimitState::default();
+        limit.take(rate(text), now, 1.0, now);
+        let gap = SECOND * 30;
+        assert!(!limit.wait(Some(3), now + gap - SECOND).is_zero());
+        assert!(limit.wait(Some(3), now + gap).is_zero());
+    }
+}
+
+#[test]
+fn callers_are_told_when_the_next_request_of_any_owner_is_due() {
+    let now = BootInstant::now();
+    let limit = LimitState::default();
+    limit.take(rate("0.5"), now, 1.0, now);
+    assert_eq!(limit.wait(None, now), SECOND * 2);
+    assert_eq!(limit.wait(Some(4), now), SECOND * 2);
+    assert_eq!(limit.wait(Some(4), now + SECOND * 7), SECOND);
+}
--- a/src/placing/seen.rs
+++ b/src/placing/seen.rs
@@ -5,8 +5,9 @@
 
 use crate::{
     clock::BootInstant,
-    message::{ShortHash, StatedLoad, ToldFailure},
+    message::{ShortHash, StatedLoad, ToldFailure, ToldLimit},
     placing::{health::Verdict, member::LoadReport},
+    unit::RequestRate,
 };
 
 /// Loads stated by upstreams that one beat tells; a VM gets few answers
@@ -26,6 +27,34 @@
 /// Lives that leave which one beat tells.
 const LEAVING_MOST: usize = 64;
 
+/// Time for which the VMs of the own data hall are told of a rate limit after
+/// it was named: two beats, as a datagram may get lost.
+const LIMIT_TOLD_NEAR: Duration = Duration::from_millis(1200);
+
+/// The same for other data halls, of which each beat reaches few VMs.
+const LIMIT_TOLD_FAR: Duration = Duration::from_secs(10);
+
+/// Rate limits that one beat tells, the newest first.
+const LIMITS_MOST: usize = 64;
+
+/// Who is to be told something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// All VMs.
+    All,
+    /// The VMs of other data halls.
+    OtherHalls,
+}
+
+/// What an upstream said of its rate limit.
+#[derive(Clone, Copy, Debug)]
+struct SeenLimit {
+    rate: Option<RequestRate>,
+    stated_at: BootInstant,
+    /// When the own data hall was first to be told of it, if it is.
+    near_from: Option<BootInstant>,
+}
+
 /// What is to be told of upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct SeenLately {
@@ -37,6 +66,8 @@
     told_at: HashMap<ShortHash, BootInstant>,
     /// Lives that are leaving, and when that was heard.
     leaving: HashMap<ShortHash, BootInstant>,
+    /// The rate limits that were named last.
+    limits: HashMap<ShortHash, SeenLimit>,
     /// When an upstream last answered this VM.
     answered_at: Option<BootInstant>,
 }
@@ -85,6 +116,50 @@
         self.leaving.keys().copied().take(LEAVING_MOST).collect()
     }
 
+    /// Notes which rate limit, or that none, was named at a time.
+    pub(crate) fn note_limit(
+        &mut self,
+        life: ShortHash,
+        rate: Option<RequestRate>,
+        stated_at: BootInstant,
+        audience: Audience,
+        now: BootInstant,
+    ) {
+        let held = self.limits.get(&life);
+        if held.is_some_and(|held| held.stated_at >= stated_at) {
+            return;
+        }
+        let near_from = (audience == Audience::All).then_some(now);
+        let seen = SeenLimit { rate, stated_at, near_from };
+        self.limits.insert(life, seen);
+    }
+
+    /// The rate limits of which the VMs of the own data hall, or of the
+    /// others, are to hear.
+    pub(crate) fn take_limits(
+        &mut self,
+        is_near: bool,
+        now: BootInstant,
+    ) -> Vec<ToldLimit> {
+        let age = |at: BootInstant| now.saturating_duration_since(at);
+        self.limits.retain(|_, seen| age(seen.stated_at) < LIMIT_TOLD_FAR);
+        let is_told = |seen: &SeenLimit| {
+            let is_new = |at| age(at) < LIMIT_TOLD_NEAR;
+            !is_near || seen.near_from.is_some_and(is_new)
+        };
+        let told = self.limits.iter().filter(|(_, seen)| is_told(seen));
+        let told = told.map(|(upstream, seen)| ToldLimit {
+            upstream: *upstream,
+            rate: seen.rate,
+            age_ms: u16::try_from(age(seen.stated_at).as_millis())
+                .unwrap_or(u16::MAX),
+        });
+        let mut told: Vec<ToldLimit> = told.collect();
+        told.sort_by_key(|limit| limit.age_ms);
+        told.truncate(LIMITS_MOST);
+        told
+    }
+
     /// Takes what upstreams have stated since this was last asked.
     pub(crate) fn take_stated(&mut self, now: BootInstant) -> Vec<StatedLoad> {
         let bounded = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
--- a/src/placing/statement.rs
+++ b/src/placing/statement.rs
@@ -23,7 +23,8 @@
     pub is_leaving: bool,
     /// The rest that it asks this VM for, if any.
     pub rest: Option<Rest>,
-    /// The rate that it names for requests of all VMs together, if any.
+    /// What it says of the requests of all VMs together; `None` where it
+    /// leaves that open.
     pub rate_limit: Option<RateLimit>,
     /// The load that it reports.
     pub load: Option<LoadReport>,
@@ -70,7 +71,9 @@
 /// How many requests an upstream takes from all VMs together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RateLimit {
-    /// At this rate.
+    /// Any.
+    Unlimited,
+    /// Those at this rate.
     At(RequestRate),
     /// It says something that is no rate.
     Unreadable(String),
@@ -78,13 +81,20 @@
 
 impl RateLimit {
     /// Reads it from the values of a header: of several rates, the lowest.
+    ///
+    /// Without any, an answer to a request that ran there says that there is
+    /// no limit. One that came in its place, or that turns a request away,
+    /// leaves it open.
     pub fn read<'a>(
         values: impl IntoIterator<Item = &'a HeaderValue>,
+        ran: bool,
     ) -> Option<RateLimit> {
         let limits = values.into_iter().map(|value| {
             RateLimit::parse(&String::from_utf8_lossy(value.as_bytes()))
         });
-        limits.min_by_key(|limit| (limit.rate().is_none(), limit.rate()))
+        limits
+            .min_by_key(|limit| (limit.rate().is_none(), limit.rate()))
+            .or_else(|| ran.then_some(RateLimit::Unlimited))
     }
 
     fn parse(text: &str) -> RateLimit {
@@ -95,11 +105,11 @@
         )
     }
 
-    /// The rate, as far as that can be read.
+    /// The rate, as far as there is one that can be read.
     pub fn rate(&self) -> Option<RequestRate> {
         match self {
             RateLimit::At(rate) => Some(*rate),
-            RateLimit::Unreadable(_) => None,
+            RateLimit::Unlimited | RateLimit::Unreadable(_) => None,
         }
     }
 }
@@ -119,6 +129,12 @@
     Rested,
     /// It asks for rest by a text that is no time.
     Unreadable(String),
+    /// It takes requests at this rate from all VMs together.
+    Limited(RequestRate),
+    /// It has no rate limit any more.
+    Unlimited,
+    /// It names a rate limit by a text that is no rate.
+    LimitUnreadable(String),
 }
 
 impl OwnNews {
@@ -129,6 +145,9 @@
             OwnNews::Resting(_) => Event::UpstreamRests,
             OwnNews::Rested => Event::UpstreamRested,
             OwnNews::Unreadable(_) => Event::RestUnreadable,
+            OwnNews::Limited(_) => Event::UpstreamLimited,
+            OwnNews::Unlimited => Event::UpstreamUnlimited,
+            OwnNews::LimitUnreadable(_) => Event::LimitUnreadable,
         }
     }
 
@@ -139,6 +158,9 @@
             OwnNews::Resting(_) => "resting",
             OwnNews::Rested => "rested",
             OwnNews::Unreadable(_) => "unreadable",
+            OwnNews::Limited(_) => "limited",
+            OwnNews::Unlimited => "unlimited",
+            OwnNews::LimitUnreadable(_) => "limit_unreadable",
         }
     }
 }
--- a/src/placing/statement/tests.rs
+++ b/src/placing/statement/tests.rs
@@ -6,7 +6,7 @@
 fn limit(values: &[&str]) -> Option<RateLimit> {
     let values: Vec<HeaderValue> =
         values.iter().map(|v| HeaderValue::from_str(v).unwrap()).collect();
-    RateLimit::read(&values)
+    RateLimit::read(&values, false)
 }
 
 #[test]
@@ -14,6 +14,7 @@
     let at = |rate: &str| Some(RateLimit::At(rate.parse().unwrap()));
     assert_eq!(limit(&[]), None);
     assert_eq!(limit(&["1.4"]), at("1.4"));
+    assert_eq!(RateLimit::read([], true), Some(RateLimit::Unlimited));
     assert_eq!(limit(&[" 0 "]), at("0"));
     assert_eq!(limit(&["soon", "3", "1.1", "2"]), at("1.1"));
     for text in ["", "-1", "NaN", "inf", "1, 2", "soon"] {
@@ -81,12 +82,12 @@
             }
             Some(Rest::For(_)) | None => {}
         }
-        match RateLimit::read(headers.get_all(RETRY_AFTER)) {
+        match RateLimit::read(headers.get_all(RETRY_AFTER), false) {
             Some(RateLimit::Unreadable(text)) => {
                 prop_assert!(text.chars().count() <= TEXT_MOST);
             }
             Some(RateLimit::At(rate)) => prop_assert!(rate.per_s() >= 0.0),
-            None => {}
+            Some(RateLimit::Unlimited) | None => {}
         }
     }
 }
--- a/src/placing/warm_up.rs
+++ b/src/placing/warm_up.rs
@@ -12,12 +12,10 @@
 //!
 //! # How the VMs keep to the bound together
 //!
-//! For each upstream, a few VMs of its data hall own it while it is cold,
-//! the first in an order that all find by hashing; the others leave it out.
-//! Owners are chosen among the VMs that the store records, which all know
-//! alike, and not among those that a VM hears, which differ. Each owner has an
-//! equal part of the bound, as if there were one owner more than there are: a
-//! VM that has not yet heard of a new record may take itself for one.
+//! For each upstream, a few VMs of its data hall [own](super::owners) it while
+//! it is cold. Each has an equal part of the bound, as if there were one owner
+//! more than there are: a VM that has not yet heard of a new record may take
+//! itself for one.
 //!
 //! # Why not otherwise
 //!
@@ -26,12 +24,12 @@
 //! once. Permits lent by one VM to the others cost a message and a wait for
 //! each request, and are lost with their lender.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::VecDeque, time::Duration};
 
-use crate::{clock::BootInstant, message::ShortHash, rendezvous};
+use crate::{
+    clock::BootInstant, id::DataHallId, message::ShortHash,
+    placing::owners::Roster,
+};
 
 /// The span over which the requests to a cold upstream are counted.
 const WINDOW: Duration = Duration::from_secs(1);
@@ -61,49 +59,22 @@
 
 impl WarmUp {
     /// Requests that a cold upstream may have within a second, of all VMs.
-    fn most(&self, slack: WarmUpSlack) -> usize {
+    pub(super) fn most(&self, slack: WarmUpSlack) -> usize {
         (self.per_s * slack.overshoot + slack.tolerance) as usize
     }
 }
 
-/// The VMs of this VM's data hall that the store records.
-#[derive(Debug, Default)]
-pub(crate) struct Roster {
-    /// By name; the value is what upstreams are matched with.
-    recorded: BTreeMap<String, u64>,
-}
-
-impl Roster {
-    /// Notes that a VM is recorded.
-    pub(crate) fn add(&mut self, vm: &str) {
-        let hash = rendezvous::short_hash(vm.as_bytes());
-        self.recorded.insert(vm.to_owned(), hash.into());
-    }
-
-    /// Notes that a VM's record is gone.
-    pub(crate) fn remove(&mut self, vm: &str) {
-        self.recorded.remove(vm);
-    }
-
-    /// Requests that `vm` may send within a second to a cold upstream of its
-    /// data hall; none if it does not own it.
-    pub(crate) fn part(
-        &self,
-        vm: &str,
-        upstream: ShortHash,
-        warm_up: WarmUp,
-        slack: WarmUpSlack,
-    ) -> usize {
-        let Some(own) = self.recorded.get(vm) else { return 0 };
-        let weight = |vm: u64| rendezvous::mix(u64::from(upstream.0), vm);
-        let own = weight(*own);
-        let before = self.recorded.values().filter(|vm| weight(**vm) > own);
-        if before.count() >= OWNERS {
-            return 0;
-        }
-        let owners = self.recorded.len().min(OWNERS);
-        warm_up.most(slack) / (owners + 1)
-    }
+/// Requests that a VM may send within a second to a cold upstream of `hall`;
+/// none if it does not own it.
+pub(crate) fn part(
+    roster: &Roster,
+    vm: &str,
+    upstream: ShortHash,
+    hall: &DataHallId,
+    most: usize,
+) -> usize {
+    let owners = roster.owners_in_hall(vm, upstream, hall, OWNERS);
+    owners.map_or(0, |owners| most / (owners + 1))
 }
 
 /// What this VM has sent to one upstream within the last second.
--- a/src/placing/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -14,10 +14,14 @@
 
 const WARM_UP: WarmUp = WarmUp { time: Duration::from_secs(3), per_s: 8.8 };
 
+fn own_hall() -> DataHallId {
+    "a".parse().unwrap()
+}
+
 fn roster(vms: &[String]) -> Roster {
     let mut roster = Roster::default();
     for vm in vms {
-        roster.add(vm);
+        roster.add(vm, &own_hall());
     }
     roster
 }
@@ -33,7 +37,13 @@
         let roster = roster(&vms);
         for upstream in 0..200 {
             let part = |vm: &String| {
-                roster.part(vm, ShortHash(upstream), WARM_UP, SLACK)
+                super::part(
+                    &roster,
+                    vm,
+                    ShortHash(upstream),
+                    &own_hall(),
+                    WARM_UP.most(SLACK),
+                )
             };
             let parts: Vec<usize> = vms.iter().map(part).collect();
             assert!(parts.iter().sum::<usize>() <= 18);
@@ -47,7 +57,13 @@
 fn a_vm_that_is_not_recorded_owns_nothing() {
     let vms = names(5);
     let roster = roster(&vms);
-    let part = roster.part("vm-new", ShortHash(7), WARM_UP, SLACK);
+    let part = super::part(
+        &roster,
+        "vm-new",
+        ShortHash(7),
+        &own_hall(),
+        WARM_UP.most(SLACK),
+    );
     assert_eq!(part, 0);
 }
 
@@ -67,7 +83,13 @@
                 _ if n == 7 => &newest,
                 _ => &new,
             };
-            knows.part(vm, ShortHash(upstream), WARM_UP, SLACK)
+            part(
+                knows,
+                vm,
+                ShortHash(upstream),
+                &own_hall(),
+                WARM_UP.most(SLACK),
+            )
         });
         assert!(parts.sum::<usize>() <= 18, "upstream {upstream}");
     }
