A version to avoid does not get what the other one's upstreams back off from

While a version is on trial, a request that is to avoid it went there when all upstreams of the old version had asked for fewer requests: whatever backs off left the choice before the version was looked at, and 'none is usable' let the one on trial have everything. With a rest or a rate limit at each upstream of the old version, a bad one would have got all requests in place of its share.

Found by reading while the rate limits were built; rests did the same. The version to avoid now leaves the choice before what is open only for now; one that is merely preferred is still given up rather than a request. The test failed before: the one on trial was picked, for a rest and for a limit, where a refusal with the time of return is due.

--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -482,20 +482,25 @@
         if open.is_empty() {
             return Err(NoMember::Evacuated);
         }
+        // Before what is open only for now: a version on trial gets its share
+        // also while the others can take no more.
+        let open = without_avoided(open, &want.rule);
+        if open.is_empty() {
+            return Err(NoMember::Unknown);
+        }
         let open =
             self.without_backoff(open, now).map_err(NoMember::BackingOff)?;
         let open = self.without_cold(open, service, now);
         if open.is_empty() {
             return Err(NoMember::Cold);
         }
-        let open = by_rule(open, &want.rule);
+        let open = preferred(open, &want.rule);
         let is_sound = |member: &&Arc<Member>| {
             member.health.is_sound(now) && !self.is_cut_off(member, now)
         };
         let sound: Vec<&Arc<Member>> =
             open.iter().copied().filter(is_sound).collect();
-        let open = if sound.is_empty() { open } else { sound };
-        if open.is_empty() { Err(NoMember::Unknown) } else { Ok(open) }
+        Ok(if sound.is_empty() { open } else { sound })
     }
 
     /// Whether an upstream whose life is not among `tried` may take a request.
@@ -696,26 +701,42 @@
     member.takes_requests(now) && !tried.contains(&member.upstream.short)
 }
 
-/// Keeps the upstreams whose software may answer.
-fn by_rule<'a>(
+/// Leaves out the upstreams whose software is to be avoided.
+fn without_avoided<'a>(
     open: Vec<&'a Arc<Member>>,
     rule: &VersionRule,
 ) -> Vec<&'a Arc<Member>> {
-    let with = |version: &VersionId, wanted: bool| {
-        let is_kept = |member: &&Arc<Member>| {
-            (member.entry.software == *version) == wanted
-        };
-        open.iter().copied().filter(is_kept).collect::<Vec<_>>()
-    };
-    let (kept, or_else_all) = match rule {
-        VersionRule::Any => return open,
-        VersionRule::Prefer(version) => (with(version, true), true),
-        VersionRule::Avoid(version) => (with(version, false), true),
-        VersionRule::Never(version) => (with(version, false), false),
+    let (VersionRule::Avoid(version) | VersionRule::Never(version)) = rule
+    else {
+        return open;
     };
+    let kept = of_version(&open, version, false);
+    let or_else_all = matches!(rule, VersionRule::Avoid(_));
     if kept.is_empty() && or_else_all { open } else { kept }
 }
 
+/// Keeps the upstreams whose software is preferred, if there are any.
+fn preferred<'a>(
+    open: Vec<&'a Arc<Member>>,
+    rule: &VersionRule,
+) -> Vec<&'a Arc<Member>> {
+    let VersionRule::Prefer(version) = rule else { return open };
+    let kept = of_version(&open, version, true);
+    if kept.is_empty() { open } else { kept }
+}
+
+/// The upstreams that run a version, or those that don't.
+fn of_version<'a>(
+    open: &[&'a Arc<Member>],
+    version: &VersionId,
+    is_wanted: bool,
+) -> Vec<&'a Arc<Member>> {
+    let is_kept = |member: &&Arc<Member>| {
+        (member.entry.software == *version) == is_wanted
+    };
+    open.iter().copied().filter(is_kept).collect()
+}
+
 mod told;
 
 #[cfg(test)]
--- a/src/placing/pool/statement_tests.rs
+++ b/src/placing/pool/statement_tests.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     id::StartMs,
-    placing::statement::{OwnNews, Rest, Statement},
+    placing::statement::{OwnNews, RateLimit, Rest, Statement},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -173,3 +173,32 @@
     assert_eq!(open(&pool, now), ["i-2"]);
     assert_eq!(open(&pool, now + SECOND * 900), ["i-1", "i-2"]);
 }
+
+/// Guards against a version on trial that gets every request while the
+/// upstreams of the other one have asked for fewer.
+#[test]
+fn a_version_to_avoid_does_not_get_what_the_others_back_off_from() {
+    let now = BootInstant::now();
+    let limited = Statement {
+        rate_limit: Some(RateLimit::At("1".parse().unwrap())),
+        ..Statement::default()
+    };
+    for statement in [rests(SECOND * 3), limited] {
+        let entries = [entry("i-1", "a", "v1"), entry("i-2", "a", "v2")];
+        let pool = pool(&entries, now);
+        let rules = |version: &str| {
+            let version: VersionId = version.parse().unwrap();
+            [VersionRule::Avoid(version.clone()), VersionRule::Never(version)]
+        };
+        says(&pool, "i-1", statement, now);
+        for rule in rules("v2") {
+            let want = Want { rule, ..Want::default() };
+            let no_member = refused(&pool, &want, now);
+            assert!(matches!(no_member, NoMember::BackingOff(_)));
+        }
+        // One that is only preferred is not worth a refusal.
+        let rule = VersionRule::Prefer("v1".parse().unwrap());
+        let want = Want { rule, ..Want::default() };
+        assert_eq!(picks(&pool, &want, now), ["i-2"]);
+    }
+}
