The own interface keeps to rate limits that upstreams name

`lupinseam-rate-limit` in an answer names the rate. The same owners keep to it, found among the entry VMs that the platform lists as live, and the data hall is told at once, by the notice that told of leaving so far.

--- a/src/chat_face/choose.rs
+++ b/src/chat_face/choose.rs
@@ -500,8 +500,8 @@
     remote: Vec<&'a UpstreamFacts>,
     leaving: u32,
     broken: u32,
-    resting: u32,
-    /// When the first of those at rest may get a request.
+    backing_off: u32,
+    /// When the first of those may get a request that have asked for fewer.
     soonest: Duration,
     not_loaded: u32,
 }
@@ -513,7 +513,7 @@
             remote: Vec::new(),
             leaving: 0,
             broken: 0,
-            resting: 0,
+            backing_off: 0,
             soonest: Duration::MAX,
             not_loaded: 0,
         };
@@ -522,9 +522,9 @@
                 sorted.leaving += 1;
             } else if one.broken || wish.tried.contains(&one.id) {
                 sorted.broken += 1;
-            } else if !one.rest_left.is_zero() {
-                sorted.resting += 1;
-                sorted.soonest = sorted.soonest.min(one.rest_left);
+            } else if !one.backoff.is_zero() {
+                sorted.backing_off += 1;
+                sorted.soonest = sorted.soonest.min(one.backoff);
             } else if !has_loaded(one, wish.version) {
                 sorted.not_loaded += 1;
             } else if one.local {
@@ -539,11 +539,11 @@
     /// Why there is no upstream, and when there may be one.
     fn nobody(&self, known: usize, seed: u64) -> Error {
         let error = Error::new(ErrorKind::NoUpstream).context(format!(
-            "of {known} replicas {} are leaving, {} failing, {} at rest, {} \
-             without the version",
-            self.leaving, self.broken, self.resting, self.not_loaded
+            "of {known} replicas {} are leaving, {} failing, {} have asked \
+             for fewer requests, {} without the version",
+            self.leaving, self.broken, self.backing_off, self.not_loaded
         ));
-        if self.resting == 0 {
+        if self.backing_off == 0 {
             return error;
         }
         let draw = ChaCha8Rng::seed_from_u64(seed).random();
--- a/src/chat_face/dispatch.rs
+++ b/src/chat_face/dispatch.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use hyper::{HeaderMap, Method};
+use hyper::Method;
 use serde_json::Value;
 
 use crate::{
@@ -24,7 +24,6 @@
         choose::{Step, UpstreamWish, pick_upstream},
         decision::{Attempt, AttemptEnd, UpstreamChoice, Verdict},
         estimate::{evidence_key, version_hash},
-        gossip::{Gossiper, log_leaving},
         rating::{self, RatingRequest},
         relay,
         request::{Admitted, Core, Outcome, Planned, Request, ServiceCall},
@@ -40,10 +39,7 @@
     },
     id::UpstreamId,
     message::ShortHash,
-    placing::{
-        statement::{OwnNews, Rest, Statement},
-        upstream::{BreakerChange, InFlight, Upstream},
-    },
+    placing::upstream::{BreakerChange, InFlight, Upstream},
     task::{self, within},
     unit::{MicroCost, Share},
 };
@@ -55,13 +51,10 @@
 const LEARN_SHARE: f64 = 0.1;
 
 /// The status by which an upstream says that it did not take a request.
-const STATUS_UNAVAILABLE: u16 = 503;
-
-/// The header by which an upstream says that it is leaving, with the value 1.
-const LEAVING: &str = "lupinseam-leaving";
+pub(super) const STATUS_UNAVAILABLE: u16 = 503;
 
 /// The status by which an engine says that the version is not loaded.
-const STATUS_NOT_LOADED: u16 = 409;
+pub(super) const STATUS_NOT_LOADED: u16 = 409;
 
 /// A call of a plain service, as it is passed on.
 #[derive(Clone, Debug)]
@@ -87,7 +80,7 @@
 pub(crate) struct Chosen {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) choice: UpstreamChoice,
-    chosen_at: BootInstant,
+    pub(super) chosen_at: BootInstant,
     _in_flight: InFlight,
 }
 
@@ -625,9 +618,8 @@
     ) -> Result<Chosen, Error> {
         let vm = &self.vm;
         let now = vm.clock.now();
-        let hall = vm.view.data_hall();
         let facts: Vec<_> =
-            upstreams.iter().map(|u| u.facts(hall, now)).collect();
+            upstreams.iter().map(|u| vm.view.facts(u, now)).collect();
         let picked = pick_upstream(&facts, wish, rand::random());
         let choice = match picked {
             Ok(choice) => choice,
@@ -702,30 +694,6 @@
         result
     }
 
-    /// Takes in what an upstream says of itself in an answer.
-    fn hear(&self, chosen: &Chosen, status: u16, headers: &HeaderMap) {
-        let upstream = &chosen.upstream;
-        let statement = Statement {
-            is_leaving: headers.get(LEAVING).is_some_and(|v| v == "1"),
-            rest: Rest::read(status, headers),
-            ..Statement::default()
-        };
-        let (draw, now) = (rand::random(), self.vm.clock.now());
-        let word = &upstream.own_word;
-        for news in word.take(&statement, draw, chosen.chosen_at, now) {
-            if news == OwnNews::Leaving {
-                log_leaving(upstream, "by its own answer");
-                let (vm, short) = (self.vm.clone(), upstream.short);
-                task::spawn(async move {
-                    Gossiper::notify_leaving(&vm, short).await;
-                })
-                .detach();
-                continue;
-            }
-            news.event().log(format_args!("upstream {}", upstream.record.id));
-        }
-    }
-
     /// Sends an attempt and waits for the whole answer.
     pub(crate) async fn ask_whole(
         &self,
--- a/src/chat_face/gossip.rs
+++ b/src/chat_face/gossip.rs
@@ -23,7 +23,7 @@
     event::Event,
     frame::{DATAGRAM_LIMIT_BYTES, FrameFault},
     id::VmId,
-    message::{Beat, Datagram, Gossip, ShortHash},
+    message::{Beat, Datagram, Gossip, Notice, ShortHash},
     placing::upstream::Upstream,
     task,
 };
@@ -83,14 +83,15 @@
         let _ = self.socket.send_to(&frame, to).await;
     }
 
-    /// Tells the hall that an upstream is leaving.
-    pub(crate) async fn notify_leaving(vm: &Arc<Vm>, upstream: ShortHash) {
+    /// Tells the hall what an upstream has said of itself.
+    pub(crate) async fn notify(vm: &Arc<Vm>, mut notice: Notice) {
         for attempt in 0..2 {
             if attempt > 0 {
                 task::sleep(NOTICE_REPEAT).await;
+                notice = notice.after(NOTICE_REPEAT);
             }
             for peer in vm.view.live_hall_peers() {
-                let datagram = Datagram::Leaving(upstream);
+                let datagram = Datagram::Notice(notice);
                 vm.gossiper.send(vm, peer.address, &datagram).await;
             }
         }
@@ -195,7 +196,17 @@
     let now = vm.clock.now();
     match datagram {
         Datagram::Gossip(gossip) => take_gossip(vm, &gossip, now).await,
-        Datagram::Leaving(short) => {
+        Datagram::Notice(notice) => take_notice(vm, notice, now),
+        Datagram::Report { vm: from, tallies } => {
+            let mut own = vm.tallies.lock().expect("tallies lock");
+            own.report(ShortHash::of(from.as_str()), &tallies, now);
+        }
+    }
+}
+
+fn take_notice(vm: &Vm, notice: Notice, now: BootInstant) {
+    match notice {
+        Notice::Leaving(short) => {
             let found = vm.view.upstream_by_short(short);
             if let Some(upstream) = found
                 && upstream.mark_leaving()
@@ -203,9 +214,20 @@
                 log_leaving(&upstream, "told by another VM");
             }
         }
-        Datagram::Report { vm: from, tallies } => {
-            let mut own = vm.tallies.lock().expect("tallies lock");
-            own.report(ShortHash::of(from.as_str()), &tallies, now);
+        Notice::RateLimit(told) => {
+            let age = Duration::from_millis(told.age_ms.into());
+            let found = vm.view.upstream_by_short(told.upstream);
+            let (Some(upstream), Some(at)) = (found, now.checked_sub(age))
+            else {
+                return;
+            };
+            let word = &upstream.own_word;
+            let draw = rand::random();
+            if let Some(news) = word.note_limit(told.rate, at, draw, now) {
+                let id = &upstream.record.id;
+                let event = news.event();
+                event.log(format_args!("upstream {id}, told by another VM"));
+            }
         }
     }
 }
--- a/src/chat_face/mod.rs
+++ b/src/chat_face/mod.rs
@@ -23,6 +23,7 @@
 pub mod server;
 pub mod session;
 pub(crate) mod silent;
+pub(crate) mod statement;
 pub(crate) mod steward;
 pub mod tally;
 pub mod template;
--- a/src/chat_face/operators.rs
+++ b/src/chat_face/operators.rs
@@ -381,7 +381,7 @@
         all.sort_by(|a, b| a.record.id.cmp(&b.record.id));
         all.iter()
             .map(|upstream| {
-                let facts = upstream.facts(view.data_hall(), now);
+                let facts = view.facts(upstream, now);
                 json!({
                     "upstream": facts.id,
                     "data_hall": upstream.record.data_hall,
--- a/src/chat_face/view.rs
+++ b/src/chat_face/view.rs
@@ -22,7 +22,10 @@
     event::Event,
     id::{DataHallId, Incarnation, ModelId, ServiceId, UpstreamId, VmId},
     message::{Beat, LoadEntry, ShortHash},
-    placing::upstream::{Serves, Upstream},
+    placing::{
+        owners::Roster,
+        upstream::{Serves, Upstream, UpstreamFacts},
+    },
     rendezvous,
     settings::PeerSettings,
 };
@@ -85,6 +88,8 @@
     data_hall: DataHallId,
     upstreams: RwLock<Arc<Upstreams>>,
     peers: RwLock<Arc<Vec<Peer>>>,
+    /// The entry VMs that may own a rate limit, this one included.
+    roster: RwLock<Roster>,
     members: Mutex<Membership>,
     listed_at: Mutex<Option<BootInstant>>,
 }
@@ -106,6 +111,7 @@
             data_hall,
             upstreams: RwLock::default(),
             peers: RwLock::default(),
+            roster: RwLock::default(),
             members: Mutex::new(members),
             listed_at: Mutex::new(None),
         }
@@ -155,10 +161,25 @@
             Arc::new(Upstreams::new(all));
         *self.peers.write().expect("view lock") =
             Arc::new(self.listed_peers(list));
+        *self.roster.write().expect("view lock") = listed_roster(list);
         *self.listed_at.lock().expect("view lock") = Some(now);
         newly_leaving
     }
 
+    /// What the choice needs to know of an upstream.
+    pub fn facts(
+        &self,
+        upstream: &Upstream,
+        now: BootInstant,
+    ) -> UpstreamFacts {
+        let facts = upstream.facts(&self.data_hall, now);
+        let (vm, hall) = (self.vm.as_str(), &upstream.record.data_hall);
+        let word = &upstream.own_word;
+        let limit =
+            word.limit_wait(&self.roster, vm, upstream.short, hall, now);
+        UpstreamFacts { backoff: facts.backoff.max(limit), ..facts }
+    }
+
     /// Notes that the list was read and had not changed.
     pub fn list_unchanged(&self, now: BootInstant) {
         *self.listed_at.lock().expect("view lock") = Some(now);
@@ -369,6 +390,17 @@
     }
 }
 
+/// The entry VMs that the platform lists and that take requests.
+fn listed_roster(list: &[ListedVm]) -> Roster {
+    let mut roster = Roster::default();
+    for listed in list.iter().filter(|one| one.state == ListedState::Live) {
+        if let ListedRole::Entry { vm } = &listed.role {
+            roster.add(vm.as_str(), &listed.data_hall);
+        }
+    }
+    roster
+}
+
 fn load_entry(
     upstream: &Upstream,
     oldest: Duration,
--- a/src/chat_face/vm.rs
+++ b/src/chat_face/vm.rs
@@ -264,9 +264,8 @@
         model: &ModelId,
         now: BootInstant,
     ) -> Vec<UpstreamFacts> {
-        let hall = self.view.data_hall();
         let upstreams = self.view.model_upstreams(model);
-        upstreams.iter().map(|upstream| upstream.facts(hall, now)).collect()
+        upstreams.iter().map(|one| self.view.facts(one, now)).collect()
     }
 
     /// Lets waiting requests through where there is room.
--- a/src/message.rs
+++ b/src/message.rs
@@ -4,7 +4,7 @@
 //! their names, to keep within the byte budget of control traffic. A hash
 //! that the receiver cannot resolve is skipped.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -162,13 +162,37 @@
     pub tallies: Vec<TallyEntry>,
 }
 
+/// What a VM has heard from an upstream that its data hall is to know at once.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Notice {
+    /// It is leaving.
+    Leaving(ShortHash),
+    /// It has begun to name a rate limit, or names none any more.
+    RateLimit(ToldLimit),
+}
+
+impl Notice {
+    /// The same, told again some time later.
+    pub(crate) fn after(self, time: Duration) -> Notice {
+        match self {
+            Notice::Leaving(_) => self,
+            Notice::RateLimit(told) => {
+                let later_ms = u16::try_from(time.as_millis());
+                let later_ms = later_ms.unwrap_or(u16::MAX);
+                let age_ms = told.age_ms.saturating_add(later_ms);
+                Notice::RateLimit(ToldLimit { age_ms, ..told })
+            }
+        }
+    }
+}
+
 /// A message that may be lost.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// A gossip round.
     Gossip(Gossip),
-    /// An upstream was seen leaving.
-    Leaving(ShortHash),
+    /// An upstream has said something of itself.
+    Notice(Notice),
     /// One VM's own sums, for the VM that adds up its data hall.
     Report {
         /// The sender.
--- a/src/placing/own_word.rs
+++ b/src/placing/own_word.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, RwLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -16,9 +16,11 @@
 
 use crate::{
     clock::BootInstant,
+    id::DataHallId,
     message::ShortHash,
     placing::{
-        rate_limit::{LimitChange, LimitState},
+        owners::Roster,
+        rate_limit::{self, LimitChange, LimitState},
         statement::{OwnNews, RateLimit, Rest, Statement},
     },
     unit::RequestRate,
@@ -54,7 +56,7 @@
     rest: Mutex<Option<Resting>>,
     /// Whether it has asked for rest by a text that is no time.
     was_unreadable: AtomicBool,
-    pub(super) limit: LimitState,
+    limit: LimitState,
     /// Whether it has named a rate limit by a text that is no rate.
     was_limit_unreadable: AtomicBool,
 }
@@ -127,7 +129,7 @@
 
     /// Takes in the rate limit that it named at a time, or that it named none;
     /// returns what is news.
-    pub(super) fn note_limit(
+    pub(crate) fn note_limit(
         &self,
         rate: Option<RequestRate>,
         stated_at: BootInstant,
@@ -141,6 +143,23 @@
         })
     }
 
+    /// How long `vm` is to send no request to it, the upstream of this hash
+    /// and data hall, because of its rate limit; zero if it may send one.
+    pub(crate) fn limit_wait(
+        &self,
+        roster: &RwLock<Roster>,
+        vm: &str,
+        upstream: ShortHash,
+        hall: &DataHallId,
+        now: BootInstant,
+    ) -> Duration {
+        let Some(per_s) = self.limit.per_s(now) else { return Duration::ZERO };
+        let most = rate_limit::owners_most(per_s);
+        let roster = roster.read().expect("roster lock");
+        let owners = roster.owners(vm, upstream, hall, most);
+        self.limit.wait(owners, now)
+    }
+
     /// The rate that it takes from all VMs together, in requests a second, if
     /// it has a limit.
     pub fn limit_per_s(&self, now: BootInstant) -> Option<f64> {
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -25,7 +25,6 @@
         },
         own_word::UnlistedWords,
         owners::Roster,
-        rate_limit,
         seen::SeenLately,
         warm_up::{self, WarmUp, WarmUpSlack},
     },
@@ -356,12 +355,9 @@
     }
 
     fn limit_wait(&self, member: &Member, now: BootInstant) -> Duration {
-        let limit = &member.upstream.own_word.limit;
-        let Some(per_s) = limit.per_s(now) else { return Duration::ZERO };
-        let roster = self.roster.read().expect("roster lock");
         let (short, hall) = (member.upstream.short, &member.entry.data_hall);
-        let most = rate_limit::owners_most(per_s);
-        limit.wait(roster.owners(&self.vm, short, hall, most), now)
+        let word = &member.upstream.own_word;
+        word.limit_wait(&self.roster, &self.vm, short, hall, now)
     }
 
     fn way(&self, hall: &DataHallId) -> Arc<HallWay> {
--- a/src/placing/upstream.rs
+++ b/src/placing/upstream.rs
@@ -126,8 +126,8 @@
     pub leaving: bool,
     /// Whether its breaker holds requests back.
     pub broken: bool,
-    /// How long it is to get no request, as it has asked for.
-    pub rest_left: Duration,
+    /// How long it is to get no request of this VM, as it has asked for.
+    pub backoff: Duration,
     /// Requests that it probably holds, own ones corrected.
     pub requests: f64,
     /// Slots, reduced while it is new.
@@ -141,7 +141,7 @@
 impl UpstreamFacts {
     /// Whether it may get a request now.
     pub fn is_open(&self) -> bool {
-        !self.leaving && !self.broken && self.rest_left.is_zero()
+        !self.leaving && !self.broken && self.backoff.is_zero()
     }
 }
 
@@ -302,7 +302,7 @@
             local: self.record.data_hall == *own_hall,
             leaving: self.is_leaving(),
             broken: self.is_broken(now),
-            rest_left: self.own_word.rest_left(now),
+            backoff: self.own_word.rest_left(now),
             requests,
             slots: f64::from(self.record.slots) * self.warmth(now),
             load_age: load.map(|load| now.saturating_duration_since(load.at)),
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -448,7 +448,7 @@
             local: true,
             leaving: n % 50 == 0,
             broken: n % 70 == 0,
-            rest_left: Duration::ZERO,
+            backoff: Duration::ZERO,
             requests: f64::from(n % 13),
             slots: 16.0,
             load_age: Some(Duration::from_millis(300)),
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -48,6 +48,9 @@
     pub rest_s: u32,
     /// Says in each answer that it leaves, and nowhere else.
     pub says_leaving: bool,
+    /// Names in each answer that it takes so many requests a second from all
+    /// VMs together; zero for no limit.
+    pub rate_limit_per_s: u32,
 }
 
 struct State {
@@ -128,6 +131,11 @@
         if faults.says_leaving {
             conn.response_headers_mut().insert("lupinseam-leaving", "1");
         }
+        if faults.rate_limit_per_s > 0 {
+            let rate = faults.rate_limit_per_s.to_string();
+            let headers = conn.response_headers_mut();
+            headers.insert("lupinseam-rate-limit", rate);
+        }
         if faults.rest_s > 0 {
             self.turned_away.fetch_add(1, Ordering::Relaxed);
             let rest = faults.rest_s.to_string();
--- a/standins/tests/upstreams.rs
+++ b/standins/tests/upstreams.rs
@@ -141,6 +141,45 @@
     });
 }
 
+/// Guards against each VM that keeps to a limit alone.
+#[test]
+fn an_upstream_that_names_a_rate_gets_no_more_from_all_vms_together() {
+    const RATE_PER_S: u32 = 2;
+    const WINDOW_MS: u64 = 4_000;
+    const CONTACT_MS: u64 = 3_000;
+    const ALLOWED: u64 = RATE_PER_S as u64 * WINDOW_MS / 1000 * 3 / 2 + 5;
+    run(async {
+        let fleet = start(2, |plan| plan).await;
+        let needy = "signatures-hall-a";
+        let faults = ServiceFaults {
+            rate_limit_per_s: RATE_PER_S,
+            ..Default::default()
+        };
+        fleet.set_upstream_faults(needy, &faults).await.unwrap();
+        let begun = web::unix_ms();
+        let mut nonce = 0;
+        let mut runs = Vec::new();
+        while web::unix_ms() < begun + CONTACT_MS + 2 * WINDOW_MS {
+            for vm in fleet.vms.keys() {
+                nonce += 1;
+                let call = ask(&fleet, vm, &once(nonce, None)).await;
+                assert!(call.is_whole(), "the other one serves: {call:?}");
+            }
+            let [run, _] = counts(&fleet, needy).await;
+            runs.push((web::unix_ms() - begun, run));
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        let kept = runs.iter().filter(|(at, _)| *at >= CONTACT_MS);
+        for (from, before) in kept {
+            let within =
+                runs.iter().take_while(|(at, _)| *at <= from + WINDOW_MS);
+            let after = within.last().map_or(0, |(_, run)| *run);
+            let came = after - before;
+            assert!(came <= ALLOWED, "{came} calls in four seconds");
+        }
+    });
+}
+
 #[test]
 fn a_withdrawn_version_gets_no_new_work_even_with_the_store_out() {
     run(async {
