--- a/src/gateway/limit_replay.rs
+++ b/src/gateway/limit_replay.rs
@@ -34,6 +34,10 @@
 const LIMITED_TO_MS: u64 = 14_000;
 const LENGTH_MS: u64 = 20_000;
 
+/// When VMs start again, and from when to when a data hall is cut off.
+const RESTARTS_MS: [u64; 2] = [6_000, 9_000];
+const CUT_OFF_MS: std::ops::Range<u64> = 4_000..11_000;
+
 /// Time after which all VMs are to keep to a limit, as operators state it.
 const CONTACT_MS: u64 = 3_000;
 
@@ -68,6 +72,16 @@
     upstreams: usize,
     limited: Limited,
     per_s: f64,
+    trouble: Option<Trouble>,
+}
+
+/// What goes wrong while the limits hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    /// A third of the VMs start again, and then another third.
+    Restarts,
+    /// No beat reaches or leaves a data hall.
+    HallCutOff,
 }
 
 /// What came of it.
@@ -112,19 +126,8 @@
 
 impl Replay {
     fn new(case: Case) -> Replay {
-        let fleet = Fleet::new(case.halls, case.vms_of_hall);
-        let now = fleet.clock.now();
-        for vm in &fleet.vms {
-            for other in 0..fleet.vms.len() {
-                let hall = fleet.hall_name(other).parse().unwrap();
-                vm.pool.add_vm(&format!("vm-{other}"), &hall);
-            }
-            for upstream in 0..case.upstreams {
-                vm.pool.set(entry(upstream, case.halls), now);
-            }
-        }
-        Replay {
-            fleet,
+        let replay = Replay {
+            fleet: Fleet::new(case.halls, case.vms_of_hall),
             rng: StdRng::seed_from_u64(7),
             working: VecDeque::new(),
             told_at_ms: HashMap::new(),
@@ -132,9 +135,52 @@
             asked: 0,
             refused: 0,
             case,
+        };
+        for number in 0..replay.fleet.vms.len() {
+            replay.learn_from_store(number);
+        }
+        replay
+    }
+
+    /// Has a VM know all records.
+    fn learn_from_store(&self, number: usize) {
+        let (fleet, pool) = (&self.fleet, &self.fleet.vms[number].pool);
+        for other in 0..fleet.vms.len() {
+            let hall = fleet.hall_name(other).parse().unwrap();
+            pool.add_vm(&format!("vm-{other}"), &hall);
+        }
+        for upstream in 0..self.case.upstreams {
+            let entry = entry(upstream, self.case.halls);
+            pool.set(entry, fleet.clock.now());
         }
     }
 
+    fn make_trouble(&mut self) {
+        let passed_ms = self.fleet.passed_ms;
+        match self.case.trouble {
+            None => {}
+            Some(Trouble::HallCutOff) => {
+                let is_cut = CUT_OFF_MS.contains(&passed_ms);
+                self.fleet.cut_off = is_cut.then_some(0);
+            }
+            Some(Trouble::Restarts) => {
+                let at = RESTARTS_MS.iter().position(|at| *at == passed_ms);
+                let Some(third) = at else { return };
+                for number in (third..self.fleet.vms.len()).step_by(3) {
+                    self.restart(number);
+                }
+            }
+        }
+    }
+
+    /// Starts a VM again, which counts as told by nobody.
+    fn restart(&mut self, number: usize) {
+        self.fleet.restart(number);
+        self.learn_from_store(number);
+        self.told_at_ms.retain(|(vm, _), _| *vm != number);
+        self.working.retain(|work| work.vm != number);
+    }
+
     fn is_limited(&self, upstream: usize) -> bool {
         match self.case.limited {
             Limited::One => upstream == 0,
@@ -153,6 +199,7 @@
         let mut due = 0.0;
         while self.fleet.passed_ms < LENGTH_MS {
             self.fleet.step();
+            self.make_trouble();
             self.answer();
             let rate = PER_UPSTREAM_S * self.case.upstreams as f64;
             due += rate * STEP_MS as f64 / 1000.0;
@@ -320,6 +367,7 @@
     upstreams: 12,
     limited: Limited::One,
     per_s: 1.1,
+    trouble: None,
 };
 
 const MEDIUM: Case = Case { vms_of_hall: 21, upstreams: 40, ..SMALL };
@@ -346,6 +394,16 @@
     is_kept(Case { limited: Limited::All, ..LARGE });
 }
 
+#[test]
+fn limits_are_kept_while_vms_start_again_and_while_a_hall_is_cut_off() {
+    for trouble in [Trouble::Restarts, Trouble::HallCutOff] {
+        for fleet in [SMALL, MEDIUM] {
+            let trouble = Some(trouble);
+            is_kept(Case { limited: Limited::All, trouble, ..fleet });
+        }
+    }
+}
+
 #[test]
 #[ignore = "prints the table of the design page; takes minutes"]
 fn table() {
--- a/src/gateway/test_fleet.rs
+++ b/src/gateway/test_fleet.rs
@@ -57,6 +57,8 @@
     beat_at_ms: HashMap<usize, u64>,
     /// VMs that are to send the next ones soon.
     early: BTreeSet<usize>,
+    /// A data hall whose beats reach no other, and that hears none.
+    pub(crate) cut_off: Option<usize>,
     vms_of_hall: usize,
 }
 
@@ -75,32 +77,48 @@
             by_address: HashMap::new(),
             beat_at_ms: HashMap::new(),
             early: BTreeSet::new(),
+            cut_off: None,
             vms_of_hall,
         };
-        for vm in 0..halls * vms_of_hall {
-            let settings = SETTINGS
-                .replace("id = vm-0", &format!("id = vm-{vm}"))
-                .replace("hall-a", &fleet.hall_name(vm))
-                .replace("127.0.0.1:3", &address(vm).to_string());
-            let settings = GatewaySettings::from_ini(&settings).unwrap();
-            let clock = fleet.clock.clone();
-            fleet.vms.push(Gateway::new(settings, clock));
-            fleet.by_address.insert(address(vm), vm);
-        }
-        for (number, vm) in fleet.vms.iter().enumerate() {
-            for other in (0..fleet.vms.len()).filter(|other| *other != number)
-            {
-                let record = PeerRecord {
-                    peers: address(other),
-                    data_hall: fleet.hall_name(other).parse().unwrap(),
-                    link_mbps: Mbps(20),
-                };
-                vm.peers.learn(&format!("vm-{other}"), &record);
-            }
-        }
+        let count = halls * vms_of_hall;
+        fleet.vms = (0..count).map(|vm| fleet.start(vm, count)).collect();
+        let addresses = (0..count).map(|vm| (address(vm), vm));
+        fleet.by_address = addresses.collect();
         fleet
     }
 
+    /// Starts a VM that knows of all of so many.
+    fn start(&self, number: usize, count: usize) -> Arc<Gateway> {
+        let settings = SETTINGS
+            .replace("id = vm-0", &format!("id = vm-{number}"))
+            .replace("hall-a", &self.hall_name(number))
+            .replace("127.0.0.1:3", &address(number).to_string());
+        let settings = GatewaySettings::from_ini(&settings).unwrap();
+        let vm = Gateway::new(settings, self.clock.clone());
+        for other in (0..count).filter(|other| *other != number) {
+            let record = PeerRecord {
+                peers: address(other),
+                data_hall: self.hall_name(other).parse().unwrap(),
+                link_mbps: Mbps(20),
+            };
+            vm.peers.learn(&format!("vm-{other}"), &record);
+        }
+        vm
+    }
+
+    /// Ends a VM and starts it again, with nothing of what it knew but the
+    /// others.
+    pub(crate) fn restart(&mut self, number: usize) {
+        self.vms[number] = self.start(number, self.vms.len());
+    }
+
+    /// Whether what one VM sends reaches another.
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let halls = [from, to].map(|vm| vm / self.vms_of_hall);
+        let is_cut = |hall: &usize| Some(*hall) == self.cut_off;
+        halls[0] == halls[1] || !halls.iter().any(is_cut)
+    }
+
     /// The name of the data hall that a VM stands in.
     pub(crate) fn hall_name(&self, vm: usize) -> String {
         format!("hall-{}", vm / self.vms_of_hall)
@@ -134,8 +152,10 @@
         self.early.remove(&number);
         let mut round = Round::new(&self.vms[number]);
         while let Some((address, beat)) = round.next_beat() {
-            let receiver = &self.vms[self.by_address[&address]];
-            mesh::hear(receiver, beat);
+            let receiver = self.by_address[&address];
+            if self.reaches(number, receiver) {
+                mesh::hear(&self.vms[receiver], beat);
+            }
         }
     }
 }
