--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -9,7 +9,7 @@
 use super::{
     deadly,
     evidence::{Call, Change, Evidence, Kind, Order, Run, Scope},
-    own_words,
+    own_words, rate_limits,
     upstreams::UNREADABLE,
 };
 
@@ -91,6 +91,8 @@
     RestKept,
     /// An upstream that says in an answer that it leaves gets nothing new.
     LeavingHeard,
+    /// An upstream that names a rate gets no more from all VMs together.
+    LimitKept,
     /// No request is held back for what another did.
     OthersTaken,
     /// A planned stop cuts no request.
@@ -134,6 +136,7 @@
         deadly::stopped,
         deadly::others_taken,
         own_words::heeded,
+        rate_limits::kept,
         planned_stops,
         recovery,
     ];
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -5,7 +5,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{deadly, own_words::Said};
+use super::{
+    deadly,
+    own_words::Said,
+    rate_limits::{LimitSaid, NamedLimit},
+};
 
 /// Trouble at a VM or the store excuses it for this long afterwards; the
 /// platform's `contact_ms`.
@@ -171,6 +175,10 @@
     pub declined: Vec<Run>,
     /// What upstreams have said of themselves.
     pub said: Vec<Said>,
+    /// Rate limits that upstreams had.
+    pub limits: Vec<NamedLimit>,
+    /// Answers that named one.
+    pub limits_said: Vec<LimitSaid>,
     /// Changes, with when they were in the store.
     pub changes: Vec<(Duration, Change)>,
     /// Troubles.
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -6,6 +6,7 @@
 //! * [`upstreams`], [`callers`], [`client`]: who stands around the VMs.
 //! * [`deadly`]: requests that crash the upstreams that run them.
 //! * [`own_words`]: what upstreams say of themselves, and who heeds it.
+//! * [`rate_limits`]: rates that upstreams name, and who keeps to them.
 //! * [`evidence`]: what was seen.
 //! * [`check`]: whether that keeps every promise.
 //!
@@ -25,6 +26,7 @@
 pub mod evidence;
 pub mod faults;
 pub mod own_words;
+pub mod rate_limits;
 pub mod upstreams;
 
 mod inject;
@@ -115,6 +117,10 @@
     pub most_ended_by_one: usize,
     /// What was sent against upstreams' own words.
     pub unheeded: Unheeded,
+    /// Rate limits that upstreams have named.
+    pub limits_named: usize,
+    /// The most that came at one upstream beyond what its limit allows.
+    pub sent_past_limit: usize,
     /// What was violated.
     pub violations: Vec<Violation>,
 }
@@ -131,6 +137,8 @@
             "most_ended_by_one": self.most_ended_by_one,
             "sent_into_rest": self.unheeded.sent_into_rest,
             "sent_after_leaving": self.unheeded.sent_after_leaving,
+            "limits_named": self.limits_named,
+            "sent_past_limit": self.sent_past_limit,
             "violations": violations.collect::<Vec<_>>(),
         })
     }
--- a/standins/src/soak/own_words.rs
+++ b/standins/src/soak/own_words.rs
@@ -51,15 +51,15 @@
     life: u64,
 }
 
-struct Seen<'a> {
-    evidence: &'a Evidence,
-    calls: HashMap<&'a str, &'a Call>,
+pub(super) struct Seen<'a> {
+    pub(super) evidence: &'a Evidence,
+    pub(super) calls: HashMap<&'a str, &'a Call>,
     /// Arrivals by their way, with the calls that they belong to.
     arrivals: HashMap<Way<'a>, Vec<(&'a Call, &'a Run)>>,
 }
 
 impl<'a> Seen<'a> {
-    fn new(evidence: &'a Evidence) -> Seen<'a> {
+    pub(super) fn new(evidence: &'a Evidence) -> Seen<'a> {
         let calls = evidence.calls_by_id();
         let mut arrivals: HashMap<_, Vec<_>> = HashMap::new();
         for run in evidence.runs.iter().chain(&evidence.declined) {
@@ -73,7 +73,12 @@
 
     /// Whether a VM may not have heard something, or is excused for that time:
     /// it was frozen, or the ways to upstreams were struck.
-    fn is_excused(&self, vm: usize, from: Duration, to: Duration) -> bool {
+    pub(super) fn is_excused(
+        &self,
+        vm: usize,
+        from: Duration,
+        to: Duration,
+    ) -> bool {
         self.evidence.troubles.iter().any(|trouble| {
             let struck = trouble.what == format!("PauseVm({vm})")
                 || trouble.what.starts_with("UpstreamWay")
--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -11,7 +11,9 @@
 use rand::Rng;
 use serde_json::json;
 
-use super::{deadly::is_deadly, evidence::Run, own_words::Said};
+use super::{
+    deadly::is_deadly, evidence::Run, own_words::Said, rate_limits::LimitSaid,
+};
 use crate::{
     gateway_site::{MODELS, PLAIN, upstream_record},
     http_raw::{RawRequest, answer, chunk},
@@ -93,6 +95,8 @@
     /// Whether it runs a request that crashes it.
     is_hit: Arc<AtomicBool>,
     says_leaving: Arc<AtomicBool>,
+    /// The rate that it names, as it stands in a header.
+    rate_limit: Arc<Mutex<Option<String>>>,
 }
 
 /// The upstream whose entries cannot be read.
@@ -107,6 +111,8 @@
     pub declined: Vec<Run>,
     /// What was said in answers.
     pub said: Vec<Said>,
+    /// Answers that named a rate limit.
+    pub limits_said: Vec<LimitSaid>,
 }
 
 /// Shared by all upstreams.
@@ -148,6 +154,7 @@
         let born = Arc::new(AtomicU64::new(1));
         let is_hit = Arc::new(AtomicBool::new(false));
         let says_leaving = Arc::new(AtomicBool::new(false));
+        let rate_limit = Arc::new(Mutex::new(None));
         let script = Serving {
             id: id.to_owned(),
             software: software.to_owned(),
@@ -157,6 +164,7 @@
             born: born.clone(),
             is_hit: is_hit.clone(),
             says_leaving: says_leaving.clone(),
+            rate_limit: rate_limit.clone(),
         };
         let upstream = Upstream::start(id, script.into_script());
         let way = Proxy::tcp(upstream.address).expect("a port");
@@ -170,9 +178,16 @@
             born,
             is_hit,
             says_leaving,
+            rate_limit,
         }
     }
 
+    /// Names a rate limit in all its answers from now on, or none.
+    pub fn name_limit(&self, per_s: Option<f64>) {
+        let text = per_s.map(|per_s| per_s.to_string());
+        *self.rate_limit.lock().unwrap() = text;
+    }
+
     /// Says in all its answers from now on that it leaves.
     pub fn say_leaving(&self) {
         self.says_leaving.store(true, Ordering::Relaxed);
@@ -245,6 +260,7 @@
     born: Arc<AtomicU64>,
     is_hit: Arc<AtomicBool>,
     says_leaving: Arc<AtomicBool>,
+    rate_limit: Arc<Mutex<Option<String>>>,
 }
 
 impl Serving {
@@ -284,21 +300,26 @@
             return vec![Act::Wait(CRASH_TIME), Act::Close];
         }
         let is_stream = self.serves_streams(request);
-        let mut leaving = Vec::new();
+        let rate_limit = self.rate_limit.lock().unwrap().clone();
+        let mut says = Vec::new();
+        if let Some(rate) = &rate_limit {
+            self.say_limit(request);
+            says.push(("Server-Limit", rate.as_str()));
+        }
         if self.says_leaving.load(Ordering::Relaxed) {
             self.say(request, None);
-            leaving.push(("Server-Leaving", "1"));
+            says.push(("Server-Leaving", "1"));
         }
         match behaviour {
             Behaviour::LosingAnswers => {
                 vec![Act::Wait(WORK_TIME), Act::Close]
             }
             Behaviour::Failing => {
-                let head = stamped(request, &leaving);
+                let head = stamped(request, &says);
                 vec![Act::Wait(WORK_TIME), Act::Send(answer(500, &head, ""))]
             }
-            _ if is_stream => stream(request, behaviour, &leaving),
-            _ => plain(request, behaviour, &leaving),
+            _ if is_stream => stream(request, behaviour, &says),
+            _ => plain(request, behaviour, &says),
         }
     }
 
@@ -314,6 +335,17 @@
         self.runs.lock().unwrap().said.push(said);
     }
 
+    /// Notes that its answer names its rate limit.
+    fn say_limit(&self, request: &RawRequest) {
+        let said = LimitSaid {
+            id: request.header("lupinseam-attempt-id").to_owned(),
+            upstream: self.id.clone(),
+            life: self.born.load(Ordering::Relaxed),
+            at: self.started_at.elapsed(),
+        };
+        self.runs.lock().unwrap().limits_said.push(said);
+    }
+
     fn serves_streams(&self, request: &RawRequest) -> bool {
         ["/write/", "/tell/"].iter().any(|p| request.path.starts_with(p))
     }
@@ -349,7 +381,7 @@
 fn plain(
     request: &RawRequest,
     behaviour: Behaviour,
-    leaving: &[(&str, &str)],
+    says: &[(&str, &str)],
 ) -> Vec<Act> {
     let id = request.header("lupinseam-attempt-id");
     let whole = match behaviour {
@@ -357,7 +389,7 @@
             let head = [("Lupinseam-Attempt-Id", "another")];
             answer(200, &head, "made for another")
         }
-        _ => answer(200, &stamped(request, leaving), &plain_body(id)),
+        _ => answer(200, &stamped(request, says), &plain_body(id)),
     };
     let mut acts = vec![Act::Wait(WORK_TIME), Act::Send(whole)];
     if behaviour == Behaviour::Surplus {
@@ -370,7 +402,7 @@
 fn stream(
     request: &RawRequest,
     behaviour: Behaviour,
-    leaving: &[(&str, &str)],
+    says: &[(&str, &str)],
 ) -> Vec<Act> {
     let id = request.header("lupinseam-attempt-id");
     let named = match behaviour {
@@ -383,9 +415,8 @@
          Content-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n"
     );
-    let leaving =
-        leaving.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
-    let head = format!("{head}{}\r\n", leaving.collect::<String>());
+    let says = says.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+    let head = format!("{head}{}\r\n", says.collect::<String>());
     let mut acts = vec![Act::Wait(WORK_TIME), Act::Send(head.into_bytes())];
     let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
     for number in after + 1..=EVENTS {
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -19,6 +19,7 @@
     evidence::{Change, Evidence, Kind, Scope},
     faults::{Fault, Target},
     own_words,
+    rate_limits::{self, NamedLimit, Schedule},
     upstreams::{Runs, SERVICES, UNREADABLE, Worker},
 };
 use crate::{
@@ -68,6 +69,8 @@
     RemoveRecord(String),
     StartUpstream(String),
     RecordLeaving(String),
+    /// Ends the rate limit of an upstream.
+    EndLimit(String),
     /// Removes the order of this version, unless another was given since.
     EndRollOut(String),
 }
@@ -95,6 +98,7 @@
     pub(super) stopping: HashMap<usize, usize>,
     pub(super) evidence: Evidence,
     pub(super) faults: Vec<(Duration, Fault)>,
+    limits: Schedule,
     pub(super) next_worker: usize,
     pub(super) table: u64,
     pub(super) routes: u64,
@@ -152,6 +156,7 @@
             stopping: HashMap::new(),
             evidence: Evidence::default(),
             faults: Vec::new(),
+            limits: Schedule::new(seed),
             next_worker: 1,
             table: 1,
             routes: 0,
@@ -228,10 +233,49 @@
                 next_fault = now + Duration::from_millis(pause_ms);
                 self.inject(now);
             }
+            self.begin_limits(now);
         }
         self.heal();
     }
 
+    /// Has upstreams name rate limits where that is due.
+    fn begin_limits(&mut self, now: Duration) {
+        let Some(begun) = self.limits.next(self.workers.len(), now) else {
+            return;
+        };
+        let drawn = &self.workers[begun.upstream];
+        let (id, service) = (drawn.upstream.id.clone(), drawn.service);
+        let limited = self.workers.iter().filter(|worker| {
+            worker.upstream.id == id
+                || begun.is_whole_service && worker.service == service
+        });
+        for worker in limited {
+            worker.name_limit(Some(begun.per_s));
+            let upstream = worker.upstream.id.clone();
+            let end = Later::EndLimit(upstream.clone());
+            self.later.push((begun.ends_at, end));
+            self.evidence.limits.push(NamedLimit {
+                upstream,
+                per_s: begun.per_s,
+                from: now,
+                to: Duration::MAX,
+            });
+        }
+    }
+
+    /// Has an upstream name no rate limit any more.
+    fn end_limit(&mut self, id: &str) {
+        let now = self.now();
+        let workers = self.workers.iter().chain(&self.left);
+        for worker in workers.filter(|worker| worker.upstream.id == id) {
+            worker.name_limit(None);
+        }
+        let limits = self.evidence.limits.iter_mut();
+        for limit in limits.filter(|limit| limit.upstream == id) {
+            limit.to = limit.to.min(now);
+        }
+    }
+
     /// Does what is due.
     fn look(&mut self, now: Duration) {
         let (over, active) = std::mem::take(&mut self.active)
@@ -267,6 +311,7 @@
                     self.let_go(leaving, self.now());
                 }
             }
+            Later::EndLimit(id) => self.end_limit(&id),
             Later::EndRollOut(software) => {
                 let key = format!("op/rollout/{MODELS}");
                 let order = self.site.store.get(&key).unwrap_or_default();
@@ -372,6 +417,12 @@
         for worker in self.workers.iter().chain(&self.left) {
             worker.set_way(Mode::Pass);
         }
+        let limits = self.evidence.limits.iter();
+        let ids: Vec<String> =
+            limits.map(|limit| limit.upstream.clone()).collect();
+        for id in ids {
+            self.end_limit(&id);
+        }
         let until = self.now() + RECOVERY_TIME;
         while self.now() < until {
             thread::sleep(BALANCER_PERIOD);
@@ -403,6 +454,7 @@
         self.evidence.runs = received.runs;
         self.evidence.declined = received.declined;
         self.evidence.said = received.said;
+        self.evidence.limits_said = received.limits_said;
         let (crashing_requests, most_ended_by_one) =
             deadly::summary(&self.evidence);
         let calls = &self.evidence.calls;
@@ -414,6 +466,8 @@
             served: served.count(),
             crashing_requests,
             most_ended_by_one,
+            limits_named: self.evidence.limits.len(),
+            sent_past_limit: rate_limits::sent_past_limit(&self.evidence),
             unheeded: own_words::summary(&self.evidence),
             violations: check(&self.evidence),
         }
@@ -441,6 +495,8 @@
         std::fs::write(folder.join("runs"), lines(runs.collect()))?;
         let said = evidence.said.iter().map(|said| format!("{said:?}"));
         std::fs::write(folder.join("said"), lines(said.collect()))?;
+        let limits = evidence.limits.iter().map(|limit| format!("{limit:?}"));
+        std::fs::write(folder.join("limits"), lines(limits.collect()))?;
         let changes = evidence.changes.iter().map(|c| format!("{c:?}"));
         std::fs::write(folder.join("changes"), lines(changes.collect()))?;
         let troubles = evidence.troubles.iter().map(|t| format!("{t:?}"));
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -10,6 +10,7 @@
         check::{Promise, check},
         evidence::{Call, Change, Evidence, Kind, Order, Run, Scope, Trouble},
         own_words::{Said, summary},
+        rate_limits::{LimitSaid, NamedLimit, sent_past_limit},
         upstreams::UNREADABLE,
     },
 };
@@ -462,3 +463,63 @@
     late(&mut evidence);
     assert_eq!(summary(&evidence).sent_after_leaving, 1);
 }
+
+/// An upstream that names one request a second from second 9 on, in its answer
+/// to the first good call, and so many calls of each of two VMs within two
+/// seconds, of which the first alone was told.
+fn limited_and_came(calls: usize) -> impl Fn(&mut Evidence) {
+    move |evidence| {
+        let told = evidence.runs[0].clone();
+        evidence.limits.push(NamedLimit {
+            upstream: told.upstream.clone(),
+            per_s: 1.0,
+            from: seconds(9.0),
+            to: seconds(20.0),
+        });
+        evidence.limits_said.push(LimitSaid {
+            id: told.id,
+            upstream: told.upstream,
+            life: told.life,
+            at: told.at,
+        });
+        for number in 0..calls * 2 {
+            let at_s = 13.5 + number as f64 / calls as f64;
+            let mut later = call(&format!("l-{number}"), Kind::Read, at_s);
+            later.vm = number % 2;
+            evidence.runs.push(run_of(&later));
+            evidence.calls.push(later);
+        }
+    }
+}
+
+#[test]
+fn what_comes_beyond_a_rate_limit_is_found() {
+    assert_eq!(broken_by(limited_and_came(11)), []);
+    let too_many = limited_and_came(12);
+    assert_eq!(broken_by(&too_many), [Promise::LimitKept]);
+    let mut evidence = good();
+    too_many(&mut evidence);
+    assert_eq!(sent_past_limit(&evidence), 1);
+    let other_told = |evidence: &mut Evidence| {
+        limited_and_came(6)(evidence);
+        let mut said = evidence.limits_said[0].clone();
+        said.id = "c-1".to_owned();
+        evidence.calls[1].vm = 1;
+        evidence.limits_said.push(said);
+    };
+    assert_eq!(broken_by(other_told), [Promise::LimitKept], "both together");
+    let restarted = |evidence: &mut Evidence| {
+        too_many(evidence);
+        for call in evidence.calls.iter_mut().skip(4) {
+            call.life = 2;
+        }
+    };
+    assert_eq!(broken_by(restarted), [], "a restart excuses it");
+    let frozen = |evidence: &mut Evidence| {
+        too_many(evidence);
+        let mut frozen = trouble(Scope::Vm(0), 11.0, 13.4);
+        frozen.what = "PauseVm(0)".to_owned();
+        evidence.troubles.push(frozen);
+    };
+    assert_eq!(broken_by(frozen), [], "a freeze excuses it");
+}
