--- a/src/placing/pool/told.rs
+++ b/src/placing/pool/told.rs
@@ -13,7 +13,6 @@
     placing::{
         health::Verdict,
         member::{LoadReport, Member},
-        seen::Audience,
         statement::{OwnNews, RateLimit, Statement},
     },
 };
@@ -56,7 +55,7 @@
         let rate = statement.rate_limit.as_ref().and_then(RateLimit::rate);
         if rate.is_some() || news.contains(&OwnNews::Unlimited) {
             let mut seen = self.seen.lock().expect("seen lock");
-            seen.note_limit(life, rate, now, Audience::All, now);
+            seen.note_limit(life, rate, now, true, now);
         }
     }
 
@@ -64,10 +63,10 @@
     /// data hall, or of the others.
     pub(crate) fn take_limits(
         &self,
-        is_near: bool,
+        for_own_hall: bool,
         now: BootInstant,
     ) -> Vec<ToldLimit> {
-        self.seen.lock().expect("seen lock").take_limits(is_near, now)
+        self.seen.lock().expect("seen lock").take_limits(for_own_hall, now)
     }
 
     /// Takes in which rate limits another VM has told of, and tells them on;
@@ -92,13 +91,10 @@
             };
             let word = &member.upstream.own_word;
             let change = word.note_limit(one.rate, at, rand::random(), now);
-            // The whole of a VM's own hall has been told with it.
-            let audience = match change.is_some() && !is_near {
-                true => Audience::All,
-                false => Audience::OtherHalls,
-            };
+            // A VM of the own hall has told all of it.
+            let for_own_hall = change.is_some() && !is_near;
             let mut seen = self.seen.lock().expect("seen lock");
-            seen.note_limit(one.upstream, one.rate, at, audience, now);
+            seen.note_limit(one.upstream, one.rate, at, for_own_hall, now);
             news.extend(change.map(|change| (member.clone(), change)));
         }
         news
--- a/src/placing/seen.rs
+++ b/src/placing/seen.rs
@@ -37,15 +37,6 @@
 /// Rate limits that one beat tells, the newest first.
 const LIMITS_MOST: usize = 64;
 
-/// Who is to be told something.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Audience {
-    /// All VMs.
-    All,
-    /// The VMs of other data halls.
-    OtherHalls,
-}
-
 /// What an upstream said of its rate limit.
 #[derive(Clone, Copy, Debug)]
 struct SeenLimit {
@@ -116,20 +107,21 @@
         self.leaving.keys().copied().take(LEAVING_MOST).collect()
     }
 
-    /// Notes which rate limit, or that none, was named at a time.
+    /// Notes which rate limit, or that none, was named at a time; the VMs of
+    /// the own data hall are told as well where they may not know it.
     pub(crate) fn note_limit(
         &mut self,
         life: ShortHash,
         rate: Option<RequestRate>,
         stated_at: BootInstant,
-        audience: Audience,
+        for_own_hall: bool,
         now: BootInstant,
     ) {
         let held = self.limits.get(&life);
         if held.is_some_and(|held| held.stated_at >= stated_at) {
             return;
         }
-        let near_from = (audience == Audience::All).then_some(now);
+        let near_from = for_own_hall.then_some(now);
         let seen = SeenLimit { rate, stated_at, near_from };
         self.limits.insert(life, seen);
     }
@@ -138,14 +130,14 @@
     /// others, are to hear.
     pub(crate) fn take_limits(
         &mut self,
-        is_near: bool,
+        for_own_hall: bool,
         now: BootInstant,
     ) -> Vec<ToldLimit> {
         let age = |at: BootInstant| now.saturating_duration_since(at);
         self.limits.retain(|_, seen| age(seen.stated_at) < LIMIT_TOLD_FAR);
         let is_told = |seen: &SeenLimit| {
             let is_new = |at| age(at) < LIMIT_TOLD_NEAR;
-            !is_near || seen.near_from.is_some_and(is_new)
+            !for_own_hall || seen.near_from.is_some_and(is_new)
         };
         let told = self.limits.iter().filter(|(_, seen)| is_told(seen));
         let told = told.map(|(upstream, seen)| ToldLimit {
