--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -523,3 +523,19 @@
     };
     assert_eq!(broken_by(frozen), [], "a freeze excuses it");
 }
+
+/// A VM that starts again goes on sending a request that the others hold back.
+#[test]
+fn seed_97019_sends_no_crashing_request_after_a_restart() {
+    let soak = Soak {
+        seed: 97019,
+        seeds: 1,
+        seconds: SECONDS,
+        vms: 6,
+        callers: 24,
+        logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+    };
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+    let outcome = soak.run_seed(97019, program).expect("a run");
+    assert!(outcome.violations.is_empty(), "{outcome:#?}");
+}
