--- a/src/placing/retry_window/tests.rs
+++ b/src/placing/retry_window/tests.rs
@@ -58,3 +58,28 @@
     assert!(window.allows_retry(1000, now));
     assert!(!window.allows_retry(1000, now + BOUND.window));
 }
+
+/// The attempts of a VM's previous incarnation still count in the window.
+#[test]
+fn restarted_vms_keep_to_the_retry_bound_together() {
+    const VMS: usize = 6;
+    let start = BootInstant::now();
+    let mut retries = 0;
+    let mut requests = 0;
+    // All VMs are started anew three times within one window.
+    for restart in 0..3_u64 {
+        let began = start + Duration::from_secs(restart * 3);
+        for _ in 0..VMS {
+            let window = RetryWindow::new(BOUND, began);
+            for step in 0..30 {
+                let now = began + Duration::from_millis(step * 100);
+                window.count_request(now);
+                requests += 1;
+                retries +=
+                    (0..3).filter(|_| window.try_retry(VMS, now)).count();
+            }
+        }
+    }
+    let bound = 0.9 * f64::from(requests) + BOUND.extra;
+    assert!(retries as f64 <= bound, "{retries} of {bound}");
+}
