Leave the fixed retries to VMs that have run for a whole window

Cause: a VM keeps its retry budget in memory. After a start it used its part of the fixed number at once, while the retries of its previous incarnation still count in the window; a VM that knows few others took a larger part besides.

Now a VM uses that part once it has run for a window, and until then the share of its own requests alone. Whatever its previous incarnation sent has then left the window. Budgets count from the start of the VM, not from a service's first request.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -129,6 +129,7 @@
     /// Wakes the heartbeat loop, so that the next heartbeat is sent early.
     pub(crate) early_heartbeat: Wake,
     pub(crate) incarnation: Incarnation,
+    started_at: BootInstant,
     retry_budgets: Mutex<HashMap<ServiceId, Arc<RetryWindow>>>,
     store_failed_at: Mutex<Option<BootInstant>>,
     is_stopping: AtomicBool,
@@ -166,6 +167,7 @@
             in_flight: InFlightCount::default(),
             early_heartbeat: Wake::default(),
             incarnation,
+            started_at: clock.now(),
             retry_budgets: Mutex::default(),
             store_failed_at: Mutex::new(None),
             is_stopping: AtomicBool::new(false),
@@ -247,12 +249,12 @@
 
     /// Returns the retry budget of a service.
     fn retry_budget(&self, service: &ServiceId) -> Arc<RetryWindow> {
-        let now = self.clock.now();
+        let since = self.started_at;
         let bound = self.settings.retry_bound;
         let mut budgets = self.retry_budgets.lock().expect("retries lock");
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(RetryWindow::new(bound, now)));
+            .or_insert_with(|| Arc::new(RetryWindow::new(bound, since)));
         budget.clone()
     }
 
@@ -271,7 +273,12 @@
     /// one was left.
     pub(crate) fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
-        self.retry_budget(service).try_retry(self.peers.fleet_size(), now)
+        let allowed =
+            self.retry_budget(service).try_retry(self.peers.fleet_size(), now);
+        if !allowed {
+            self.metrics.retries_refused.inc();
+        }
+        allowed
     }
 
     /// Records that a call to the store failed.
--- a/src/placing/retry_window.rs
+++ b/src/placing/retry_window.rs
@@ -3,7 +3,9 @@
 //! Within any window, all VMs together may send a service no more retries than
 //! a share of its requests plus a fixed number. Each VM keeps to the share of
 //! its own requests and to its part of the fixed number, so the bound holds
-//! whether or not the VMs can reach each other.
+//! whether or not the VMs can reach each other. A VM uses its part of the fixed
+//! number only once it has run for a whole window, since the retries of its
+//! previous incarnation count until then.
 
 use std::{sync::Mutex, time::Duration};
 
@@ -46,11 +48,11 @@
 }
 
 impl RetryWindow {
-    /// Creates an empty window.
-    pub fn new(bound: RetryBound, now: BootInstant) -> RetryWindow {
+    /// Creates an empty window of a VM that started at `since`.
+    pub fn new(bound: RetryBound, since: BootInstant) -> RetryWindow {
         RetryWindow {
             bound,
-            since: now,
+            since,
             buckets: Mutex::new([Bucket::default(); BUCKETS as usize + 1]),
         }
     }
@@ -78,10 +80,18 @@
         let requests: u32 =
             buckets.iter().filter(within).map(|bucket| bucket.requests).sum();
         let share = self.bound.share * SHARE_FACTOR * f64::from(requests);
-        let extra = self.bound.extra * EXTRA_FACTOR / vms.max(1) as f64;
+        let extra = match self.covers_a_window(now) {
+            true => self.bound.extra * EXTRA_FACTOR / vms.max(1) as f64,
+            false => 0.0,
+        };
         f64::from(retries) + 1.0 <= share + extra
     }
 
+    /// Whether every retry of this VM within the window was counted here.
+    fn covers_a_window(&self, now: BootInstant) -> bool {
+        now.saturating_duration_since(self.since) >= self.bound.window
+    }
+
     /// Counts a retry of one of `vms` VMs if the budget allows it; returns
     /// whether it does.
     pub fn try_retry(&self, vms: usize, now: BootInstant) -> bool {
--- a/src/placing/retry_window/tests.rs
+++ b/src/placing/retry_window/tests.rs
@@ -42,8 +42,9 @@
 
 #[test]
 fn the_additional_retries_are_shared_by_all_vms() {
-    let now = BootInstant::now();
-    let window = RetryWindow::new(BOUND, now);
+    let start = BootInstant::now();
+    let window = RetryWindow::new(BOUND, start);
+    let now = start + BOUND.window;
     let taken = (0..100).filter(|_| window.try_retry(10, now)).count();
     assert!((1..=6).contains(&taken), "{taken}");
 }
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -287,8 +287,12 @@
     let mut site = site(REVOKE_MS);
     site.retry_share = 0.0;
     site.retry_extra = 4;
+    site.retry_window_s = 4;
     site.register(&breaking, MODELS, "v1");
     site.start_vm();
+    // The VM may retry once it has run for a window.
+    let window = Duration::from_secs(u64::from(site.retry_window_s));
+    std::thread::sleep(window);
     wait_for_record(&site.vms[0], "i-1", false);
     let got = site.vms[0].ask(&stream_request("/write/breaks", "r-1"));
     assert_eq!((got.status, got.whole), (200, false), "{got:?}");
