Add failing tests: rollouts go on without evidence

A version gets 0.4 of the requests after lost answers alone, is completed by time alone at VMs that know no answer of it, and what killed VMs have seen of it is gone.

--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -357,3 +357,73 @@
     let order = RolloutOrder { target: version("v3"), time_allowed: ALLOWED };
     assert!(rollouts.apply_order(service(), order, now), "another order");
 }
+
+/// Records the outcomes of attempts at a version on one route.
+fn record(
+    rollouts: &Rollouts,
+    software: &str,
+    outcome: AttemptOutcome,
+    count: u32,
+) {
+    let software = version(software);
+    for _ in 0..count {
+        rollouts.record_answer(&service(), &software, "a", outcome, None);
+    }
+}
+
+/// Behind a partition, both versions lose most of their answers.
+#[test]
+fn attempts_without_an_answer_do_not_end_the_canary_phase() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record(&rollouts, "v1", AttemptOutcome::Lost, 60);
+    record(&rollouts, "v2", AttemptOutcome::Success, 2);
+    record(&rollouts, "v2", AttemptOutcome::Lost, MIN_CANARY_ANSWERS);
+    for part in [MIN_CANARY_PART, 0.7, MAX_CANARY_PART, 0.9] {
+        let at = now + ALLOWED.mul_f64(part);
+        rollouts.evaluate(at);
+        let share = share(&rollouts, at + ALLOWED.mul_f64(RAMP_PART));
+        assert!((0.06..0.1).contains(&share), "{share} at {part}");
+    }
+}
+
+/// A version that lost most of its answers is withdrawn, not completed.
+#[test]
+fn a_version_without_enough_answers_is_reverted_at_the_end() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record(&rollouts, "v1", AttemptOutcome::Lost, 60);
+    record(&rollouts, "v2", AttemptOutcome::Lost, MIN_CANARY_ANSWERS);
+    let mut written = Vec::new();
+    for step in 0..100 {
+        let at = now + ALLOWED.mul_f64(f64::from(step) / 100.0);
+        rollouts.evaluate(at);
+        let pending = rollouts.pending_statuses(true, |_, _| 0, &[], at);
+        written.extend(pending.into_iter().map(|due| due.status.progress));
+    }
+    written.dedup();
+    assert_eq!(written, [RolloutProgress::Reverted]);
+}
+
+/// All VMs that have seen answers of the version are gone.
+#[test]
+fn a_vm_that_has_just_started_does_not_complete_a_rollout() {
+    let now = BootInstant::now();
+    let at = |part: f64| now + ALLOWED.mul_f64(part);
+    let first = running(now);
+    let second = running(at(0.6));
+    second.merge_evidence("vm-1", &first.evidence(|_, _| 0, at(0.6)), at(0.6));
+    let third = running(at(0.84));
+    third.merge_evidence(
+        "vm-2",
+        &second.evidence(|_, _| 0, at(0.84)),
+        at(0.84),
+    );
+    for part in [0.85, 0.9, 0.94] {
+        third.evaluate(at(part));
+        let pending = third.pending_statuses(true, |_, _| 0, &[], at(part));
+        assert_eq!(pending, [], "at {part}");
+        let share = share(&third, at(part));
+        assert!(share < 0.1, "{share} at {part}");
+    }
+}
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -879,6 +879,39 @@
     assert!(share < 0.15, "a share of {share} of the requests went to it");
 }
 
+/// All VMs are replaced before enough answers have shown that it is bad.
+#[test]
+fn evidence_on_a_rollout_outlives_the_vms_that_saw_it() {
+    let _guard = lock_site();
+    let old = Upstream::start("i-1", streams(|_| Streamed::default()));
+    let bad = Upstream::start("i-2", always_responds(500, "bad"));
+    let mut site = site_with(&[(&old, MODELS)]);
+    site.register(&bad, MODELS, "v2");
+    wait_for_record(&site.vms[0], "i-2", false);
+    order_version(&site, "v2", Duration::from_secs(60));
+    let ask_until_bad = |site: &Site, name: &str, wanted: usize| {
+        let mut number = 0;
+        wait_until("the version has answered", || {
+            number += 1;
+            let id = format!("{name}-{number}");
+            let text = unique_prompt_stream_request("/write/x", &id);
+            site.vms[0].ask(&text);
+            bad.received().len() >= wanted
+        });
+    };
+    ask_until_bad(&site, "before", 3);
+    thread::sleep(Duration::from_secs(2));
+    site.vms[0].kill();
+    site.vms[0].start();
+    wait_for_record(&site.vms[0], "i-2", false);
+    ask_until_bad(&site, "after", 4);
+    let key = format!("status/rollout/{MODELS}");
+    wait_until("the version is reverted", || {
+        let status = site.store.get(&key).unwrap_or_default();
+        status["state"] == "reverted"
+    });
+}
+
 #[test]
 fn a_rollout_outcome_is_stored_despite_lost_store_responses() {
     let _guard = lock_site();
