End the canary phase by complete answers, never by lost ones or time alone

Callers got a bad version far beyond its share. The canary phase ended after twelve answers, and an answer that was lost counted as one; after 0.8 of the allowed time it ended whatever was known; after 0.93 the rollout was completed. Behind a partition, or where upstreams are slow, most attempts get no answer, and a VM that has just started knows of none: the absence of evidence was taken for evidence that a version is good.

Now twelve complete answers end the phase. It ends without them only at a VM that has had the order for 0.6 of the allowed time and saw no more attempts without an answer than with one: then there were few requests. A rollout whose canary phase has not ended after 0.97 of its time is reverted.

--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -9,6 +9,7 @@
     placing::health::AttemptOutcome,
     rollouts::{
         choice::VersionChoice,
+        comparison::AnswerCounts,
         evidence::{Evidence, HallEvidence},
         peer_evidence::Delivery,
         rollout::{Rollout, RolloutOrder, RolloutProgress, RolloutStatus},
@@ -325,6 +326,17 @@
         pending
     }
 
+    /// Returns the answers of the new version of a running rollout, and how
+    /// long after its beginning the canary phase ended.
+    pub(crate) fn canary_answers(
+        &self,
+        service: &ServiceId,
+    ) -> Option<(AnswerCounts, Option<Duration>)> {
+        let rollouts = self.rollouts.lock().expect("rollouts lock");
+        let rollout = rollouts.get(service)?;
+        Some((rollout.new_version_answers(), rollout.canary_ended))
+    }
+
     /// Whether any rollout is running.
     pub fn any_running(&self) -> bool {
         let rollouts = self.rollouts.lock().expect("rollouts lock");
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -56,16 +56,21 @@
 /// change their version only in the second half.
 const MIN_CANARY_PART: f64 = 0.52;
 
-/// Number of answers of the new version that end the canary phase. By then a
-/// version that fails a third of its requests has had the four bad answers
-/// for which it is stopped. If the phase ended by time alone, such a version
-/// would get a sixth of all requests of a service with few.
+/// Number of complete answers of the new version that end the canary phase. By
+/// then a version that fails a third of its requests has had the four bad
+/// answers for which it is stopped. If the phase ended by time alone, such a
+/// version would get a sixth of all requests of a service with few.
 const MIN_CANARY_ANSWERS: u32 = 12;
 
-/// Part of the allowed time at which the canary phase ends with fewer answers:
-/// a good version must be completed even if there are hardly any requests.
+/// Part of the allowed time at which the canary phase ends with fewer answers,
+/// if there were few attempts: a good version must be completed even if there
+/// are hardly any requests.
 const MAX_CANARY_PART: f64 = 0.8;
 
+/// Part of the allowed time for which a VM must have had the order to tell
+/// that there were few attempts.
+const MIN_WATCHED_PART: f64 = 0.6;
+
 /// Part of the allowed time that the ramp-up phase lasts: after the canary
 /// phase, only a part of the requests goes to the new version at first.
 const RAMP_PART: f64 = 0.06;
@@ -81,6 +86,11 @@
 /// version still has requests in flight.
 const COMPLETE_AT_PART: f64 = 0.93;
 
+/// Part of the allowed time after which a rollout is reverted if the canary
+/// phase has not ended. Later than [`COMPLETE_AT_PART`], so that a VM that has
+/// not received the end of the phase does not revert a completed rollout.
+const REVERT_AT_PART: f64 = 0.97;
+
 /// Time after which a VM that is not the steward writes to the store that a
 /// version was stopped, if no other VM has.
 const FALLBACK_RECORD_DELAY: Duration = Duration::from_millis(700);
@@ -151,7 +161,7 @@
     /// How long after `started_at` the canary phase ended. All VMs adopt the
     /// earliest end, so that a session which one of them moved to the new
     /// version is not moved back by another.
-    canary_ended: Option<Duration>,
+    pub(super) canary_ended: Option<Duration>,
     /// This VM's answers.
     own_answers: AnswersByRoute,
     /// The moving average of the old version's times to the first part of an
@@ -236,18 +246,34 @@
         if self.canary_ended.is_some() || elapsed < MIN_CANARY_PART {
             return;
         }
-        let all_answers = self.all_answers();
-        let of_new = |sides: &[AnswerCounts; 2]| {
-            let new = sides[VersionSide::New as usize];
-            new.complete + new.lost
-        };
-        let answers: u32 = all_answers.values().map(of_new).sum();
-        if answers >= MIN_CANARY_ANSWERS || elapsed >= MAX_CANARY_PART {
+        let new = self.new_version_answers();
+        let is_proven = new.complete >= MIN_CANARY_ANSWERS;
+        if is_proven || self.has_few_attempts(new, now) {
             let running = now.saturating_duration_since(self.started_at);
             self.canary_ended = Some(running);
         }
     }
 
+    /// Whether the new version has few answers because it got few requests.
+    ///
+    /// Attempts without an answer are no sign of that, and neither is a VM
+    /// that has not had the order for long: others may have seen answers.
+    fn has_few_attempts(&self, new: AnswerCounts, now: BootInstant) -> bool {
+        let watched = now.saturating_duration_since(self.learned_at);
+        self.elapsed_part(now) >= MAX_CANARY_PART
+            && self.part(watched) >= MIN_WATCHED_PART
+            && new.lost <= new.complete
+    }
+
+    /// Returns the answer counts of the new version on all routes.
+    pub(super) fn new_version_answers(&self) -> AnswerCounts {
+        let mut sum = AnswerCounts::default();
+        for sides in self.all_answers().values() {
+            sum.add(sides[VersionSide::New as usize]);
+        }
+        sum
+    }
+
     /// Returns the answer counts of all VMs, by route.
     fn all_answers(&self) -> AnswersByRoute {
         let mut all_answers = self.own_answers.clone();
@@ -526,12 +552,15 @@
             Some(RolloutProgress::Running) => {}
         }
         let elapsed = self.elapsed_part(now);
+        let Some(canary_ended) = self.canary_ended else {
+            return (elapsed >= REVERT_AT_PART)
+                .then_some(RolloutProgress::Reverted);
+        };
         let left = old_in_flight + self.peers.own_hall_in_flight(now);
         // The reports of other VMs are half a second old, so the rollout is
         // completed only some time after all requests go to the new version.
-        let is_moved = self.canary_ended.is_some_and(|end| {
-            elapsed > self.part(end) + RAMP_PART + DRAIN_PART
-        });
+        let is_moved =
+            elapsed > self.part(canary_ended) + RAMP_PART + DRAIN_PART;
         let is_drained =
             is_moved && left == 0 && self.peers.all_idle(other_halls, now);
         (is_drained || elapsed > COMPLETE_AT_PART)
