Keep the evidence on a rollout in the store, for VMs that start later

Callers got a bad version although its first answers had shown it: what a VM had seen was replaced by the report of its next incarnation, which is empty, and a VM that starts learned when a rollout had begun but not what was seen since. With all VMs replaced within a rollout nobody knew any answer.

Now the first VM of each data hall writes the answer counts of its VMs to the store when they have changed, at most every 0.8 s, under a lease. A VM that starts goes on from the counts of its previous incarnation and counts those of VMs that it never hears of; a report with fewer answers than the last one of the same VM lowers nothing. The record names the store's version of the order, so that evidence on an earlier order of the same version is not used.

Evidence: the test with a killed VM failed before; it now also waits until the VM has the order, since an attempt before that is none of the rollout's, and failed so on the code before as well.

--- a/src/chains/store.rs
+++ b/src/chains/store.rs
@@ -19,7 +19,7 @@
 
 use async_trait::async_trait;
 use hyper::Method;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::SharedClock,
@@ -49,7 +49,16 @@
 
 /// The version that the service assigns to a value. It grows with each write.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
 )]
 #[serde(transparent)]
 pub struct StoreVersion(pub u64);
--- a/src/event.rs
+++ b/src/event.rs
@@ -233,6 +233,9 @@
     /// The rate limit that an upstream stated cannot be parsed.
     LimitUnreadable = 98, Warn,
         "An upstream stated a rate limit with a text that is not a rate; the limit known before stays in force.";
+    /// Evidence on a rollout may not be in the store.
+    RolloutEvidenceNotKept = 99, Warn,
+        "The evidence on a rollout could not be written to the store; if all VMs were lost now, later ones would not know it.";
     /// A request ended with an upstream's answer.
     RequestEnded = 100, Info,
         "A request ended with an upstream's answer; one line with all its attempts.";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! * [`server`]: runs the VM from its start to a graceful shutdown.
 //! * [`store_watch`]: follows the changes of the platform's store.
 //! * [`rollout_status`]: records the status of rollouts in the store.
+//! * [`evidence_store`]: keeps the evidence on rollouts in the store.
 
 use std::{
     collections::HashMap,
@@ -20,6 +21,7 @@
 use serde_json::{Map, Value, json};
 
 use crate::{
+    chains::store::StoreVersion,
     clock::{BootInstant, SharedClock},
     crashes::{
         broadcast_queue::Source,
@@ -29,6 +31,7 @@
     event::Event,
     http_client::HttpClient,
     id::{Incarnation, ServiceId, VersionId},
+    message::ShortHash,
     metrics::Metrics,
     placing::{
         admission::ServiceTimes,
@@ -38,7 +41,7 @@
         pool::Pool,
         retry_window::RetryWindow,
     },
-    platform::store::PlatformStore,
+    platform::{document, store::PlatformStore},
     rollouts::registry::Rollouts,
     store_sync::{
         knowledge::{AppliedItems, Knowledge, StoreUpdate, Unreadable},
@@ -56,6 +59,7 @@
 pub(crate) mod trace;
 pub(crate) mod upstream_signals;
 
+pub(crate) mod evidence_store;
 pub(crate) mod rollout_status;
 pub(crate) mod server;
 pub(crate) mod store_watch;
@@ -373,6 +377,14 @@
                         "allowed_ms": allowed_ms,
                     })));
                 }
+                self.merge_stored_evidence(&service);
+            }
+            StoreUpdate::RolloutEvidence(service, hall, stored) => {
+                // Heartbeats bring the evidence of other halls.
+                if hall == self.settings.data_hall {
+                    self.rollouts.set_stored_evidence(service.clone(), stored);
+                    self.merge_stored_evidence(&service);
+                }
             }
             StoreUpdate::EvacuationOrdered(hall) => {
                 if self.pool.evacuate(&hall) {
@@ -413,6 +425,28 @@
         }
     }
 
+    /// Returns the store's version of the order to roll out a version of a
+    /// service.
+    pub(crate) fn order_version(
+        &self,
+        service: &ServiceId,
+    ) -> Option<StoreVersion> {
+        self.knowledge.version_of(&document::order_key(service))
+    }
+
+    /// Returns the hash that stands for this VM in records and messages.
+    pub(crate) fn short_hash(&self) -> ShortHash {
+        ShortHash::of(self.peers.vm())
+    }
+
+    fn merge_stored_evidence(&self, service: &ServiceId) {
+        if let Some(version) = self.order_version(service) {
+            let (own_vm, now) = (self.short_hash(), self.clock.now());
+            let rollouts = &self.rollouts;
+            rollouts.merge_stored_evidence(service, version, own_vm, now);
+        }
+    }
+
     /// Merges observations of requests and crashes from elsewhere.
     pub(crate) fn merge_observations(
         &self,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -24,8 +24,8 @@
     crashes::persistence,
     event::Event,
     gateway::{
-        Gateway, fields, ingress, rollout_status, settings::GatewaySettings,
-        store_watch, vm_registration,
+        Gateway, evidence_store, fields, ingress, rollout_status,
+        settings::GatewaySettings, store_watch, vm_registration,
     },
     logging,
     platform::headers::READY_PATH,
@@ -75,6 +75,7 @@
         task::spawn(store_watch::revalidate_loop(gateway.clone())),
         task::spawn(vm_registration::run(gateway.clone())),
         task::spawn(rollout_status::run(gateway.clone())),
+        task::spawn(evidence_store::run(gateway.clone())),
         task::spawn(persistence::run(gateway.clone())),
         task::spawn(gossip::send_heartbeats(
             gateway.clone(),
--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -9,6 +9,7 @@
 //! * [`evidence`]: what VMs report to each other about a rollout.
 //! * `peer_evidence`: the reports of other VMs, and which are relayed.
 //! * `sessions`: the version that each session is on.
+//! * [`stored_evidence`]: what the store keeps of the evidence.
 
 pub mod choice;
 pub mod comparison;
@@ -17,6 +18,7 @@
 pub mod registry;
 pub mod rollout;
 pub(crate) mod sessions;
+pub mod stored_evidence;
 
 #[cfg(test)]
 mod fleet_tests;
--- a/src/rollouts/peer_evidence.rs
+++ b/src/rollouts/peer_evidence.rs
@@ -35,6 +35,9 @@
 /// Answer counts by route, of the old and the new version.
 pub(super) type AnswersByRoute = HashMap<ShortHash, [AnswerCounts; 2]>;
 
+/// The answer counts of one route, as sent to other VMs.
+pub(super) type RouteAnswers = (ShortHash, AnswerCounts, AnswerCounts);
+
 /// How the sum of another data hall arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Delivery {
@@ -47,13 +50,25 @@
 /// The evidence received from other VMs on one rollout.
 #[derive(Debug, Default)]
 pub(super) struct PeerEvidence {
-    /// The latest evidence of each other VM of this hall.
-    vms: HashMap<String, (BootInstant, Evidence)>,
+    /// The reports of each other VM of this hall.
+    vms: HashMap<ShortHash, VmReport>,
     halls: HashMap<ShortHash, HallState>,
     /// Sessions on the old version.
     sessions: HashMap<ShortHash, PeerSession>,
 }
 
+/// What a VM of this hall has reported.
+#[derive(Debug)]
+struct VmReport {
+    /// When its latest heartbeat arrived; `None` if only the store has told of
+    /// it.
+    at: Option<BootInstant>,
+    old_in_flight: u16,
+    /// The largest counts reported, of all its incarnations: one that has just
+    /// started reports fewer until it has read those of the previous one.
+    answers: AnswersByRoute,
+}
+
 /// The merged sums of another data hall. Each sum may lack some of that
 /// hall's VMs.
 #[derive(Debug)]
@@ -89,7 +104,33 @@
         now: BootInstant,
     ) {
         self.merge_sessions(&evidence.old_sessions, None, now, true);
-        self.vms.insert(vm.to_owned(), (now, evidence));
+        let report = self.report(ShortHash::of(vm));
+        report.at = Some(now);
+        report.old_in_flight = evidence.old_in_flight;
+        raise(&mut report.answers, &evidence.answers);
+    }
+
+    /// Merges the answer counts of a VM of this hall that the store keeps.
+    pub(super) fn merge_stored_vm(
+        &mut self,
+        vm: ShortHash,
+        answers: &[RouteAnswers],
+    ) {
+        raise(&mut self.report(vm).answers, answers);
+    }
+
+    fn report(&mut self, vm: ShortHash) -> &mut VmReport {
+        self.vms.entry(vm).or_insert_with(|| VmReport {
+            at: None,
+            old_in_flight: 0,
+            answers: HashMap::new(),
+        })
+    }
+
+    /// Returns the answer counts of each other VM of this hall.
+    pub(super) fn answers_by_vm(&self) -> Vec<(ShortHash, AnswersByRoute)> {
+        let reports = self.vms.iter();
+        reports.map(|(vm, report)| (*vm, report.answers.clone())).collect()
     }
 
     /// Merges the summed evidence of another hall.
@@ -170,9 +211,9 @@
 
     /// Adds the answers of the other VMs of this hall to `sum`.
     pub(super) fn add_own_hall_answers(&self, sum: &mut AnswersByRoute) {
-        for (_, evidence) in self.vms.values() {
-            for (route, old, new) in &evidence.answers {
-                add(sum, *route, &[*old, *new]);
+        for report in self.vms.values() {
+            for (route, answers) in &report.answers {
+                add(sum, *route, answers);
             }
         }
     }
@@ -190,10 +231,12 @@
     /// Returns the number of requests that the other VMs of this hall have in
     /// flight at the old version.
     pub(super) fn own_hall_in_flight(&self, now: BootInstant) -> u32 {
-        let recent = self.vms.values().filter(|(at, _)| {
-            now.saturating_duration_since(*at) < IN_FLIGHT_TTL
-        });
-        recent.map(|(_, evidence)| u32::from(evidence.old_in_flight)).sum()
+        let is_recent = |at| now.saturating_duration_since(at) < IN_FLIGHT_TTL;
+        let recent = self
+            .vms
+            .values()
+            .filter(|report| report.at.is_some_and(is_recent));
+        recent.map(|report| u32::from(report.old_in_flight)).sum()
     }
 
     /// Whether all of `halls` have recently reported that they have nothing in
@@ -284,11 +327,7 @@
     /// Merges a sum. Each sum lacks the evidence that its sender has not
     /// received, so the maximum of each answer count is kept.
     fn merge(&mut self, sum: &Evidence, at: BootInstant) {
-        for (route, old, new) in &sum.answers {
-            let known = self.answers.entry(*route).or_default();
-            known[0] = known[0].max(*old);
-            known[1] = known[1].max(*new);
-        }
+        raise(&mut self.answers, &sum.answers);
         if sum.old_in_flight > 0 {
             self.busy_at = self.busy_at.max(Some(at));
         }
@@ -319,12 +358,27 @@
     OldVersionSession { session, idle_ms: saturating_ms(idle) }
 }
 
-/// Returns answer counts in the form in which they are sent to other VMs.
-pub(super) fn to_list(
-    answers: &AnswersByRoute,
-) -> Vec<(ShortHash, AnswerCounts, AnswerCounts)> {
+/// Returns answer counts in the form in which they are sent to other VMs,
+/// ordered by route.
+pub(super) fn to_list(answers: &AnswersByRoute) -> Vec<RouteAnswers> {
     let by_route = answers.iter();
-    by_route.map(|(route, [old, new])| (*route, *old, *new)).collect()
+    let mut list: Vec<RouteAnswers> =
+        by_route.map(|(route, [old, new])| (*route, *old, *new)).collect();
+    list.sort_by_key(|(route, ..)| *route);
+    list
+}
+
+/// Returns answer counts from the form in which they are sent.
+pub(super) fn from_list(list: &[RouteAnswers]) -> AnswersByRoute {
+    list.iter().map(|(route, old, new)| (*route, [*old, *new])).collect()
+}
+
+/// Raises each count to that in `least`.
+fn raise(counts: &mut AnswersByRoute, least: &[RouteAnswers]) {
+    for (route, old, new) in least {
+        let known = counts.entry(*route).or_default();
+        *known = [known[0].max(*old), known[1].max(*new)];
+    }
 }
 
 fn add(
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Mutex, time::Duration};
 
 use crate::{
+    chains::store::StoreVersion,
     clock::BootInstant,
     id::{ServiceId, VersionId},
     message::ShortHash,
@@ -14,6 +15,7 @@
         peer_evidence::Delivery,
         rollout::{Rollout, RolloutOrder, RolloutProgress, RolloutStatus},
         sessions::Sessions,
+        stored_evidence::StoredEvidence,
     },
 };
 
@@ -44,6 +46,9 @@
     /// for a while after the order was deleted or replaced. Locked after
     /// `rollouts` where both are.
     withdrawn: Mutex<HashMap<ServiceId, Vec<VersionId>>>,
+    /// The evidence that the store keeps. Locked after `rollouts` where both
+    /// are.
+    stored: Mutex<HashMap<ServiceId, StoredEvidence>>,
     /// Locked after `rollouts` where both are.
     sessions: Mutex<HashMap<ServiceId, Sessions>>,
 }
@@ -56,6 +61,7 @@
             session_lifetime: session_timeout + SESSION_SLACK,
             rollouts: Mutex::default(),
             withdrawn: Mutex::default(),
+            stored: Mutex::default(),
             sessions: Mutex::default(),
         }
     }
@@ -284,6 +290,60 @@
         }
     }
 
+    /// Sets the evidence that the store keeps for this hall on a service's
+    /// rollout.
+    pub fn set_stored_evidence(
+        &self,
+        service: ServiceId,
+        stored: StoredEvidence,
+    ) {
+        let mut all = self.stored.lock().expect("stored evidence lock");
+        all.insert(service, stored);
+    }
+
+    /// Merges the evidence that the store keeps for this hall on a service's
+    /// rollout, if it is on the order with this version.
+    pub fn merge_stored_evidence(
+        &self,
+        service: &ServiceId,
+        order_version: StoreVersion,
+        own_vm: ShortHash,
+        now: BootInstant,
+    ) {
+        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
+        let all = self.stored.lock().expect("stored evidence lock");
+        let stored = all.get(service);
+        let stored = stored.filter(|s| s.order_version == order_version);
+        if let (Some(rollout), Some(stored)) =
+            (rollouts.get_mut(service), stored)
+        {
+            rollout.merge_stored(stored, own_vm, now);
+        }
+    }
+
+    /// Returns the evidence of this hall on running rollouts that the store
+    /// lacks. `order_version` gives the store's version of a service's order.
+    pub fn unstored_evidence(
+        &self,
+        order_version: impl Fn(&ServiceId) -> Option<StoreVersion>,
+        own_vm: ShortHash,
+        now: BootInstant,
+    ) -> Vec<(ServiceId, StoredEvidence)> {
+        let rollouts = self.rollouts.lock().expect("rollouts lock");
+        let all = self.stored.lock().expect("stored evidence lock");
+        let running =
+            rollouts.iter().filter(|(_, rollout)| rollout.is_running());
+        let missing = running.filter_map(|(service, rollout)| {
+            let order = order_version(service)?;
+            let known =
+                rollout.evidence_to_store(service, own_vm, order, now)?;
+            let stored = all.get(service);
+            let is_missing = stored.is_none_or(|s| known.differs_from(s));
+            is_missing.then(|| (service.clone(), known))
+        });
+        missing.collect()
+    }
+
     /// Evaluates the running rollouts; returns the services whose new version
     /// this call stopped, with the reason.
     pub fn evaluate(&self, now: BootInstant) -> Vec<(ServiceId, String)> {
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -17,6 +17,7 @@
 use std::{collections::HashMap, fmt, time::Duration};
 
 use crate::{
+    chains::store::StoreVersion,
     clock::BootInstant,
     id::{ServiceId, VersionId},
     message::ShortHash,
@@ -27,10 +28,11 @@
         comparison::{AnswerCounts, is_worse},
         evidence::{Evidence, HallEvidence, OldVersionSession},
         peer_evidence::{
-            AnswersByRoute, Delivery, PeerEvidence, old_version_session,
-            to_list,
+            AnswersByRoute, Delivery, PeerEvidence, from_list,
+            old_version_session, to_list,
         },
         sessions::Sessions,
+        stored_evidence::{StoredEvidence, VmAnswers},
     },
 };
 
@@ -281,6 +283,56 @@
         all_answers
     }
 
+    /// Returns the evidence of the VMs of this hall, to be kept in the store;
+    /// `None` without any on the new version.
+    pub(super) fn evidence_to_store(
+        &self,
+        service: &ServiceId,
+        own_vm: ShortHash,
+        order_version: StoreVersion,
+        now: BootInstant,
+    ) -> Option<StoredEvidence> {
+        let mut by_vm = self.peers.answers_by_vm();
+        by_vm.push((own_vm, self.own_answers.clone()));
+        by_vm.sort_by_key(|(vm, _)| *vm);
+        let is_new = |answers: &AnswersByRoute| {
+            let mut sides = answers.values();
+            sides.any(|sides| sides[1] != AnswerCounts::default())
+        };
+        if !by_vm.iter().any(|(_, answers)| is_new(answers)) {
+            return None;
+        }
+        let vms = by_vm.iter().map(|(vm, answers)| VmAnswers {
+            vm: *vm,
+            answers: to_list(answers),
+        });
+        let progress = Evidence {
+            answers: Vec::new(),
+            ..self.evidence(service, None, 0, now)
+        };
+        Some(StoredEvidence { order_version, progress, vms: vms.collect() })
+    }
+
+    /// Merges the evidence that the store keeps for this hall.
+    ///
+    /// A VM that has counted no answer yet has just started, and continues the
+    /// counts of its previous incarnation.
+    pub(super) fn merge_stored(
+        &mut self,
+        stored: &StoredEvidence,
+        own_vm: ShortHash,
+        now: BootInstant,
+    ) {
+        self.merge_progress(&stored.progress, now);
+        for VmAnswers { vm, answers } in &stored.vms {
+            if *vm != own_vm {
+                self.peers.merge_stored_vm(*vm, answers);
+            } else if self.own_answers.is_empty() {
+                self.own_answers = from_list(answers);
+            }
+        }
+    }
+
     /// Chooses the version for a request. `own` is the version that the
     /// session is on according to this VM, and for how long it has been idle.
     pub(super) fn choose_version(
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -28,7 +28,10 @@
         store::{StoreItem, StoreItems},
     },
     rendezvous,
-    rollouts::rollout::{RolloutOrder, RolloutStatus},
+    rollouts::{
+        rollout::{RolloutOrder, RolloutStatus},
+        stored_evidence::StoredEvidence,
+    },
     store_sync::{
         knowledge_pack,
         route::{RouteTable, TableVersion},
@@ -59,6 +62,8 @@
     RolloutOrderRemoved(ServiceId),
     /// The status of a rollout changed.
     RolloutStatus(ServiceId, RolloutStatus),
+    /// The evidence of a data hall on a rollout was stored.
+    RolloutEvidence(ServiceId, DataHallId, StoredEvidence),
     /// The upstreams of a data hall are to get no more requests.
     EvacuationOrdered(DataHallId),
     /// The upstreams of a data hall may get requests again.
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -889,6 +889,10 @@
     site.register(&bad, MODELS, "v2");
     wait_for_record(&site.vms[0], "i-2", false);
     order_version(&site, "v2", Duration::from_secs(60));
+    wait_until("the VM has read the order", || {
+        !site.vms[0].lines("E083").is_empty()
+    });
+    assert_eq!(bad.received().len(), 0, "requests before the canary phase");
     let ask_until_bad = |site: &Site, name: &str, wanted: usize| {
         let mut number = 0;
         wait_until("the version has answered", || {
