Bound a version on trial by the attempts that each VM sends

A bad version may get its share of the requests that reach the service, but each VM gave it a share of the requests that it received, and any attempt that had tried all upstreams of the old version went to the new one. While a VM reaches few of the old version's upstreams, as behind a partition, far more than the share of what reaches the service went to the new one.

Now a VM counts the attempts that it sends to either version during the canary phase, retries and resumed streams included. Beyond 0.12 of them and one more, new sessions and requests go to the old version, and attempts for the old version no longer fall back to the new one; sessions that are on the new version stay there. Such a choice is logged as share_spent.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -485,18 +485,18 @@
                 return Err(AttemptError::NotRun("unreachable", reason));
             }
             Err(Some(error)) => {
-                self.record_sent();
+                self.record_sent(attempt);
                 return Err(AttemptError::Unknown(
                     "broken",
                     error.to_string(),
                 ));
             }
             Err(None) => {
-                self.record_sent();
+                self.record_sent(attempt);
                 return Err(AttemptError::Unknown("silent", String::new()));
             }
         };
-        self.sent += 1;
+        self.record_arrival(attempt);
         let status = exchange.status;
         let head = headers::read_response(
             status,
@@ -522,11 +522,19 @@
         Ok((exchange, head))
     }
 
-    fn record_sent(&mut self) {
-        self.sent += 1;
+    /// Records that the upstream may have executed the request.
+    fn record_sent(&mut self, attempt: &Attempt) {
+        self.record_arrival(attempt);
         self.may_have_run = true;
     }
 
+    /// Records that the request may have reached the upstream.
+    fn record_arrival(&mut self, attempt: &Attempt) {
+        self.sent += 1;
+        let software = &attempt.member.entry.software;
+        self.gateway.rollouts.record_sent(&self.service, software);
+    }
+
     /// Waits until `limit` has passed since `since`, until the upstream has
     /// been replaced by a later incarnation, or until it has been silent for
     /// `max_silence`. While the upstream is busy with long prefills, the
--- a/src/rollouts/choice.rs
+++ b/src/rollouts/choice.rs
@@ -24,6 +24,9 @@
     Completed,
     /// The request has no session or an unknown one, so a hash decided.
     Drawn,
+    /// A hash decided for the new version, but it has had its share of the
+    /// attempts that this VM sends.
+    ShareSpent,
     /// This VM sent the session's last request, the given time ago.
     LocalSession(Duration),
     /// Another VM reported the session, last used the given time ago.
@@ -37,6 +40,7 @@
             ChoiceReason::Stopped => "stopped",
             ChoiceReason::Completed => "completed",
             ChoiceReason::Drawn => "drawn",
+            ChoiceReason::ShareSpent => "share_spent",
             ChoiceReason::LocalSession(_) => "own_session",
             ChoiceReason::PeerSession(_) => "told_session",
         }
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Records that an attempt at a version of a service was sent.
+    pub fn record_sent(&self, service: &ServiceId, software: &VersionId) {
+        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
+        if let Some(rollout) = rollouts.get_mut(service) {
+            rollout.record_sent(software);
+        }
+    }
+
     /// Records the outcome of an attempt at a version, with the time to the
     /// first part of its answer.
     pub fn record_answer(
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -40,6 +40,13 @@
 /// the platform's limit `canary_share` to leave room for retries.
 const CANARY_SHARE: f64 = 0.08;
 
+/// Largest share of the attempts that a VM sends to a service that may go to
+/// the new version in the canary phase, below `canary_share` as well.
+const MAX_CANARY_SENT_SHARE: f64 = 0.12;
+
+/// Attempts that a VM may send to the new version in addition.
+const CANARY_SENT_ALLOWANCE: f64 = 1.0;
+
 /// Time after an order before the new version gets requests. By then all VMs
 /// have the order and have reported which sessions are on the old version:
 /// that takes a heartbeat within the data hall, one to another hall, and one
@@ -164,6 +171,9 @@
     /// earliest end, so that a session which one of them moved to the new
     /// version is not moved back by another.
     pub(super) canary_ended: Option<Duration>,
+    /// The attempts that this VM has sent since it got the order, to the old
+    /// and the new version.
+    sent: [u32; 2],
     /// This VM's answers.
     own_answers: AnswersByRoute,
     /// The moving average of the old version's times to the first part of an
@@ -193,6 +203,7 @@
             progress: None,
             stopped_at: None,
             canary_ended: None,
+            sent: [0; 2],
             own_answers: HashMap::new(),
             mean_first_part_s: HashMap::new(),
             peers: PeerEvidence::default(),
@@ -357,21 +368,44 @@
             false => VersionSide::Old,
         };
         let is_canary = self.canary_ended.is_none();
+        let may_send_new = self.may_send_new();
         let known = session.and_then(|_| self.session(subject, own, now));
         let (side, reason) = match known {
             Some((VersionSide::New, reason)) => (VersionSide::New, reason),
             Some((VersionSide::Old, reason)) if is_canary => {
                 (VersionSide::Old, reason)
             }
+            _ if side == VersionSide::New && is_canary && !may_send_new => {
+                (VersionSide::Old, ChoiceReason::ShareSpent)
+            }
             _ => (side, ChoiceReason::Drawn),
         };
         let rule = match side {
             VersionSide::New => VersionRule::Prefer(target),
+            VersionSide::Old if is_canary && !may_send_new => {
+                VersionRule::Never(target)
+            }
             VersionSide::Old => VersionRule::Avoid(target),
         };
         (rule, reason)
     }
 
+    /// Records that this VM has sent an attempt to a version.
+    pub(super) fn record_sent(&mut self, software: &VersionId) {
+        self.sent[self.side(software) as usize] += 1;
+    }
+
+    /// Whether another attempt at the new version keeps to its share of those
+    /// that this VM sends.
+    ///
+    /// The share of the requests that arrive here does not bound it: while the
+    /// old version's upstreams cannot be reached, few of them are sent.
+    fn may_send_new(&self) -> bool {
+        let [old, new] = self.sent.map(f64::from);
+        let most = MAX_CANARY_SENT_SHARE * (old + new + 1.0);
+        new + 1.0 <= most + CANARY_SENT_ALLOWANCE
+    }
+
     /// Returns a hash of a session or request as a number in `0..=1`, the same
     /// on every VM.
     fn draw(&self, subject: ShortHash) -> f64 {
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -427,3 +427,37 @@
         assert!(share < 0.1, "{share} at {part}");
     }
 }
+
+/// The old version's upstreams cannot be reached; the new version's can.
+#[test]
+fn a_version_on_trial_keeps_to_its_share_of_what_reaches_upstreams() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    let at = now + ALLOWED / 4;
+    let (old, new) = (version("v1"), version("v2"));
+    let (mut sent_old, mut sent_new) = (0, 0);
+    for number in 0..2000 {
+        let session = format!("session-{number}");
+        let choice =
+            rollouts.choose_version(&service(), Some(&session), "r", at);
+        let is_reached = number % 20 == 0;
+        match choice.rule {
+            VersionRule::Prefer(_) => {
+                rollouts.record_sent(&service(), &new);
+                sent_new += 1;
+            }
+            // An attempt that has tried all of the old version.
+            VersionRule::Avoid(_) if !is_reached => {
+                rollouts.record_sent(&service(), &new);
+                sent_new += 1;
+            }
+            VersionRule::Never(_) if !is_reached => {}
+            _ => {
+                rollouts.record_sent(&service(), &old);
+                sent_old += 1;
+            }
+        }
+    }
+    let share = f64::from(sent_new) / f64::from(sent_new + sent_old);
+    assert!(sent_new > 0 && share <= 0.15, "{sent_new} beside {sent_old}");
+}
