Count answers that a live upstream keeps waiting as bad, not as lost

Callers of a slow version waited for answers that were then asked for elsewhere. Such an attempt counted as lost, like one at a machine that failed, and lost answers stop a version only if there are many: where an answer takes several times as long, most evidence against the version was dropped.

An attempt that is given up before its first part now counts as bad if the upstream has sent something meanwhile and the wait exceeds four times the old version's mean. This holds for both versions.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -218,9 +218,7 @@
                         return reply;
                     }
                     Err(error) => {
-                        if let Some(outcome) = error.outcome() {
-                            self.record_attempt(&attempt, outcome, None);
-                        }
+                        self.record_error(&attempt, &error);
                         error
                     }
                 },
@@ -677,7 +675,8 @@
     /// Records the outcome of an attempt for the health of its upstream, for
     /// rollouts and for the detection of crashes.
     ///
-    /// `first_part` is the time until the first part of a good response.
+    /// `first_part` is the time until the first part of a good response, or
+    /// the time that a live upstream was waited for.
     pub(crate) fn record_attempt(
         &self,
         attempt: &Attempt,
@@ -711,6 +710,33 @@
         );
     }
 
+    /// Records the outcome of an attempt that gave no response.
+    pub(crate) fn record_error(
+        &self,
+        attempt: &Attempt,
+        error: &AttemptError,
+    ) {
+        match error {
+            AttemptError::Unknown("silent", _) => self.record_silent(attempt),
+            error => {
+                if let Some(outcome) = error.outcome() {
+                    self.record_attempt(attempt, outcome, None);
+                }
+            }
+        }
+    }
+
+    /// Records that an attempt was given up before the first part of its
+    /// answer. If anything else came from its upstream meanwhile, it is known
+    /// to be slow.
+    pub(crate) fn record_silent(&self, attempt: &Attempt) {
+        let now = self.gateway.clock.now();
+        let waited = now.saturating_duration_since(attempt.began_at);
+        let is_alive = attempt.member.silence(now) < waited;
+        let overdue = is_alive.then_some(waited);
+        self.record_attempt(attempt, AttemptOutcome::Lost, overdue);
+    }
+
     /// Decides whether another attempt is made after an error; if not,
     /// returns why the request fails.
     fn prepare_retry(
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -202,9 +202,7 @@
         let (exchange, head) = match sent {
             Ok(sent) => sent,
             Err(error) => {
-                if let Some(outcome) = error.outcome() {
-                    self.record_attempt(&attempt, outcome, None);
-                }
+                self.record_error(&attempt, &error);
                 return Err(error);
             }
         };
@@ -275,15 +273,10 @@
             Ok(StreamRead::Events(first)) => (first, false),
             Ok(StreamRead::End) => (Bytes::new(), true),
             Err(error) => {
-                self.record_attempt(
-                    &source.attempt,
-                    AttemptOutcome::Lost,
-                    None,
-                );
-                return Err(AttemptError::Unknown(
-                    error.label(),
-                    error.reason(),
-                ));
+                let error =
+                    AttemptError::Unknown(error.label(), error.reason());
+                self.record_error(&source.attempt, &error);
+                return Err(error);
             }
         };
         let now = self.gateway.clock.now();
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -198,7 +198,8 @@
     }
 
     /// Records the outcome of an attempt at a version, with the time to the
-    /// first part of its answer.
+    /// first part of its answer, or the time for which that was waited for in
+    /// vain.
     pub fn record_answer(
         &self,
         service: &ServiceId,
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -461,7 +461,7 @@
     }
 
     /// Records the outcome of an attempt, with the time to the first part of
-    /// its answer.
+    /// its answer, or the time for which that was waited for in vain.
     pub(super) fn record_answer(
         &mut self,
         software: &VersionId,
@@ -472,12 +472,21 @@
         let side = self.side(software);
         let route = ShortHash::of(route);
         let mut is_bad = outcome == AttemptOutcome::Failed;
-        if let Some(first_part) = first_part {
-            is_bad |= self.is_slow(route, side, first_part.as_secs_f64());
+        let means = &mut self.mean_first_part_s;
+        match (outcome, first_part) {
+            (_, None) => {}
+            (AttemptOutcome::Lost, Some(waited)) => {
+                is_bad = means.get(&route).is_some_and(|mean_s| {
+                    waited.as_secs_f64() > mean_s * SLOW_FACTOR
+                });
+            }
+            (_, Some(first_part)) => {
+                is_bad |= is_slow(means, route, side, first_part);
+            }
         }
         let answers =
             &mut self.own_answers.entry(route).or_default()[side as usize];
-        if outcome == AttemptOutcome::Lost {
+        if outcome == AttemptOutcome::Lost && !is_bad {
             answers.lost += 1;
             return;
         }
@@ -485,30 +494,6 @@
         answers.bad += u32::from(is_bad);
     }
 
-    /// Whether a first part took much longer than the old version's mean; adds
-    /// the old version's times to that mean.
-    ///
-    /// This applies to the answers of both versions: prompts differ in length,
-    /// so that some answers of any version take far longer than the mean.
-    fn is_slow(
-        &mut self,
-        route: ShortHash,
-        side: VersionSide,
-        first_part_s: f64,
-    ) -> bool {
-        let Some(mean_s) = self.mean_first_part_s.get_mut(&route) else {
-            if side == VersionSide::Old {
-                self.mean_first_part_s.insert(route, first_part_s);
-            }
-            return false;
-        };
-        let is_slow = first_part_s > *mean_s * SLOW_FACTOR;
-        if side == VersionSide::Old {
-            *mean_s += (first_part_s - *mean_s) * MEAN_WEIGHT;
-        }
-        is_slow
-    }
-
     /// Returns this VM's evidence, for the VMs of its hall.
     pub(super) fn evidence(
         &self,
@@ -654,5 +639,30 @@
     }
 }
 
+/// Whether a first part took much longer than the old version's mean; adds the
+/// old version's times to that mean.
+///
+/// This applies to the answers of both versions: prompts differ in length, so
+/// that some answers of any version take far longer than the mean.
+fn is_slow(
+    means_s: &mut HashMap<ShortHash, f64>,
+    route: ShortHash,
+    side: VersionSide,
+    first_part: Duration,
+) -> bool {
+    let first_part_s = first_part.as_secs_f64();
+    let Some(mean_s) = means_s.get_mut(&route) else {
+        if side == VersionSide::Old {
+            means_s.insert(route, first_part_s);
+        }
+        return false;
+    };
+    let is_slow = first_part_s > *mean_s * SLOW_FACTOR;
+    if side == VersionSide::Old {
+        *mean_s += (first_part_s - *mean_s) * MEAN_WEIGHT;
+    }
+    is_slow
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -461,3 +461,30 @@
     let share = f64::from(sent_new) / f64::from(sent_new + sent_old);
     assert!(sent_new > 0 && share <= 0.15, "{sent_new} beside {sent_old}");
 }
+
+/// Its answers are given up before their first part.
+#[test]
+fn a_version_that_keeps_callers_waiting_too_long_is_stopped() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    let lose = |name: &str, waited_ms: u64| {
+        let waited = Some(Duration::from_millis(waited_ms));
+        let (software, lost) = (version(name), AttemptOutcome::Lost);
+        rollouts.record_answer(&service(), &software, "a", lost, waited);
+    };
+    for number in 0..100 {
+        let (old, good) = (version("v1"), AttemptOutcome::Success);
+        let first_part = Some(Duration::from_millis(100 + number));
+        rollouts.record_answer(&service(), &old, "a", good, first_part);
+    }
+    // An attempt that is given up early says nothing of the version.
+    for _ in 0..10 {
+        lose("v2", 200);
+    }
+    lose("v2", 1000);
+    lose("v2", 1000);
+    lose("v2", 1000);
+    assert_eq!(rollouts.evaluate(now), []);
+    lose("v2", 1000);
+    assert_eq!(rollouts.evaluate(now).len(), 1);
+}
