End the ramp-up phase by answers, and count them over all routes

Callers got a slow version in full although hardly anything was known of it: the ramp-up phase lasted 0.06 of the allowed time, whether or not any request came meanwhile. While all VMs are replaced, few do.

Now the phase lasts until 36 complete answers are known, or 0.9 of the time if few of the answers are bad or lost; a rollout that has not got so far by 0.97 is reverted. A version is also stopped by its answers on all routes together: twelve answers on three routes leave four on each.

The tests of phases record 36 answers where they expect all requests to go to the new version, and check that it gets 0.4 of them before.

--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -80,10 +80,21 @@
 /// that there were few attempts.
 const MIN_WATCHED_PART: f64 = 0.6;
 
-/// Part of the allowed time that the ramp-up phase lasts: after the canary
-/// phase, only a part of the requests goes to the new version at first.
+/// Part of the allowed time that the ramp-up phase lasts at least: after the
+/// canary phase, only a part of the requests goes to the new version at first.
 const RAMP_PART: f64 = 0.06;
 
+/// Number of complete answers of the new version that end the ramp-up phase. A
+/// version that is slow under load shows it here first.
+const MIN_RAMP_ANSWERS: u32 = 36;
+
+/// Part of the allowed time at which the ramp-up phase ends with fewer answers.
+const MAX_RAMP_PART: f64 = 0.9;
+
+/// Bad and lost answers, as a share of the complete ones, above which a phase
+/// does not end by time.
+const MAX_DOUBTFUL_SHARE: f64 = 0.25;
+
 /// Share of the requests that the new version gets in the ramp-up phase.
 const RAMP_SHARE: f64 = 0.4;
 
@@ -95,7 +106,7 @@
 /// version still has requests in flight.
 const COMPLETE_AT_PART: f64 = 0.93;
 
-/// Part of the allowed time after which a rollout is reverted if the canary
+/// Part of the allowed time after which a rollout is reverted if the ramp-up
 /// phase has not ended. Later than [`COMPLETE_AT_PART`], so that a VM that has
 /// not received the end of the phase does not revert a completed rollout.
 const REVERT_AT_PART: f64 = 0.97;
@@ -171,6 +182,8 @@
     /// earliest end, so that a session which one of them moved to the new
     /// version is not moved back by another.
     pub(super) canary_ended: Option<Duration>,
+    /// Whether the ramp-up phase has ended.
+    is_ramped_up: bool,
     /// The attempts that this VM has sent since it got the order, to the old
     /// and the new version.
     sent: [u32; 2],
@@ -203,6 +216,7 @@
             progress: None,
             stopped_at: None,
             canary_ended: None,
+            is_ramped_up: false,
             sent: [0; 2],
             own_answers: HashMap::new(),
             mean_first_part_s: HashMap::new(),
@@ -243,12 +257,8 @@
         match self.canary_ended {
             None if is_early => 0.0,
             None => CANARY_SHARE,
-            Some(end)
-                if self.elapsed_part(now) < self.part(end) + RAMP_PART =>
-            {
-                RAMP_SHARE
-            }
-            Some(_) => 1.0,
+            Some(_) if self.is_ramped_up => 1.0,
+            Some(_) => RAMP_SHARE,
         }
     }
 
@@ -275,7 +285,19 @@
         let watched = now.saturating_duration_since(self.learned_at);
         self.elapsed_part(now) >= MAX_CANARY_PART
             && self.part(watched) >= MIN_WATCHED_PART
-            && new.lost <= new.complete
+            && !is_doubtful(new)
+    }
+
+    /// Ends the ramp-up phase once it has lasted long enough and the new
+    /// version has given enough answers.
+    fn end_ramp_up(&mut self, now: BootInstant) {
+        let Some(end) = self.canary_ended else { return };
+        let new = self.new_version_answers();
+        let elapsed = self.elapsed_part(now);
+        let is_proven = new.complete >= MIN_RAMP_ANSWERS;
+        let has_few = elapsed >= MAX_RAMP_PART && !is_doubtful(new);
+        self.is_ramped_up |=
+            elapsed >= self.part(end) + RAMP_PART && (is_proven || has_few);
     }
 
     /// Returns the answer counts of the new version on all routes.
@@ -587,13 +609,19 @@
             return None;
         }
         self.end_canary(now);
+        self.end_ramp_up(now);
         let all_answers = self.all_answers();
-        let worse =
-            all_answers.values().find(|[old, new]| is_worse(*old, *new))?;
-        let [old, new] = worse;
+        let mut sum = [AnswerCounts::default(); 2];
+        for sides in all_answers.values() {
+            sum[0].add(sides[0]);
+            sum[1].add(sides[1]);
+        }
+        let routes = all_answers.values().chain([&sum]);
+        let [old, new] =
+            *routes.clone().find(|[old, new]| is_worse(*old, *new))?;
         self.stopped_at = Some(now);
         Some(format!(
-            "{} of {} answers bad on one route, {} of {} of the old version",
+            "{} of {} answers bad, {} of {} of the old version",
             new.bad, new.complete, old.bad, old.complete
         ))
     }
@@ -623,7 +651,8 @@
             Some(RolloutProgress::Running) => {}
         }
         let elapsed = self.elapsed_part(now);
-        let Some(canary_ended) = self.canary_ended else {
+        let canary_ended = self.canary_ended.filter(|_| self.is_ramped_up);
+        let Some(canary_ended) = canary_ended else {
             return (elapsed >= REVERT_AT_PART)
                 .then_some(RolloutProgress::Reverted);
         };
@@ -639,6 +668,12 @@
     }
 }
 
+/// Whether too many answers are bad or lost to let a phase end by time.
+fn is_doubtful(new: AnswerCounts) -> bool {
+    f64::from(new.bad + new.lost)
+        > f64::from(new.complete) * MAX_DOUBTFUL_SHARE
+}
+
 /// Whether a first part took much longer than the old version's mean; adds the
 /// old version's times to that mean.
 ///
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -52,9 +52,14 @@
     let still_in_canary = share(&rollouts, now + ALLOWED / 2);
     assert!((0.06..0.1).contains(&still_in_canary), "{still_in_canary}");
     rollouts.evaluate(now + ALLOWED.mul_f64(MIN_CANARY_PART));
-    let partial =
-        share(&rollouts, now + ALLOWED.mul_f64(MIN_CANARY_PART + 0.01));
-    assert!((0.3..0.5).contains(&partial), "{partial}");
+    for part in [MIN_CANARY_PART + 0.01, 0.7] {
+        let at = now + ALLOWED.mul_f64(part);
+        rollouts.evaluate(at);
+        let partial = share(&rollouts, at);
+        assert!((0.3..0.5).contains(&partial), "{partial} at {part}");
+    }
+    record_good_answers(&rollouts, MIN_RAMP_ANSWERS - MIN_CANARY_ANSWERS);
+    rollouts.evaluate(now + ALLOWED.mul_f64(0.7));
     assert_eq!(share(&rollouts, now + ALLOWED.mul_f64(0.7)), 1.0);
 }
 
@@ -81,6 +86,8 @@
     record_good_answers(&rollouts, 1);
     rollouts.evaluate(at(0.71));
     let full_at = at(0.711 + RAMP_PART);
+    record_good_answers(&rollouts, MIN_RAMP_ANSWERS - MIN_CANARY_ANSWERS);
+    rollouts.evaluate(full_at);
     assert_eq!(share(&rollouts, full_at), 1.0);
     // A VM with fewer answers adopts the end that the first one found.
     let other = running(now);
@@ -89,6 +96,7 @@
         &rollouts.evidence(|_, _| 0, full_at),
         full_at,
     );
+    other.evaluate(full_at);
     assert_eq!(share(&other, full_at), 1.0);
 
     let idle = running(now);
@@ -96,7 +104,10 @@
     let in_canary = share(&idle, at(MAX_CANARY_PART - 0.01));
     assert!((0.06..0.1).contains(&in_canary), "{in_canary}");
     idle.evaluate(at(MAX_CANARY_PART));
-    assert_eq!(share(&idle, at(MAX_CANARY_PART + 0.001 + RAMP_PART)), 1.0);
+    let partial = share(&idle, at(MAX_RAMP_PART - 0.01));
+    assert!((0.3..0.5).contains(&partial), "{partial}");
+    idle.evaluate(at(MAX_RAMP_PART));
+    assert_eq!(share(&idle, at(MAX_RAMP_PART)), 1.0);
     let pending =
         idle.pending_statuses(true, |_, _| 0, &[], at(COMPLETE_AT_PART));
     assert_eq!(pending[0].status.progress, RolloutProgress::Completed);
@@ -303,9 +314,10 @@
 fn completion_waits_for_the_old_versions_last_requests() {
     let now = BootInstant::now();
     let rollouts = running(now);
-    record_good_answers(&rollouts, MIN_CANARY_ANSWERS);
+    record_good_answers(&rollouts, MIN_RAMP_ANSWERS);
     rollouts.evaluate(now + ALLOWED.mul_f64(MIN_CANARY_PART));
     let at = now + ALLOWED.mul_f64(0.7);
+    rollouts.evaluate(at);
     assert_eq!(rollouts.pending_statuses(true, |_, _| 1, &[], at), []);
     assert_eq!(rollouts.pending_statuses(false, |_, _| 0, &[], at), []);
     let pending = rollouts.pending_statuses(true, |_, _| 0, &[], at);
@@ -319,12 +331,13 @@
 fn a_restarted_vm_learns_when_the_rollout_began() {
     let now = BootInstant::now();
     let old = running(now);
-    record_good_answers(&old, MIN_CANARY_ANSWERS);
+    record_good_answers(&old, MIN_RAMP_ANSWERS);
     old.evaluate(now + ALLOWED.mul_f64(MIN_CANARY_PART));
     let at = now + ALLOWED.mul_f64(0.7);
     let restarted = running(at);
     assert!(share(&restarted, at) < 0.2);
     restarted.merge_evidence("vm-2", &old.evidence(|_, _| 0, at), at);
+    restarted.evaluate(at);
     assert_eq!(share(&restarted, at), 1.0);
 }
 
