--- /dev/null
+++ b/standins/tests/partitioned_vms.rs
@@ -0,0 +1,120 @@
+//! Runs gateway VMs of which one is partitioned from all upstreams, while
+//! callers, the store and the other VM still reach it.
+//!
+//! Each VM has a store of its own, which lists the same upstreams: at their
+//! addresses for one VM, and behind proxies for the partitioned one.
+
+use std::{path::PathBuf, thread, time::Duration};
+
+use standins::{
+    gateway_site::{
+        MODELS, PLAIN, Site, configuration, request, stream_request,
+        upstream_record, wait_until,
+    },
+    platform_store::PlatformStore,
+    proxy::{Mode, Proxy},
+    scripted::{Streamed, Upstream, always_responds, streams},
+};
+
+/// Revocation limit of the site; no test reaches it.
+const REVOKE_MS: u64 = 8_000;
+
+/// Callers' requests in one phase of a test.
+const REQUESTS: usize = 40;
+
+/// Two VMs before the same upstreams; the first reaches them through proxies.
+struct Partition {
+    site: Site,
+    upstreams: Vec<Upstream>,
+    proxies: Vec<Proxy>,
+}
+
+impl Partition {
+    fn start() -> Partition {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+        let mut site = Site::new(program, &["vm"], REVOKE_MS);
+        let stores = [PlatformStore::start(), PlatformStore::start()];
+        let plain = || always_responds(200, "hello");
+        let events = || streams(|_| Streamed::default());
+        let upstreams = vec![
+            Upstream::start("i-1", plain()),
+            Upstream::start("i-2", plain()),
+            Upstream::start("i-3", events()),
+            Upstream::start("i-4", events()),
+        ];
+        let proxies: Vec<Proxy> = upstreams
+            .iter()
+            .map(|upstream| Proxy::tcp(upstream.address).expect("a proxy"))
+            .collect();
+        for store in &stores {
+            store.put("op/config", &configuration(1));
+        }
+        for (number, upstream) in upstreams.iter().enumerate() {
+            let service = if number < 2 { PLAIN } else { MODELS };
+            let addresses = [proxies[number].address, upstream.address];
+            for (store, address) in stores.iter().zip(addresses) {
+                let record = upstream_record(address, service, "v1", "ready");
+                store.put(&format!("servers/{}", upstream.id), &record);
+            }
+        }
+        for (store, hall) in stores.into_iter().zip(["hall-a", "hall-b"]) {
+            let address = store.address;
+            let at = site.add_vm(hall, store, address);
+            site.vms[at].start();
+        }
+        for vm in &site.vms {
+            wait_until("the VM is ready", || vm.is_ready());
+            wait_until("the VM knows the upstreams", || {
+                vm.lines("E043").len() >= upstreams.len()
+            });
+        }
+        // Heartbeats between the VMs.
+        thread::sleep(Duration::from_millis(500));
+        Partition { site, upstreams, proxies }
+    }
+
+    fn set_mode(&self, mode: Mode) {
+        for proxy in &self.proxies {
+            proxy.set_mode(mode);
+        }
+    }
+
+    /// Sends requests of all kinds to the first VM; returns how many are
+    /// answered in full.
+    fn served(&self, name: &str) -> usize {
+        let is_served = |number: &usize| {
+            let id = format!("{name}-{number}");
+            let text = match number % 3 {
+                0 => request("GET", "/read/x", &id, ""),
+                1 => request("POST", "/once/x", &id, ""),
+                _ => stream_request("/write/x", &id),
+            };
+            let got = self.site.vms[0].ask(&text);
+            got.status == 200 && got.whole
+        };
+        (0..REQUESTS).filter(is_served).count()
+    }
+
+    /// Returns how often upstreams have received each request at most.
+    fn most_runs(&self) -> usize {
+        let received = self.upstreams.iter().flat_map(|u| u.received());
+        let mut counts = std::collections::HashMap::new();
+        for request in received {
+            let id = request.header("lupinseam-attempt-id").to_owned();
+            *counts.entry(id).or_insert(0) += 1;
+        }
+        counts.into_values().max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn a_vm_partitioned_from_upstreams_serves_through_another_vm() {
+    let partition = Partition::start();
+    assert_eq!(partition.served("before"), REQUESTS);
+    partition.set_mode(Mode::Gone);
+    assert_eq!(partition.served("during"), REQUESTS);
+    assert_eq!(partition.most_runs(), 1, "a request ran twice");
+    partition.set_mode(Mode::Pass);
+    thread::sleep(Duration::from_secs(2));
+    assert_eq!(partition.served("after"), REQUESTS);
+}
