Serve through another VM while this one cannot reach upstreams

Callers of VMs that were partitioned from all upstreams got 503 within milliseconds, and came back to the same VM: 0 of 203 and 5 of 65 first attempts were served, of the others' 533 of 535 and 514 of 519.

Cause: a VM took every upstream that it could not connect to for one that is down. It made all attempts itself, although callers, the store and the other VMs reached it and the others reached the upstreams.

Now a connection that cannot be opened directly, or is pending for 50 ms, is asked of up to three other VMs, those of the data hall first; the other VM connects to the incarnation that is named and copies bytes, responses in chunks with a marked end. All decisions stay where the request arrived: attempts, deadlines, the retry budget, sessions and versions; a caller that leaves closes the whole path, and a VM that relays connects directly or not at all, so that no request passes two. Once two upstreams of a service are reached only so, the VM connects through others first, closes its idle connections, which may hang, and tries a direct connection each second. Probes of upstreams that may have crashed go the same way, so that a refused connection alone is no crash. The own interface connects in the same way.

Evidence: of 40 requests of all kinds at a VM whose connections are refused, 0 were answered before and 40 are now, each run once; the same where connections hang, once the VM has noticed (the code without relays answers 0).

Ruled out: not ready, since open connections stay and a whole hall may be cut; a request to another VM as a whole, which must carry sessions, versions, attempts and budgets, and can run twice.

--- a/src/api/view.rs
+++ b/src/api/view.rs
@@ -24,6 +24,7 @@
     message::{HeartbeatEntry, LoadEntry, ShortHash},
     placing::{
         owners::Roster,
+        paths::RelayVm,
         upstream::{Serves, Upstream, UpstreamSnapshot},
     },
     rendezvous,
@@ -54,6 +55,7 @@
 struct Upstreams {
     by_id: HashMap<UpstreamId, Arc<Upstream>>,
     by_hash: HashMap<ShortHash, Arc<Upstream>>,
+    by_address: HashMap<SocketAddr, Arc<Upstream>>,
     by_model: HashMap<ModelId, Vec<Arc<Upstream>>>,
     by_service: HashMap<ServiceId, Vec<Arc<Upstream>>>,
 }
@@ -75,6 +77,7 @@
                     .or_default()
                     .push(upstream.clone()),
             }
+            upstreams.by_address.insert(record.address, upstream.clone());
             upstreams.by_hash.insert(upstream.short_hash, upstream.clone());
             upstreams.by_id.insert(record.id.clone(), upstream);
         }
@@ -223,6 +226,29 @@
         self.upstreams().by_hash.get(&hash).cloned()
     }
 
+    /// Returns the upstream that listens at an address, if one is listed.
+    pub(crate) fn upstream_at(
+        &self,
+        address: SocketAddr,
+    ) -> Option<Arc<Upstream>> {
+        self.upstreams().by_address.get(&address).cloned()
+    }
+
+    /// Returns the live VMs that may connect to upstreams for this one.
+    pub(crate) fn relay_candidates(&self) -> Vec<RelayVm> {
+        let members = self.members.lock().expect("members lock");
+        let peers = self.peers();
+        let candidates = peers.iter().filter(|peer| {
+            let hash = ShortHash::of(peer.vm.as_str());
+            !peer.leaving && members.is_alive(hash)
+        });
+        let relays = candidates.map(|peer| RelayVm {
+            address: peer.address,
+            is_same_hall: peer.data_hall == self.data_hall,
+        });
+        relays.collect()
+    }
+
     /// Returns the local upstreams whose load this VM polls.
     ///
     /// Each upstream is assigned to one live VM of the hall by rendezvous
--- a/src/api/vm.rs
+++ b/src/api/vm.rs
@@ -4,7 +4,7 @@
     collections::VecDeque,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, Weak,
         atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -37,16 +37,21 @@
         store::{HttpStore, SharedStore, StoreCounts},
     },
     clock::{BootInstant, SharedClock},
+    dialer::DirectDialer,
     event::Event,
     frame::FrameCodec,
     http_client::HttpClient,
     id::{Incarnation, ModelId, OrganisationId, RequestId, VmId},
     message::{PeerReply, PeerRequest, ShortHash},
     metrics::Metrics,
-    peer::{PeerClient, PeerError, PeerService},
-    placing::upstream::UpstreamSnapshot,
+    peer::{PeerClient, PeerError, PeerService, RelayedUpstream},
+    placing::{
+        paths::{PathTarget, Paths, RelayVm},
+        upstream::{Serves, Upstream, UpstreamSnapshot},
+    },
     retry::RetryBudget,
     settings::Settings,
+    upstream_dialer::{UpstreamAccess, UpstreamDialer, connect_for_peer},
 };
 
 /// Counts activities that a graceful shutdown waits for.
@@ -84,6 +89,7 @@
     pub(crate) decisions: DecisionLog,
     pub(crate) sessions: SessionKeys,
     pub(crate) http: HttpClient,
+    pub(crate) paths: Paths,
     pub(crate) store: SharedStore,
     pub(crate) store_counts: Arc<StoreCounts>,
     pub(crate) codec: FrameCodec,
@@ -133,8 +139,8 @@
             settings.store.clone(),
             clock.clone(),
         );
-        let requests = &settings.requests;
-        Arc::new(Vm {
+        let requests = settings.requests.clone();
+        Arc::new_cyclic(|vm: &Weak<Vm>| Vm {
             configuration: ConfigurationCell::new(),
             recent_changes: Mutex::default(),
             configuration_sources: smol::channel::bounded(1),
@@ -154,7 +160,14 @@
             rollout_guard: RolloutGuard::default(),
             decisions: DecisionLog::new(settings.decisions_kept),
             sessions: SessionKeys::new(&settings.cluster_key),
-            http: HttpClient::new(requests.connect_timeout, clock.clone()),
+            http: HttpClient::with_dialer(
+                Arc::new(UpstreamDialer {
+                    vm: vm.clone(),
+                    direct: DirectDialer { timeout: requests.connect_timeout },
+                }),
+                clock.clone(),
+            ),
+            paths: Paths::default(),
             store_counts: store.counts(),
             store: Arc::new(store),
             peer_client: PeerClient::new(codec.clone(), metrics.clone()),
@@ -440,8 +453,70 @@
             | PeerRequest::KnowledgeDelta { .. } => {
                 refusal("this VM does not watch a platform store")
             }
+            PeerRequest::ConnectUpstream { .. } => {
+                refusal("not the first request of a connection")
+            }
         }
     }
+
+    async fn connect_upstream(
+        self: Arc<Vm>,
+        upstream: ShortHash,
+    ) -> Result<RelayedUpstream, String> {
+        let stream = connect_for_peer(&*self, upstream).await?;
+        let guard = Box::new(self.begin_request());
+        Ok(RelayedUpstream { stream, _guard: guard })
+    }
+}
+
+fn path_target(upstream: &Upstream) -> PathTarget {
+    let service = match &upstream.record.serves {
+        Serves::Model(model) => model.to_string(),
+        Serves::Service(service) => service.to_string(),
+    };
+    PathTarget { upstream: upstream.short_hash, service }
+}
+
+impl UpstreamAccess for Vm {
+    fn now(&self) -> BootInstant {
+        self.clock.now()
+    }
+
+    fn paths(&self) -> &Paths {
+        &self.paths
+    }
+
+    fn upstream_at(&self, address: SocketAddr) -> Option<PathTarget> {
+        self.view.upstream_at(address).map(|upstream| path_target(&upstream))
+    }
+
+    fn find_upstream(
+        &self,
+        upstream: ShortHash,
+    ) -> Option<(PathTarget, SocketAddr)> {
+        let upstream = self.view.upstream_by_hash(upstream)?;
+        Some((path_target(&upstream), upstream.record.address))
+    }
+
+    fn relay_candidates(&self) -> Vec<RelayVm> {
+        self.view.relay_candidates()
+    }
+
+    fn is_stopping(&self) -> bool {
+        Vm::is_stopping(self)
+    }
+
+    fn http(&self) -> &HttpClient {
+        &self.http
+    }
+
+    fn codec(&self) -> &FrameCodec {
+        &self.codec
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
 }
 
 fn refusal(reason: &str) -> PeerReply {
--- a/src/event.rs
+++ b/src/event.rs
@@ -242,6 +242,12 @@
     /// A request was rejected or failed.
     RequestFailed = 101, Warn,
         "A request was rejected or failed; one line with all its attempts and the reason.";
+    /// This VM reaches upstreams only through other VMs.
+    UpstreamsUnreachable = 102, Warn,
+        "This VM cannot connect to upstreams that other VMs reach; until it can, its requests go through those.";
+    /// This VM reaches upstreams by itself again.
+    UpstreamsReachable = 103, Info,
+        "This VM connects to upstreams by itself again.";
 }
 
 impl Event {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -495,6 +495,7 @@
             }
         };
         self.record_arrival(attempt);
+        trace.record_relay(exchange.relay());
         let status = exchange.status;
         let head = headers::read_response(
             status,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -28,7 +29,9 @@
         observation::RequestObservation,
         tracker::{CrashTracker, QuarantineChange},
     },
+    dialer::DirectDialer,
     event::Event,
+    frame::FrameCodec,
     http_client::HttpClient,
     id::{Incarnation, ServiceId, VersionId},
     message::ShortHash,
@@ -38,6 +41,7 @@
         cascade::PrefillTimes,
         health::{AttemptOutcome, HealthChange},
         member::{Member, UpstreamState},
+        paths::{PathTarget, Paths, RelayVm},
         pool::Pool,
         retry_window::RetryWindow,
     },
@@ -48,6 +52,7 @@
         peers::{Peers, WatchRole},
     },
     task::Wake,
+    upstream_dialer::{UpstreamAccess, UpstreamDialer},
 };
 
 pub mod settings;
@@ -123,6 +128,7 @@
     pub(crate) store: PlatformStore,
     pub(crate) knowledge: Knowledge,
     pub(crate) pool: Pool,
+    pub(crate) paths: Paths,
     pub(crate) rollouts: Rollouts,
     pub(crate) crashes: CrashTracker,
     pub(crate) prefill_times: PrefillTimes,
@@ -148,8 +154,15 @@
     ) -> Arc<Gateway> {
         let incarnation = Incarnation(clock.unix_ms() * 1000);
         let metrics = Arc::new(Metrics::new());
-        Arc::new(Gateway {
-            http: HttpClient::new(CONNECT_TIMEOUT, clock.clone()),
+        Arc::new_cyclic(|gateway| Gateway {
+            http: HttpClient::with_dialer(
+                Arc::new(UpstreamDialer {
+                    vm: gateway.clone(),
+                    direct: DirectDialer { timeout: CONNECT_TIMEOUT },
+                }),
+                clock.clone(),
+            ),
+            paths: Paths::default(),
             store: PlatformStore::new(settings.store, clock.clone()),
             knowledge: Knowledge::default(),
             pool: Pool::new(
@@ -523,6 +536,55 @@
     }
 }
 
+fn path_target(member: &Member) -> PathTarget {
+    PathTarget {
+        upstream: member.upstream.short_hash,
+        service: member.entry.service.to_string(),
+    }
+}
+
+impl UpstreamAccess for Gateway {
+    fn now(&self) -> BootInstant {
+        self.clock.now()
+    }
+
+    fn paths(&self) -> &Paths {
+        &self.paths
+    }
+
+    fn upstream_at(&self, address: SocketAddr) -> Option<PathTarget> {
+        self.pool.member_at(address).map(|member| path_target(&member))
+    }
+
+    fn find_upstream(
+        &self,
+        upstream: ShortHash,
+    ) -> Option<(PathTarget, SocketAddr)> {
+        let member = self.pool.incarnation(upstream)?;
+        Some((path_target(&member), member.entry.address))
+    }
+
+    fn relay_candidates(&self) -> Vec<RelayVm> {
+        self.peers.relay_candidates(self.clock.now())
+    }
+
+    fn is_stopping(&self) -> bool {
+        Gateway::is_stopping(self)
+    }
+
+    fn http(&self) -> &HttpClient {
+        &self.http
+    }
+
+    fn codec(&self) -> &FrameCodec {
+        &self.peers.codec
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+}
+
 /// Returns the fields of a JSON object; any other value becomes the field
 /// `value`.
 pub(crate) fn fields(object: Value) -> Map<String, Value> {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -3,7 +3,7 @@
 //! A trace writes one log line when its request ends. If it is dropped before,
 //! the caller has closed the connection, and the line says so.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde_json::{Map, Value, json};
 
@@ -44,6 +44,8 @@
     retry_after: Option<RetryAfter>,
     /// The rate limit that the upstream reported.
     rate_limit: Option<RateLimit>,
+    /// The VM through which the response came.
+    relay: Option<SocketAddr>,
     confidence: Option<u8>,
     no_escalation: Option<NoEscalation>,
 }
@@ -163,6 +165,7 @@
             is_leaving: false,
             retry_after: None,
             rate_limit: None,
+            relay: None,
             confidence: None,
             no_escalation: None,
         });
@@ -180,6 +183,13 @@
         }
     }
 
+    /// Records the VM through which the response came, if it did.
+    pub(crate) fn record_relay(&mut self, relay: Option<SocketAddr>) {
+        if let Some(last) = self.attempts.last_mut() {
+            last.relay = relay;
+        }
+    }
+
     /// Records what the upstream reported about itself in its response.
     pub(crate) fn record_signals(&mut self, signals: &UpstreamSignals) {
         if let Some(last) = self.attempts.last_mut() {
@@ -359,6 +369,9 @@
                 fields.insert("rate_limit_unreadable".into(), text.into());
             }
         }
+        if let Some(relay) = self.relay {
+            fields.insert("through".into(), relay.to_string().into());
+        }
         if let Some(confidence) = self.confidence {
             fields.insert("confidence".into(), confidence.into());
         }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::HashMap,
-    fmt, io,
+    fmt,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -21,11 +21,11 @@
     client::conn::http1::{self, SendRequest},
     header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue},
 };
-use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 use crate::{
     clock::{BootInstant, SharedClock},
+    dialer::{Dialer, DirectDialer},
     task::{self, Task, within},
 };
 
@@ -165,6 +165,8 @@
 /// connection.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// The VM through which it runs, if it does.
+    relay: Option<SocketAddr>,
     _driver: Task<()>,
 }
 
@@ -203,7 +205,8 @@
         connection: Connection,
         now: BootInstant,
     ) {
-        if connection.sender.is_closed() {
+        // A relayed connection would keep requests on the longer path.
+        if connection.sender.is_closed() || connection.relay.is_some() {
             return;
         }
         let mut idle = self.idle.lock().expect("pool lock");
@@ -218,14 +221,28 @@
 #[derive(Clone)]
 pub struct HttpClient {
     pool: Arc<Pool>,
-    connect_timeout: Duration,
+    dialer: Arc<dyn Dialer>,
     clock: SharedClock,
 }
 
 impl HttpClient {
     /// Creates a client with its own pool of connections.
     pub fn new(connect_timeout: Duration, clock: SharedClock) -> HttpClient {
-        HttpClient { pool: Arc::default(), connect_timeout, clock }
+        let dialer = DirectDialer { timeout: connect_timeout };
+        HttpClient::with_dialer(Arc::new(dialer), clock)
+    }
+
+    /// Creates a client that opens its connections in another way.
+    pub(crate) fn with_dialer(
+        dialer: Arc<dyn Dialer>,
+        clock: SharedClock,
+    ) -> HttpClient {
+        HttpClient { pool: Arc::default(), dialer, clock }
+    }
+
+    /// Closes the idle connections.
+    pub(crate) fn close_idle(&self) {
+        self.pool.idle.lock().expect("pool lock").clear();
     }
 
     /// Sends a request and waits for the head of the response.
@@ -326,13 +343,7 @@
 
     /// Returns whether anything accepts connections at an address.
     pub async fn probe(&self, address: SocketAddr) -> Listening {
-        let connecting =
-            within(self.connect_timeout, TcpStream::connect(address));
-        match connecting.await {
-            Some(Ok(_)) => Listening::Yes,
-            Some(Err(error)) if is_refusal(&error) => Listening::No,
-            Some(Err(_)) | None => Listening::Unknown,
-        }
+        self.dialer.probe(address).await
     }
 
     fn exchange(
@@ -362,35 +373,22 @@
         &self,
         address: SocketAddr,
     ) -> Result<Connection, SendError> {
-        let connecting =
-            within(self.connect_timeout, TcpStream::connect(address));
-        let stream = match connecting.await {
-            Some(Ok(stream)) => stream,
-            Some(Err(error)) => {
-                return Err(SendError::NotSent(error.to_string()));
-            }
-            None => {
-                return Err(SendError::NotSent("connect timed out".into()));
-            }
-        };
         let not_sent =
             |error: &dyn fmt::Display| SendError::NotSent(error.to_string());
-        stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
-        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
+        let dialed = self.dialer.dial(address).await;
+        let dialed = dialed.map_err(|error| not_sent(&error))?;
+        let relay = dialed.relay;
+        let (sender, driver) = http1::handshake(FuturesIo::new(dialed.stream))
             .await
-            .map_err(|e| not_sent(&e))?;
+            .map_err(|error| not_sent(&error))?;
         let driver = task::spawn(async move {
             // The exchange sees a failure of the connection as well.
             let _ = driver.await;
         });
-        Ok(Connection { sender, _driver: driver })
+        Ok(Connection { sender, relay, _driver: driver })
     }
 }
 
-fn is_refusal(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::ConnectionRefused
-}
-
 /// Reason why sending on a connection failed.
 enum AttemptError {
     /// Nothing was sent; returns the request for another attempt.
@@ -454,6 +452,11 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Returns the VM through which the response came, if it did.
+    pub(crate) fn relay(&self) -> Option<SocketAddr> {
+        self.connection.as_ref()?.relay
+    }
+
     /// Treats a body without a length or chunked encoding as complete when its
     /// connection is closed rather than reset.
     pub fn allow_end_at_close(&mut self) {
--- a/src/message.rs
+++ b/src/message.rs
@@ -328,6 +328,12 @@
         /// The changed entries.
         items: Vec<ChangedItem>,
     },
+    /// Asks the receiver to connect to an upstream; after
+    /// [`PeerReply::Done`], the connection is a [`crate::tunnel`] to it.
+    ConnectUpstream {
+        /// The incarnation of the upstream.
+        upstream: ShortHash,
+    },
 }
 
 /// The reply to a [`PeerRequest`].
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -49,6 +49,8 @@
     pub entries_unreadable: IntCounter,
     /// Bytes sent to other VMs, by transport.
     pub peer_bytes: IntCounterVec,
+    /// Connections to upstreams asked of other VMs, by outcome.
+    pub relayed_connections: IntCounterVec,
     /// Calls to the store since the start, by kind; set from the store
     /// client's counters, hence a gauge.
     pub store_calls: IntGaugeVec,
@@ -149,6 +151,11 @@
                 "lupinseam_entries_unreadable_total",
                 "Values in the platform's store that could not be decoded.",
             ),
+            relayed_connections: r.counters(
+                "lupinseam_relayed_connections_total",
+                "Connections to upstreams asked of other VMs, by outcome.",
+                &["outcome"],
+            ),
             peer_bytes: r.counters(
                 "lupinseam_peer_bytes_total",
                 "Bytes sent to other VMs.",
@@ -268,6 +275,7 @@
             &self.attempts,
             &self.frames_dropped,
             &self.peer_bytes,
+            &self.relayed_connections,
             &self.claims,
             &self.orders,
             &self.upstreams_said,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 //! requests are multiplexed, each with its own number and timeout.
 
 use std::{
+    any::Any,
     collections::HashMap,
     fmt, io,
     net::SocketAddr,
@@ -22,9 +23,10 @@
 
 use crate::{
     frame::{FrameCodec, MAX_FRAME_BYTES},
-    message::{PeerReply, PeerRequest},
+    message::{PeerReply, PeerRequest, ShortHash},
     metrics::Metrics,
     task::{self, Task, within},
+    tunnel::{self, TunnelStream},
 };
 
 /// Timeout for connecting to another VM.
@@ -211,6 +213,30 @@
     pending.lock().expect("pending lock").clear();
 }
 
+/// Opens a stream to an upstream through another VM.
+///
+/// # Errors
+///
+/// If the VM cannot be reached or does not connect to the upstream.
+pub(crate) async fn open_tunnel(
+    codec: &FrameCodec,
+    address: SocketAddr,
+    upstream: ShortHash,
+) -> io::Result<TunnelStream> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let body = PeerRequest::ConnectUpstream { upstream };
+    let frame = codec.seal(&Envelope { number: 0, body });
+    write_frame(&mut stream, &frame).await?;
+    let reply = read_frame(&mut stream).await?;
+    let reply = codec.open::<Envelope<PeerReply>>(&reply);
+    match reply.map(|reply| reply.body) {
+        Ok(PeerReply::Done) => Ok(TunnelStream::new(stream)),
+        Ok(PeerReply::Rejected(reason)) => Err(io::Error::other(reason)),
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
 /// Handles the requests of other VMs.
 pub(crate) trait PeerService: Send + Sync + 'static {
     /// Handles one request and returns the reply.
@@ -218,6 +244,20 @@
         self: Arc<Self>,
         request: PeerRequest,
     ) -> impl Future<Output = PeerReply> + Send;
+
+    /// Connects to an upstream for another VM, or returns why it does not.
+    fn connect_upstream(
+        self: Arc<Self>,
+        upstream: ShortHash,
+    ) -> impl Future<Output = Result<RelayedUpstream, String>> + Send;
+}
+
+/// A connection to an upstream for another VM.
+pub(crate) struct RelayedUpstream {
+    /// The connection.
+    pub(crate) stream: TcpStream,
+    /// Counts it as a request in flight.
+    pub(crate) _guard: Box<dyn Any + Send>,
 }
 
 /// Accepts connections of other VMs, for as long as it is polled.
@@ -260,6 +300,9 @@
                 Some(request) => request,
                 None => return,
             };
+            if let PeerRequest::ConnectUpstream { upstream } = request.body {
+                return self.serve_tunnel(stream, upstream).await;
+            }
             let codec = self.codec.clone();
             let metrics = self.metrics.clone();
             let service = self.service.clone();
@@ -277,6 +320,24 @@
         }
     }
 
+    /// Connects to an upstream, and relays bytes until either side closes.
+    async fn serve_tunnel(self, mut vm: TcpStream, upstream: ShortHash) {
+        let connected = self.service.connect_upstream(upstream).await;
+        let body = match &connected {
+            Ok(_) => PeerReply::Done,
+            Err(reason) => PeerReply::Rejected(reason.clone()),
+        };
+        let reply = self.codec.seal(&Envelope { number: 0, body });
+        if write_frame(&mut vm, &reply).await.is_err() {
+            return;
+        }
+        if let Ok(relayed) = connected {
+            let sent = tunnel::serve(vm, relayed.stream.clone()).await;
+            let bytes = &self.metrics.peer_bytes;
+            bytes.with_label_values(&["relay"]).inc_by(sent);
+        }
+    }
+
     fn open<T: DeserializeOwned>(&self, frame: &[u8]) -> Option<Envelope<T>> {
         match self.codec.open(frame) {
             Ok(message) => Some(message),
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod member;
 pub(crate) mod owners;
+pub(crate) mod paths;
 pub mod pool;
 pub(crate) mod rate_limit;
 pub mod reported_state;
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::{
         Arc, Mutex, RwLock,
         atomic::{AtomicU32, Ordering},
@@ -143,6 +144,7 @@
     by_id: HashMap<UpstreamId, Arc<Member>>,
     by_service: HashMap<ServiceId, Vec<Arc<Member>>>,
     by_short_hash: HashMap<ShortHash, Arc<Member>>,
+    by_address: HashMap<SocketAddr, Arc<Member>>,
 }
 
 /// The upstreams at which each other VM has last reported work, so that its
@@ -422,6 +424,22 @@
         self.members().by_id.get(id).cloned()
     }
 
+    /// Returns the upstream that listens at an address, if one is known.
+    pub(crate) fn member_at(
+        &self,
+        address: SocketAddr,
+    ) -> Option<Arc<Member>> {
+        self.members().by_address.get(&address).cloned()
+    }
+
+    /// Returns the upstream of an incarnation, if it is known.
+    pub(crate) fn incarnation(
+        &self,
+        upstream: ShortHash,
+    ) -> Option<Arc<Member>> {
+        self.members().by_short_hash.get(&upstream).cloned()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> Vec<Arc<Member>> {
         self.members().by_id.values().cloned().collect()
@@ -737,7 +755,11 @@
         let by_short_hash = by_short_hash
             .map(|m| (m.upstream.short_hash, m.clone()))
             .collect();
-        *current = Arc::new(Members { by_id, by_service, by_short_hash });
+        let by_address = by_id.values();
+        let by_address =
+            by_address.map(|m| (m.entry.address, m.clone())).collect();
+        *current =
+            Arc::new(Members { by_id, by_service, by_short_hash, by_address });
     }
 }
 
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -22,11 +22,12 @@
     gateway::{Gateway, fields},
     message::{Heartbeat, PeerReply, PeerRequest, RateLimitReport, ShortHash},
     metrics::Metrics,
-    peer::PeerService,
+    peer::{PeerService, RelayedUpstream},
     platform::store::{StoreItem, StoreItems},
     rollouts::{evidence::HallEvidence, peer_evidence::Delivery},
     store_sync::{knowledge::ChangedItem, knowledge_pack, peers::Receiver},
     task,
+    upstream_dialer::connect_for_peer,
 };
 
 /// Timeout of a request to another VM for its snapshot of the store.
@@ -483,6 +484,15 @@
             _ => PeerReply::Rejected("not a request for this VM".into()),
         }
     }
+
+    async fn connect_upstream(
+        self: Arc<Gateway>,
+        upstream: ShortHash,
+    ) -> Result<RelayedUpstream, String> {
+        let stream = connect_for_peer(&*self, upstream).await?;
+        let guard = Box::new(self.in_flight.enter());
+        Ok(RelayedUpstream { stream, _guard: guard })
+    }
 }
 
 /// Serves requests of the other VMs for as long as it is polled.
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -21,6 +21,7 @@
     message::{Heartbeat, HeartbeatEcho},
     metrics::Metrics,
     peer::PeerClient,
+    placing::paths::RelayVm,
     rendezvous,
     store_sync::{
         freshness::{self, Freshness},
@@ -363,6 +364,21 @@
         });
     }
 
+    /// Returns the live VMs that may connect to upstreams for this one.
+    pub(crate) fn relay_candidates(&self, now: BootInstant) -> Vec<RelayVm> {
+        let known = self.known.lock().expect("peers lock");
+        let is_candidate = |peer: &&Peer| {
+            let last = peer.last_heartbeat.as_ref();
+            peer.is_alive(now) && last.is_some_and(|last| !last.is_leaving)
+        };
+        let candidates = known.values().filter(is_candidate);
+        let relays = candidates.map(|peer| RelayVm {
+            address: peer.address,
+            is_same_hall: peer.data_hall == self.data_hall,
+        });
+        relays.collect()
+    }
+
     /// Returns whether this VM is the one that keeps the records of rollouts:
     /// the first, in a fixed order, of the live VMs whose configuration was
     /// proven current recently.
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -19,6 +19,9 @@
 /// Interval at which idle connections poll the mode.
 const MODE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Length of the queue of connections that are not accepted yet.
+const BACKLOG: i32 = 128;
+
 /// How the proxy treats connections and datagrams.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Mode {
@@ -32,6 +35,8 @@
     Gone,
     /// Keeps connections open but forwards nothing; drops datagrams.
     Stall,
+    /// Like [`Mode::Stall`], and new connections get no reply either.
+    Silent,
     /// Delays each read or datagram by this long.
     Delay(Duration),
     /// Forwards requests, and closes the connection when the response begins.
@@ -108,8 +113,8 @@
     /// Sets the mode, also for open connections.
     pub fn set_mode(&self, mode: Mode) {
         *self.mode.lock().unwrap() = mode;
-        if mode == Mode::Gone {
-            // Wakes the accept loop, so that it stops listening at once.
+        if matches!(mode, Mode::Gone | Mode::Silent) {
+            // Wakes the accept loop, so that it stops accepting at once.
             drop(std::net::TcpStream::connect(self.address));
         }
     }
@@ -131,6 +136,7 @@
         let Ok((client, _)) = open.accept().await else { return };
         match current(&mode) {
             Mode::Cut => drop(client),
+            Mode::Silent => hang(open, address, &mode).await,
             Mode::Gone => {
                 drop(client);
                 drop(listener.take());
@@ -141,6 +147,32 @@
     }
 }
 
+/// Leaves new connections without a reply until the mode is no longer
+/// [`Mode::Silent`]: the kernel drops their packets while the queue of accepted
+/// connections is full.
+async fn hang(open: &TcpListener, address: SocketAddr, mode: &SharedMode) {
+    if rustix::net::listen(open, 0).is_err() {
+        return;
+    }
+    let mut filling = Vec::new();
+    loop {
+        let connect = async { TcpStream::connect(address).await.ok() };
+        let full = async {
+            Timer::after(MODE_POLL_INTERVAL).await;
+            None
+        };
+        match connect.or(full).await {
+            Some(stream) => filling.push(stream),
+            None => break,
+        }
+    }
+    while current(mode) == Mode::Silent {
+        Timer::after(MODE_POLL_INTERVAL).await;
+    }
+    // If this fails, the queue stays short, which no test depends on.
+    let _ = rustix::net::listen(open, BACKLOG);
+}
+
 /// Waits until the mode is no longer [`Mode::Gone`], and listens again.
 async fn listen_again(
     address: SocketAddr,
@@ -190,7 +222,7 @@
         match current(&mode) {
             Mode::Pass | Mode::Lossy(_) => {}
             Mode::Cut | Mode::Gone => return,
-            Mode::Stall => wait_until_unstalled(&mode).await,
+            Mode::Stall | Mode::Silent => wait_until_unstalled(&mode).await,
             Mode::Delay(time) => {
                 Timer::after(time).await;
             }
@@ -222,7 +254,7 @@
 }
 
 async fn wait_until_unstalled(mode: &SharedMode) {
-    while current(mode) == Mode::Stall {
+    while matches!(current(mode), Mode::Stall | Mode::Silent) {
         Timer::after(MODE_POLL_INTERVAL).await;
     }
 }
--- a/standins/tests/partitioned_vms.rs
+++ b/standins/tests/partitioned_vms.rs
@@ -73,10 +73,13 @@
         Partition { site, upstreams, proxies }
     }
 
+    /// Sets how the first VM's connections to upstreams are treated, and waits
+    /// until that holds for open ones.
     fn set_mode(&self, mode: Mode) {
         for proxy in &self.proxies {
             proxy.set_mode(mode);
         }
+        thread::sleep(Duration::from_millis(100));
     }
 
     /// Sends requests of all kinds to the first VM; returns how many are
@@ -118,3 +121,17 @@
     thread::sleep(Duration::from_secs(2));
     assert_eq!(partition.served("after"), REQUESTS);
 }
+
+/// New connections get no reply, and open ones stay open without one.
+#[test]
+fn a_vm_whose_connections_hang_serves_through_another_vm() {
+    let partition = Partition::start();
+    assert_eq!(partition.served("before"), REQUESTS);
+    partition.set_mode(Mode::Silent);
+    // Callers notice the partition until the VM does.
+    partition.served("first");
+    assert_eq!(partition.served("during"), REQUESTS);
+    partition.set_mode(Mode::Pass);
+    thread::sleep(Duration::from_secs(2));
+    assert_eq!(partition.served("after"), REQUESTS);
+}
