Ask VMs of other data halls for connections at the own interface

A VM of the own interface that could not reach upstreams rejected its callers if no other VM of its hall was up: it asked only VMs whose heartbeats it had, and those of other halls may not reach it. They count as alive now, as listed.

Evidence: the test, with the only other VM in another hall, answered the first call with no_upstream before.

--- a/src/api/view.rs
+++ b/src/api/view.rs
@@ -234,13 +234,17 @@
         self.upstreams().by_address.get(&address).cloned()
     }
 
-    /// Returns the live VMs that may connect to upstreams for this one.
+    /// Returns the VMs that may connect to upstreams for this one. Heartbeats of
+    /// other data halls may not reach this VM, so their VMs count as alive.
     pub(crate) fn relay_candidates(&self) -> Vec<RelayVm> {
         let members = self.members.lock().expect("members lock");
         let peers = self.peers();
         let candidates = peers.iter().filter(|peer| {
             let hash = ShortHash::of(peer.vm.as_str());
-            !peer.leaving && members.is_alive(hash)
+            let known = members.get(hash);
+            let is_alive =
+                known.is_none_or(|member| member.liveness == Liveness::Alive);
+            !peer.leaving && is_alive
         });
         let relays = candidates.map(|peer| RelayVm {
             address: peer.address,
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -175,6 +175,8 @@
     list_address: SocketAddr,
     /// The proxies between VMs, by names of the sending and the receiving VM.
     paths: HashMap<(String, String), Proxy>,
+    /// The proxies between a VM and upstreams, by the name of the VM.
+    upstream_paths: HashMap<String, Vec<Proxy>>,
     dir: TempDir,
 }
 
@@ -204,6 +206,7 @@
             vms: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             paths: HashMap::new(),
+            upstream_paths: HashMap::new(),
             dir,
             plan,
         };
@@ -428,6 +431,28 @@
         Ok(())
     }
 
+    /// Creates the proxies between a VM and all upstreams. The VM uses them
+    /// after the next [`Fleet::publish`].
+    ///
+    /// # Errors
+    ///
+    /// When an address of an upstream can't be read or no port be bound.
+    pub fn create_upstream_paths(&mut self, vm: &str) -> FleetResult<()> {
+        let mut proxies = Vec::new();
+        for upstream in self.upstreams.values() {
+            let address = upstream.list_entry["address"].as_str();
+            let address = address.ok_or("an upstream has no address")?;
+            let target = address
+                .parse()
+                .map_err(|error| format!("{address}: {error}"))?;
+            let proxy =
+                Proxy::tcp(target).map_err(|error| error.to_string())?;
+            proxies.push(proxy);
+        }
+        self.upstream_paths.insert(vm.to_owned(), proxies);
+        Ok(())
+    }
+
     /// Writes the current VMs and upstreams to the platform's list.
     ///
     /// # Errors
@@ -454,6 +479,13 @@
             let paths = content.paths.entry(from.clone()).or_default();
             paths.insert(target, proxy.address.to_string());
         }
+        for (vm, proxies) in &self.upstream_paths {
+            let paths = content.paths.entry(vm.clone()).or_default();
+            for proxy in proxies {
+                let target = proxy.target.to_string();
+                paths.insert(target, proxy.address.to_string());
+            }
+        }
         self.post(self.list_address, "/admin/set", &content).await
     }
 
@@ -761,6 +793,13 @@
         }
     }
 
+    /// Sets the fault mode of all paths from a VM to upstreams.
+    pub fn set_upstream_paths(&self, vm: &str, mode: Mode) {
+        for proxy in self.upstream_paths.get(vm).into_iter().flatten() {
+            proxy.set_mode(mode);
+        }
+    }
+
     /// Sets the fault mode of all paths between VMs.
     pub fn set_all_peer_paths(&self, mode: Mode) {
         for proxy in self.paths.values() {
--- a/standins/tests/upstreams.rs
+++ b/standins/tests/upstreams.rs
@@ -10,7 +10,7 @@
 use smol::Timer;
 use standins::{
     caller::CallOutcome, documents::version, engine::EngineFaults,
-    fleet::Fleet, service::ServiceFaults, site, web,
+    fleet::Fleet, proxy::Mode, service::ServiceFaults, site, web,
 };
 
 /// A VM of the first data hall.
@@ -37,6 +37,33 @@
     });
 }
 
+/// The other VM still reaches all upstreams.
+#[test]
+fn a_vm_partitioned_from_upstreams_calls_them_through_another_vm() {
+    run(async {
+        let mut fleet = start(1, |plan| plan).await;
+        fleet.create_upstream_paths(VM).unwrap();
+        fleet.publish().await.unwrap();
+        // The VM reads the list again.
+        Timer::after(Duration::from_secs(3)).await;
+        let before = ask(&fleet, VM, &read_call(0)).await;
+        assert!(before.is_whole(), "{before:?}");
+        fleet.set_upstream_paths(VM, Mode::Gone);
+        Timer::after(Duration::from_millis(200)).await;
+        let mut calls = Vec::new();
+        for nonce in 1..=10 {
+            let request = match nonce % 2 {
+                0 => chat(nonce, 20, true),
+                _ => read_call(nonce),
+            };
+            let call = ask(&fleet, VM, &request).await;
+            assert!(call.is_whole(), "{call:?}");
+            calls.push(call);
+        }
+        assert_no_violations(&fleet, &calls).await;
+    });
+}
+
 #[test]
 fn a_stream_that_cannot_be_resumed_ends_as_incomplete() {
     run(async {
