--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,8 @@
 //!   which does no I/O, decides which upstream gets it, how it queues and when
 //!   it is rejected. [`crashes`] limits the damage that one request can do to
 //!   the fleet by crashing the upstreams that run it.
+//!   A VM that cannot reach an upstream connects through another one
+//!   (`upstream_dialer`, `tunnel`).
 //! * **Changes of the platform's store**: [`store_sync`] follows the store and
 //!   sends its changes to the other VMs, with a proof of how recent they are.
 //! * **Consistent and durable state** is kept in the platform's key-value
--- a/src/upstream_dialer.rs
+++ b/src/upstream_dialer.rs
@@ -184,12 +184,10 @@
                 true => pending().await,
             }
         };
-        let is_relay = async { (true, relay.await) };
-        let is_direct = async { (false, direct.await) };
-        match future::or(is_direct, is_relay).await {
-            (_, Some(Ok(dialed))) => return Ok(dialed),
-            (_, Some(Err(error))) => failure = Some(error),
-            (_, None) => has_no_relay = true,
+        match future::or(direct, relay).await {
+            Some(Ok(dialed)) => return Ok(dialed),
+            Some(Err(error)) => failure = Some(error),
+            None => has_no_relay = true,
         }
         if has_no_relay && let Some(error) = failure.take() {
             return Err(error);
