Serve by the version on trial only where the old one is gone

Where no upstream of the old version is left, every caller would have been rejected while the new version takes requests.

Now an attempt falls back when no upstream of the old version takes requests, and never just because the request has tried all of them. Whether a silent attempt can be replaced is asked by the same rule, so that it is not given up for an upstream that it may not use.

The test of the share no longer expects such attempts to be sent.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -656,7 +656,9 @@
     /// its response may still arrive.
     fn has_other_upstream(&self) -> bool {
         let now = self.gateway.clock.now();
-        self.gateway.pool.has_untried(&self.service, &self.tried, now)
+        let version = self.version_choice(now);
+        let criteria = self.pick_criteria(&version, &self.tried);
+        self.gateway.pool.has_untried(&self.service, &criteria, now)
     }
 
     /// Whether a broken stream may be resumed at another upstream.
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -77,8 +77,8 @@
     Any,
     /// This version, or any other if it has no usable upstream.
     Prefer(VersionId),
-    /// Any version but this one, or this one if no other has a usable
-    /// upstream.
+    /// Any version but this one, or this one if no other has an upstream that
+    /// takes requests.
     Avoid(VersionId),
     /// Any version but this one, without exception.
     Never(VersionId),
@@ -109,6 +109,18 @@
     pub max_utilization: f64,
 }
 
+impl PickCriteria<'_> {
+    /// Whether the rule is to avoid the version of an upstream.
+    fn avoids(&self, member: &Member) -> bool {
+        match &self.rule {
+            VersionRule::Avoid(version) | VersionRule::Never(version) => {
+                member.entry.software == *version
+            }
+            VersionRule::Any | VersionRule::Prefer(_) => false,
+        }
+    }
+}
+
 impl Default for PickCriteria<'_> {
     /// Criteria that accept any upstream that is not full.
     fn default() -> Self {
@@ -532,8 +544,10 @@
         }
         // This comes before the temporary exclusions below, so that a canary
         // version gets no more than its share while the upstreams of other
-        // versions back off or are full.
-        let eligible = without_avoided(eligible, &criteria.rule);
+        // versions back off or are full. Those that the request has tried
+        // count as well, so that its retries do not all go to the canary.
+        let has_other = has_other_version(all, criteria, now);
+        let eligible = without_avoided(eligible, &criteria.rule, has_other);
         if eligible.is_empty() {
             return Err(PickError::NoCandidate);
         }
@@ -553,19 +567,22 @@
         Ok(if healthy.is_empty() { eligible } else { healthy })
     }
 
-    /// Whether an upstream whose incarnation is not among `tried` may take a
-    /// request.
+    /// Whether an upstream that has not been tried, of a version that the rule
+    /// allows, may take a request.
     pub fn has_untried(
         &self,
         service: &ServiceId,
-        tried: &[ShortHash],
+        criteria: &PickCriteria<'_>,
         now: BootInstant,
     ) -> bool {
         let members = self.members();
         let all = members.by_service.get(service);
+        let all = all.map_or(&[][..], Vec::as_slice);
+        let has_other = has_other_version(all, criteria, now);
         let evacuated = self.evacuated.read().expect("halls lock");
-        all.into_iter().flatten().any(|member| {
-            is_eligible(member, tried, now)
+        all.iter().any(|member| {
+            is_eligible(member, criteria.tried, now)
+                && !(has_other && criteria.avoids(member))
                 && self.backoff(member, now).is_zero()
                 && !evacuated.contains(&member.entry.data_hall)
         })
@@ -772,17 +789,34 @@
     member.takes_requests(now) && !tried.contains(&member.upstream.short_hash)
 }
 
+/// Whether an upstream of a version that need not be avoided takes requests,
+/// tried or not.
+fn has_other_version(
+    all: &[Arc<Member>],
+    criteria: &PickCriteria<'_>,
+    now: BootInstant,
+) -> bool {
+    all.iter().any(|member| {
+        member.takes_requests(now)
+            && !criteria.withdrawn.contains(&member.entry.software)
+            && !criteria.avoids(member)
+    })
+}
+
 /// Excludes the upstreams whose software version is to be avoided.
+///
+/// If no upstream of another version is left at all, the avoided one is kept.
 fn without_avoided<'a>(
     eligible: Vec<&'a Arc<Member>>,
     rule: &VersionRule,
+    has_other: bool,
 ) -> Vec<&'a Arc<Member>> {
     let (VersionRule::Avoid(version) | VersionRule::Never(version)) = rule
     else {
         return eligible;
     };
     let kept = of_version(&eligible, version, false);
-    let or_else_all = matches!(rule, VersionRule::Avoid(_));
+    let or_else_all = matches!(rule, VersionRule::Avoid(_)) && !has_other;
     if kept.is_empty() && or_else_all { eligible } else { kept }
 }
 
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -404,9 +404,6 @@
         };
         let rule = match side {
             VersionSide::New => VersionRule::Prefer(target),
-            VersionSide::Old if is_canary && !may_send_new => {
-                VersionRule::Never(target)
-            }
             VersionSide::Old => VersionRule::Avoid(target),
         };
         (rule, reason)
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -459,12 +459,7 @@
                 rollouts.record_sent(&service(), &new);
                 sent_new += 1;
             }
-            // An attempt that has tried all of the old version.
-            VersionRule::Avoid(_) if !is_reached => {
-                rollouts.record_sent(&service(), &new);
-                sent_new += 1;
-            }
-            VersionRule::Never(_) if !is_reached => {}
+            VersionRule::Avoid(_) if !is_reached => {}
             _ => {
                 rollouts.record_sent(&service(), &old);
                 sent_old += 1;
