Reserve the ports of a stand-in site for it alone

Cause: a site took the first ports that nobody was bound to, and its VMs bind them only when they start. Two sites created at the same moment by two tests of one process got the same ports. The other test files hold a lock, this one did not.

Change: each site of a process takes the next ports, so that no two have the same. Ruled out: a fault of the VMs, which never started.

--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -5,8 +5,10 @@
     fs::File,
     io::{Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -131,7 +133,7 @@
             retry_share: 1.1,
             retry_extra: 50,
             retry_window_s: 10,
-            first_port: free_ports(),
+            first_port: reserve_ports(),
             revoke_ms,
         }
     }
@@ -551,16 +553,28 @@
 /// Number of ports of each VM.
 const PORTS: u16 = 4;
 
-/// Finds free consecutive ports for a site and returns the first. VMs use the
-/// same ports, each on its own address.
+/// The ports that sites may use.
 ///
 /// They are below the kernel's ephemeral ports: an ephemeral port could be
 /// taken by another connection of the site before a VM binds it.
-fn free_ports() -> u16 {
+const SITE_PORTS: Range<u16> = 20_000..30_000;
+
+/// The first port that no site of this process has reserved.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(SITE_PORTS.start);
+
+/// Reserves free consecutive ports for a site and returns the first. VMs use
+/// the same ports, each on its own address.
+///
+/// No other site of this process gets the same ports: a VM binds them only
+/// when it starts, and until then they would seem free to the next site.
+fn reserve_ports() -> u16 {
     let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10));
     let is_free = |port| TcpListener::bind((ip, port)).is_ok();
-    (20_000..30_000)
-        .step_by(usize::from(PORTS))
-        .find(|first| (*first..*first + PORTS).all(is_free))
-        .expect("four ports that are free")
+    loop {
+        let first = NEXT_PORT.fetch_add(PORTS, Ordering::Relaxed);
+        assert!(first + PORTS <= SITE_PORTS.end, "no ports are free");
+        if (first..first + PORTS).all(is_free) {
+            return first;
+        }
+    }
 }
--- a/standins/tests/limited_upstreams.rs
+++ b/standins/tests/limited_upstreams.rs
@@ -45,7 +45,7 @@
 
 static SITE_LOCK: Mutex<()> = Mutex::new(());
 
-/// Serializes the tests, since the VMs of a site have fixed addresses.
+/// Serializes the tests: sites side by side would slow each other down.
 fn lock_site() -> MutexGuard<'static, ()> {
     SITE_LOCK.lock().unwrap_or_else(|failed| failed.into_inner())
 }
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -30,7 +30,7 @@
 
 static SITE_LOCK: Mutex<()> = Mutex::new(());
 
-/// Serializes the tests, since the VMs of a site have fixed addresses.
+/// Serializes the tests: sites side by side would slow each other down.
 fn lock_site() -> MutexGuard<'static, ()> {
     SITE_LOCK.lock().unwrap_or_else(|failed| failed.into_inner())
 }
@@ -78,6 +78,18 @@
     received.filter(|r| r.header("lupinseam-attempt-id") == id).count()
 }
 
+/// Sites that run side by side failed to bind their VMs' addresses.
+#[test]
+fn sites_of_one_process_use_different_ports() {
+    let addresses = [site(REVOKE_MS), site(REVOKE_MS)].map(|mut site| {
+        let store = site.store.second_endpoint();
+        let address = store.address;
+        let at = site.add_vm("hall-a", store, address);
+        site.vms[at].callers
+    });
+    assert_ne!(addresses[0], addresses[1]);
+}
+
 #[test]
 fn a_forwarded_request_has_the_routers_headers_and_no_forged_ones() {
     let _guard = lock_site();
