End the phases of a rollout by time only where the service has few requests

Cause: at 0.8 and 0.9 of the allowed time a phase ended with any number of answers, if few of them were bad or lost. At completion the VMs knew 12 to 15 answers of the new version beside 277 to 322 of the old one: while all VMs are replaced, answers of the new version are late, lost or forgotten, and those that come first are the quick ones.

Change: a phase ends by time only if the old version has so few answers that the canary share of them would not have given twelve, and only at a VM that has had the order for most of the time. The recording VM logs the old version's answers as well (E085 old_answers, old_answers_lost), which is what showed it.

Evidence: a_version_with_few_answers_beside_many_of_the_old_one_is_reverted and a_vm_that_has_just_started_does_not_end_the_ramp_up_phase failed before. Ruled out: the old version's mean times that a VM forgets when it starts; the slow version's first parts stay below four times the mean.

--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -114,8 +114,8 @@
     let value = document::encode_status(&due.service, &due.status);
     let write = ConditionalWrite { key, value, expected };
     let store = &gateway.store;
-    let known = gateway.rollouts.canary_answers(&due.service);
-    let (answers, canary_ended) = known.unwrap_or_default();
+    let known = gateway.rollouts.known_answers(&due.service);
+    let ([old, new], canary_ended) = known.unwrap_or_default();
     if let WriteOutcome::Committed(version) =
         store.write_all(&[write], None).await?
     {
@@ -125,9 +125,11 @@
             "target": due.status.target,
             "progress": due.status.progress.to_string(),
             "version": version.0,
-            "answers": answers.complete,
-            "answers_bad": answers.bad,
-            "answers_lost": answers.lost,
+            "answers": new.complete,
+            "answers_bad": new.bad,
+            "answers_lost": new.lost,
+            "old_answers": old.complete,
+            "old_answers_lost": old.lost,
             "canary_ended_ms": canary_ended.map(|end| end.as_millis() as u64),
         })));
     }
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -395,15 +395,15 @@
         pending
     }
 
-    /// Returns the answers of the new version of a running rollout, and how
-    /// long after its beginning the canary phase ended.
-    pub(crate) fn canary_answers(
+    /// Returns the answers of the old and the new version of a running
+    /// rollout, and how long after its beginning the canary phase ended.
+    pub(crate) fn known_answers(
         &self,
         service: &ServiceId,
-    ) -> Option<(AnswerCounts, Option<Duration>)> {
+    ) -> Option<([AnswerCounts; 2], Option<Duration>)> {
         let rollouts = self.rollouts.lock().expect("rollouts lock");
         let rollout = rollouts.get(service)?;
-        Some((rollout.new_version_answers(), rollout.canary_ended))
+        Some((rollout.answers_by_version(), rollout.canary_ended))
     }
 
     /// Whether any rollout is running.
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -72,12 +72,12 @@
 const MIN_CANARY_ANSWERS: u32 = 12;
 
 /// Part of the allowed time at which the canary phase ends with fewer answers,
-/// if there were few attempts: a good version must be completed even if there
-/// are hardly any requests.
+/// if there are few requests: a good version must be completed even if there
+/// are hardly any.
 const MAX_CANARY_PART: f64 = 0.8;
 
 /// Part of the allowed time for which a VM must have had the order to tell
-/// that there were few attempts.
+/// that there are few requests.
 const MIN_WATCHED_PART: f64 = 0.6;
 
 /// Part of the allowed time that the ramp-up phase lasts at least: after the
@@ -88,7 +88,8 @@
 /// version that is slow under load shows it here first.
 const MIN_RAMP_ANSWERS: u32 = 36;
 
-/// Part of the allowed time at which the ramp-up phase ends with fewer answers.
+/// Part of the allowed time at which the ramp-up phase ends with fewer answers,
+/// if there are few requests.
 const MAX_RAMP_PART: f64 = 0.9;
 
 /// Bad and lost answers, as a share of the complete ones, above which a phase
@@ -269,44 +270,51 @@
         if self.canary_ended.is_some() || elapsed < MIN_CANARY_PART {
             return;
         }
-        let new = self.new_version_answers();
+        let known = self.answers_by_version();
+        let [_, new] = known;
         let is_proven = new.complete >= MIN_CANARY_ANSWERS;
-        if is_proven || self.has_few_attempts(new, now) {
+        let is_late = elapsed >= MAX_CANARY_PART;
+        if is_proven || is_late && self.has_few_requests(known, now) {
             let running = now.saturating_duration_since(self.started_at);
             self.canary_ended = Some(running);
         }
     }
 
-    /// Whether the new version has few answers because it got few requests.
-    ///
-    /// Attempts without an answer are no sign of that, and neither is a VM
-    /// that has not had the order for long: others may have seen answers.
-    fn has_few_attempts(&self, new: AnswerCounts, now: BootInstant) -> bool {
-        let watched = now.saturating_duration_since(self.learned_at);
-        self.elapsed_part(now) >= MAX_CANARY_PART
-            && self.part(watched) >= MIN_WATCHED_PART
-            && !is_doubtful(new)
-    }
-
     /// Ends the ramp-up phase once it has lasted long enough and the new
     /// version has given enough answers.
     fn end_ramp_up(&mut self, now: BootInstant) {
         let Some(end) = self.canary_ended else { return };
-        let new = self.new_version_answers();
+        let known = self.answers_by_version();
+        let [_, new] = known;
         let elapsed = self.elapsed_part(now);
         let is_proven = new.complete >= MIN_RAMP_ANSWERS;
-        let has_few = elapsed >= MAX_RAMP_PART && !is_doubtful(new);
-        self.is_ramped_up |=
-            elapsed >= self.part(end) + RAMP_PART && (is_proven || has_few);
+        let is_late = elapsed >= MAX_RAMP_PART;
+        self.is_ramped_up |= elapsed >= self.part(end) + RAMP_PART
+            && (is_proven || is_late && self.has_few_requests(known, now));
     }
 
-    /// Returns the answer counts of the new version on all routes.
-    pub(super) fn new_version_answers(&self) -> AnswerCounts {
-        let mut sum = AnswerCounts::default();
-        for sides in self.all_answers().values() {
-            sum.add(sides[VersionSide::New as usize]);
-        }
-        sum
+    /// Whether the new version has few answers because the service gets few
+    /// requests, and not because its answers are late, lost or forgotten: its
+    /// share of what the old version got would not have given enough of them.
+    ///
+    /// A VM that has not had the order for long cannot tell: others may have
+    /// seen more.
+    fn has_few_requests(
+        &self,
+        [old, new]: [AnswerCounts; 2],
+        now: BootInstant,
+    ) -> bool {
+        let watched = now.saturating_duration_since(self.learned_at);
+        let attempts = f64::from(old.complete + old.lost);
+        let doubtful = f64::from(new.bad + new.lost);
+        self.part(watched) >= MIN_WATCHED_PART
+            && attempts * CANARY_SHARE < f64::from(MIN_CANARY_ANSWERS)
+            && doubtful <= f64::from(new.complete) * MAX_DOUBTFUL_SHARE
+    }
+
+    /// Returns the answer counts of the old and the new version on all routes.
+    pub(super) fn answers_by_version(&self) -> [AnswerCounts; 2] {
+        sum_routes(&self.all_answers())
     }
 
     /// Returns the answer counts of all VMs, by route.
@@ -608,11 +616,7 @@
         self.end_canary(now);
         self.end_ramp_up(now);
         let all_answers = self.all_answers();
-        let mut sum = [AnswerCounts::default(); 2];
-        for sides in all_answers.values() {
-            sum[0].add(sides[0]);
-            sum[1].add(sides[1]);
-        }
+        let sum = sum_routes(&all_answers);
         let routes = all_answers.values().chain([&sum]);
         let [old, new] =
             *routes.clone().find(|[old, new]| is_worse(*old, *new))?;
@@ -665,10 +669,14 @@
     }
 }
 
-/// Whether too many answers are bad or lost to let a phase end by time.
-fn is_doubtful(new: AnswerCounts) -> bool {
-    f64::from(new.bad + new.lost)
-        > f64::from(new.complete) * MAX_DOUBTFUL_SHARE
+/// Returns the answer counts of both versions on all routes.
+fn sum_routes(answers: &AnswersByRoute) -> [AnswerCounts; 2] {
+    let mut sum = [AnswerCounts::default(); 2];
+    for [old, new] in answers.values() {
+        sum[VersionSide::Old as usize].add(*old);
+        sum[VersionSide::New as usize].add(*new);
+    }
+    sum
 }
 
 /// Whether a first part took much longer than the old version's mean; adds the
