Keep a version on trial while its answers are doubtful

Cause: enough complete answers ended a phase, whatever became of the other attempts. Where an answer takes several times as long, most attempts end with callers that leave; such an attempt counts as lost, and lost answers held back only the end by time.

Change: a phase does not end while the share of attempts that end badly or without an answer exceeds the old version's by more than 0.2. The old version's share counts, since a partition takes answers from both.

Evidence: a_version_with_doubtful_answers_is_reverted_at_the_end failed before.

--- a/src/rollouts/comparison.rs
+++ b/src/rollouts/comparison.rs
@@ -8,6 +8,10 @@
 /// How far the new version's share of bad answers may exceed the old one's.
 const MAX_BAD_SHARE_INCREASE: f64 = 0.2;
 
+/// How far the new version's share of attempts that end badly or without an
+/// answer may exceed the old one's for it to be proven.
+const MAX_DOUBTFUL_SHARE_INCREASE: f64 = 0.2;
+
 /// Minimum number of lost answers on one route for a version to be worse.
 const MIN_LOST_ANSWERS: u32 = 20;
 
@@ -45,6 +49,12 @@
         f64::from(self.lost) / f64::from((self.complete + self.lost).max(1))
     }
 
+    /// Returns the share of attempts that ended badly or without an answer.
+    fn doubtful_share(self) -> f64 {
+        let attempts = (self.complete + self.lost).max(1);
+        f64::from(self.bad + self.lost) / f64::from(attempts)
+    }
+
     /// Returns the maximum of each count, for two counts of the same answers.
     pub(crate) fn max(self, other: AnswerCounts) -> AnswerCounts {
         AnswerCounts {
@@ -80,3 +90,13 @@
         && old.lost_share() < new.lost_share() / MIN_LOST_RATIO;
     fails || loses
 }
+
+/// Whether the new version is too unreliable to get more requests, even if it
+/// is not known to be worse.
+pub(crate) fn is_doubtful(old: AnswerCounts, new: AnswerCounts) -> bool {
+    let baseline = match old.complete >= MIN_BASELINE_ANSWERS {
+        true => old.doubtful_share(),
+        false => 0.0,
+    };
+    new.doubtful_share() > baseline + MAX_DOUBTFUL_SHARE_INCREASE
+}
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -25,7 +25,7 @@
     rendezvous,
     rollouts::{
         choice::ChoiceReason,
-        comparison::{AnswerCounts, is_worse},
+        comparison::{AnswerCounts, is_doubtful, is_worse},
         evidence::{Evidence, HallEvidence, OldVersionSession},
         peer_evidence::{
             AnswersByRoute, Delivery, PeerEvidence, from_list,
@@ -92,10 +92,6 @@
 /// if there are few requests.
 const MAX_RAMP_PART: f64 = 0.9;
 
-/// Bad and lost answers, as a share of the complete ones, above which a phase
-/// does not end by time.
-const MAX_DOUBTFUL_SHARE: f64 = 0.25;
-
 /// Share of the requests that the new version gets in the ramp-up phase.
 const RAMP_SHARE: f64 = 0.4;
 
@@ -264,33 +260,40 @@
     }
 
     /// Ends the canary phase once it has lasted long enough and the new
-    /// version has given enough answers.
+    /// version has proven itself.
     fn end_canary(&mut self, now: BootInstant) {
         let elapsed = self.elapsed_part(now);
         if self.canary_ended.is_some() || elapsed < MIN_CANARY_PART {
             return;
         }
-        let known = self.answers_by_version();
-        let [_, new] = known;
-        let is_proven = new.complete >= MIN_CANARY_ANSWERS;
-        let is_late = elapsed >= MAX_CANARY_PART;
-        if is_proven || is_late && self.has_few_requests(known, now) {
+        if self.is_proven(MIN_CANARY_ANSWERS, MAX_CANARY_PART, now) {
             let running = now.saturating_duration_since(self.started_at);
             self.canary_ended = Some(running);
         }
     }
 
     /// Ends the ramp-up phase once it has lasted long enough and the new
-    /// version has given enough answers.
+    /// version has proven itself.
     fn end_ramp_up(&mut self, now: BootInstant) {
         let Some(end) = self.canary_ended else { return };
-        let known = self.answers_by_version();
-        let [_, new] = known;
-        let elapsed = self.elapsed_part(now);
-        let is_proven = new.complete >= MIN_RAMP_ANSWERS;
-        let is_late = elapsed >= MAX_RAMP_PART;
-        self.is_ramped_up |= elapsed >= self.part(end) + RAMP_PART
-            && (is_proven || is_late && self.has_few_requests(known, now));
+        let is_over = self.elapsed_part(now) >= self.part(end) + RAMP_PART;
+        self.is_ramped_up |=
+            is_over && self.is_proven(MIN_RAMP_ANSWERS, MAX_RAMP_PART, now);
+    }
+
+    /// Whether the new version has given `min_answers` complete answers, or
+    /// `max_part` of the allowed time has passed and there are few requests.
+    fn is_proven(
+        &self,
+        min_answers: u32,
+        max_part: f64,
+        now: BootInstant,
+    ) -> bool {
+        let [old, new] = self.answers_by_version();
+        let has_answers = new.complete >= min_answers
+            || self.elapsed_part(now) >= max_part
+                && self.has_few_requests(old, now);
+        has_answers && !is_doubtful(old, new)
     }
 
     /// Whether the new version has few answers because the service gets few
@@ -299,17 +302,11 @@
     ///
     /// A VM that has not had the order for long cannot tell: others may have
     /// seen more.
-    fn has_few_requests(
-        &self,
-        [old, new]: [AnswerCounts; 2],
-        now: BootInstant,
-    ) -> bool {
+    fn has_few_requests(&self, old: AnswerCounts, now: BootInstant) -> bool {
         let watched = now.saturating_duration_since(self.learned_at);
         let attempts = f64::from(old.complete + old.lost);
-        let doubtful = f64::from(new.bad + new.lost);
         self.part(watched) >= MIN_WATCHED_PART
             && attempts * CANARY_SHARE < f64::from(MIN_CANARY_ANSWERS)
-            && doubtful <= f64::from(new.complete) * MAX_DOUBTFUL_SHARE
     }
 
     /// Returns the answer counts of the old and the new version on all routes.
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -424,6 +424,31 @@
     }
 }
 
+/// Enough of its answers came, beside too many that were bad or lost.
+#[test]
+fn a_version_with_doubtful_answers_is_reverted_at_the_end() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record(&rollouts, "v1", AttemptOutcome::Success, 316);
+    record(&rollouts, "v1", AttemptOutcome::Lost, 16);
+    record(&rollouts, "v2", AttemptOutcome::Success, 31);
+    record(&rollouts, "v2", AttemptOutcome::Failed, 7);
+    record(&rollouts, "v2", AttemptOutcome::Lost, 9);
+    assert_eq!(written(&rollouts, now), [RolloutProgress::Reverted]);
+}
+
+/// A partition takes answers from both versions alike.
+#[test]
+fn a_version_that_loses_as_many_answers_as_the_old_one_is_completed() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record(&rollouts, "v1", AttemptOutcome::Success, 200);
+    record(&rollouts, "v1", AttemptOutcome::Lost, 100);
+    record(&rollouts, "v2", AttemptOutcome::Success, MIN_RAMP_ANSWERS);
+    record(&rollouts, "v2", AttemptOutcome::Lost, 18);
+    assert_eq!(written(&rollouts, now), [RolloutProgress::Completed]);
+}
+
 /// A service that hardly gets requests cannot prove its new version.
 #[test]
 fn a_version_with_few_answers_beside_few_of_the_old_one_is_completed() {
