Compare the times of a version on trial with the old one's as a whole

Cause: only an answer that takes four times the mean of the old version's times counted as slow. Prompts differ so much in length that the mean lies far above most times: a version whose times are three to four times as long at every quantile had 16 of 100 such answers, and 20 more than the old one are allowed.

Change: each VM compares a time of the new version with the latest 64 of the old one on that route, and counts the share that it exceeds by half. Above 45 a phase does not end, and a ramp-up falls back to the canary share and its bound of attempts; clearly above a half the version is stopped. Once a phase is late half of its answers suffice if times could be compared.

Three new tests failed before (keeps its share, turns slow, half of the answers); the fourth and fifth, of a much slower and of a little slower version, passed before as well. Ruled out: larger limits on what counts as a slow answer, which stop good versions on cold caches.

--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -3,6 +3,7 @@
 //! * [`registry`]: all known rollouts, shared by a VM's tasks.
 //! * [`rollout`]: one rollout: the requests that the new version gets, and its
 //!   progress.
+//! * `baseline`: the old version's times, and how the new one's compare.
 //! * [`choice`]: the version chosen for a request, and the reason.
 //! * [`comparison`]: whether the new version's answers are worse than the old
 //!   one's.
@@ -11,6 +12,7 @@
 //! * `sessions`: the version that each session is on.
 //! * [`stored_evidence`]: what the store keeps of the evidence.
 
+mod baseline;
 pub mod choice;
 pub mod comparison;
 pub mod evidence;
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -24,6 +24,7 @@
     placing::{health::AttemptOutcome, pool::VersionRule},
     rendezvous,
     rollouts::{
+        baseline::Baseline,
         choice::ChoiceReason,
         comparison::{AnswerCounts, is_doubtful, is_worse},
         evidence::{Evidence, HallEvidence, OldVersionSession},
@@ -41,7 +42,8 @@
 const CANARY_SHARE: f64 = 0.08;
 
 /// Largest share of the attempts that a VM sends to a service that may go to
-/// the new version in the canary phase, below `canary_share` as well.
+/// the new version in the canary phase, or while its answers are doubtful,
+/// below `canary_share` as well.
 const MAX_CANARY_SENT_SHARE: f64 = 0.12;
 
 /// Attempts that a VM may send to the new version in addition.
@@ -71,9 +73,8 @@
 /// version would get a sixth of all requests of a service with few.
 const MIN_CANARY_ANSWERS: u32 = 12;
 
-/// Part of the allowed time at which the canary phase ends with fewer answers,
-/// if there are few requests: a good version must be completed even if there
-/// are hardly any.
+/// Part of the allowed time at which the canary phase ends with fewer answers:
+/// a good version must be completed even if there are hardly any requests.
 const MAX_CANARY_PART: f64 = 0.8;
 
 /// Part of the allowed time for which a VM must have had the order to tell
@@ -88,8 +89,7 @@
 /// version that is slow under load shows it here first.
 const MIN_RAMP_ANSWERS: u32 = 36;
 
-/// Part of the allowed time at which the ramp-up phase ends with fewer answers,
-/// if there are few requests.
+/// Part of the allowed time at which the ramp-up phase ends with fewer answers.
 const MAX_RAMP_PART: f64 = 0.9;
 
 /// Share of the requests that the new version gets in the ramp-up phase.
@@ -115,13 +115,6 @@
 /// Maximum number of sessions in one heartbeat; a VM has a few at a time.
 const MAX_SESSIONS_PER_HEARTBEAT: usize = 64;
 
-/// Factor by which the time to the first part of an answer may exceed the mean
-/// before the answer counts as bad.
-const SLOW_FACTOR: f64 = 4.0;
-
-/// Weight of a new value in the moving average of a route's times.
-const MEAN_WEIGHT: f64 = 0.1;
-
 /// An operator's order to roll out a version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutOrder {
@@ -181,14 +174,16 @@
     pub(super) canary_ended: Option<Duration>,
     /// Whether the ramp-up phase has ended.
     is_ramped_up: bool,
+    /// Whether the new version's answers gave reason to doubt it when they
+    /// were last evaluated.
+    is_doubtful: bool,
     /// The attempts that this VM has sent since it got the order, to the old
     /// and the new version.
     sent: [u32; 2],
     /// This VM's answers.
     own_answers: AnswersByRoute,
-    /// The moving average of the old version's times to the first part of an
-    /// answer, by route.
-    mean_first_part_s: HashMap<ShortHash, f64>,
+    /// The old version's times to the first part of an answer, by route.
+    baselines: HashMap<ShortHash, Baseline>,
     pub(super) peers: PeerEvidence,
 }
 
@@ -214,9 +209,10 @@
             stopped_at: None,
             canary_ended: None,
             is_ramped_up: false,
+            is_doubtful: false,
             sent: [0; 2],
             own_answers: HashMap::new(),
-            mean_first_part_s: HashMap::new(),
+            baselines: HashMap::new(),
             peers: PeerEvidence::default(),
         }
     }
@@ -255,6 +251,7 @@
             None if is_early => 0.0,
             None => CANARY_SHARE,
             Some(_) if self.is_ramped_up => 1.0,
+            Some(_) if self.is_doubtful => CANARY_SHARE,
             Some(_) => RAMP_SHARE,
         }
     }
@@ -281,8 +278,10 @@
             is_over && self.is_proven(MIN_RAMP_ANSWERS, MAX_RAMP_PART, now);
     }
 
-    /// Whether the new version has given `min_answers` complete answers, or
-    /// `max_part` of the allowed time has passed and there are few requests.
+    /// Whether the new version has given `min_answers` complete answers.
+    ///
+    /// Once `max_part` of the allowed time has passed, half of them suffice if
+    /// their times could be compared, and any number if there are few requests.
     fn is_proven(
         &self,
         min_answers: u32,
@@ -290,10 +289,12 @@
         now: BootInstant,
     ) -> bool {
         let [old, new] = self.answers_by_version();
+        let is_late = self.elapsed_part(now) >= max_part;
+        let has_half = new.complete >= min_answers / 2
+            && new.mean_exceeded_percent().is_some();
         let has_answers = new.complete >= min_answers
-            || self.elapsed_part(now) >= max_part
-                && self.has_few_requests(old, now);
-        has_answers && !is_doubtful(old, new)
+            || is_late && (has_half || self.has_few_requests(old, now));
+        has_answers && !self.is_doubtful
     }
 
     /// Whether the new version has few answers because the service gets few
@@ -395,14 +396,16 @@
             false => VersionSide::Old,
         };
         let is_canary = self.canary_ended.is_none();
-        let may_send_new = self.may_send_new();
+        let is_share_bounded =
+            is_canary || self.is_doubtful && !self.is_ramped_up;
+        let is_share_spent = is_share_bounded && !self.may_send_new();
         let known = session.and_then(|_| self.session(subject, own, now));
         let (side, reason) = match known {
             Some((VersionSide::New, reason)) => (VersionSide::New, reason),
             Some((VersionSide::Old, reason)) if is_canary => {
                 (VersionSide::Old, reason)
             }
-            _ if side == VersionSide::New && is_canary && !may_send_new => {
+            _ if side == VersionSide::New && is_share_spent => {
                 (VersionSide::Old, ChoiceReason::ShareSpent)
             }
             _ => (side, ChoiceReason::Drawn),
@@ -486,6 +489,9 @@
 
     /// Records the outcome of an attempt, with the time to the first part of
     /// its answer, or the time for which that was waited for in vain.
+    ///
+    /// Times of both versions count as bad alike: prompts differ in length, so
+    /// that some answers of any version take far longer than the mean.
     pub(super) fn record_answer(
         &mut self,
         software: &VersionId,
@@ -495,19 +501,9 @@
     ) {
         let side = self.side(software);
         let route = ShortHash::of(route);
-        let mut is_bad = outcome == AttemptOutcome::Failed;
-        let means = &mut self.mean_first_part_s;
-        match (outcome, first_part) {
-            (_, None) => {}
-            (AttemptOutcome::Lost, Some(waited)) => {
-                is_bad = means.get(&route).is_some_and(|mean_s| {
-                    waited.as_secs_f64() > mean_s * SLOW_FACTOR
-                });
-            }
-            (_, Some(first_part)) => {
-                is_bad |= is_slow(means, route, side, first_part);
-            }
-        }
+        let baseline = self.baselines.entry(route).or_default();
+        let is_slow = first_part.is_some_and(|time| baseline.is_slow(time));
+        let is_bad = is_slow || outcome == AttemptOutcome::Failed;
         let answers =
             &mut self.own_answers.entry(route).or_default()[side as usize];
         if outcome == AttemptOutcome::Lost && !is_bad {
@@ -516,6 +512,19 @@
         }
         answers.complete += 1;
         answers.bad += u32::from(is_bad);
+        let Some(first_part) = first_part else { return };
+        match side {
+            VersionSide::Old if outcome != AttemptOutcome::Lost => {
+                baseline.record(first_part);
+            }
+            VersionSide::Old => {}
+            VersionSide::New => {
+                if let Some(percent) = baseline.exceeded_percent(first_part) {
+                    answers.compared += 1;
+                    answers.exceeded_percent += percent;
+                }
+            }
+        }
     }
 
     /// Returns this VM's evidence, for the VMs of its hall.
@@ -610,18 +619,23 @@
         if self.stopped_at.is_some() || !self.is_running() {
             return None;
         }
-        self.end_canary(now);
-        self.end_ramp_up(now);
         let all_answers = self.all_answers();
         let sum = sum_routes(&all_answers);
+        self.is_doubtful = is_doubtful(sum[0], sum[1]);
+        self.end_canary(now);
+        self.end_ramp_up(now);
         let routes = all_answers.values().chain([&sum]);
         let [old, new] =
             *routes.clone().find(|[old, new]| is_worse(*old, *new))?;
         self.stopped_at = Some(now);
-        Some(format!(
+        let mut reason = format!(
             "{} of {} answers bad, {} of {} of the old version",
             new.bad, new.complete, old.bad, old.complete
-        ))
+        );
+        if let Some(percent) = new.mean_exceeded_percent() {
+            reason += &format!(", slower than {percent:.0} % of its answers");
+        }
+        Some(reason)
     }
 
     /// Returns the progress that this VM has to write to the store, if any.
@@ -676,30 +690,5 @@
     sum
 }
 
-/// Whether a first part took much longer than the old version's mean; adds the
-/// old version's times to that mean.
-///
-/// This applies to the answers of both versions: prompts differ in length, so
-/// that some answers of any version take far longer than the mean.
-fn is_slow(
-    means_s: &mut HashMap<ShortHash, f64>,
-    route: ShortHash,
-    side: VersionSide,
-    first_part: Duration,
-) -> bool {
-    let first_part_s = first_part.as_secs_f64();
-    let Some(mean_s) = means_s.get_mut(&route) else {
-        if side == VersionSide::Old {
-            means_s.insert(route, first_part_s);
-        }
-        return false;
-    };
-    let is_slow = first_part_s > *mean_s * SLOW_FACTOR;
-    if side == VersionSide::Old {
-        *mean_s += (first_part_s - *mean_s) * MEAN_WEIGHT;
-    }
-    is_slow
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -287,6 +287,69 @@
     assert_eq!(rollouts.evaluate(now).len(), 1);
 }
 
+/// Records answers whose times vary, each `factor` times as long as those of
+/// the old version.
+fn record_times(rollouts: &Rollouts, name: &str, factor: f64, count: u64) {
+    for number in 0..count {
+        // 60 ms to 1.2 s, most of them short.
+        let ms = 60.0 * 20.0_f64.powf((number % 10) as f64 / 9.0) * factor;
+        let first_part = Some(Duration::from_secs_f64(ms / 1000.0));
+        let (version, good) = (version(name), AttemptOutcome::Success);
+        rollouts.record_answer(&service(), &version, "a", good, first_part);
+    }
+}
+
+/// Few of its answers take far longer than the old version's mean.
+#[test]
+fn a_version_that_is_slower_in_general_is_neither_ramped_up_nor_completed() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record_times(&rollouts, "v1", 1.0, 300);
+    record_times(&rollouts, "v2", 2.0, 20);
+    let at = now + ALLOWED.mul_f64(0.7);
+    assert_eq!(rollouts.evaluate(at), []);
+    let share = share(&rollouts, at);
+    assert!(share < 0.1, "{share}");
+    record_times(&rollouts, "v2", 2.0, 20);
+    assert_eq!(written(&rollouts, now), [RolloutProgress::Reverted]);
+}
+
+#[test]
+fn a_version_whose_answers_turn_slow_in_the_ramp_up_phase_gets_less() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record_times(&rollouts, "v1", 1.0, 300);
+    record_times(&rollouts, "v2", 1.0, 20);
+    let at = now + ALLOWED.mul_f64(MIN_CANARY_PART);
+    rollouts.evaluate(at);
+    let ramped = share(&rollouts, at);
+    assert!((0.3..0.5).contains(&ramped), "{ramped}");
+    record_times(&rollouts, "v2", 3.0, 20);
+    rollouts.evaluate(at);
+    let doubted = share(&rollouts, at);
+    assert!(doubted < 0.1, "{doubted}");
+}
+
+#[test]
+fn a_version_that_is_much_slower_in_general_is_stopped() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record_times(&rollouts, "v1", 1.0, 300);
+    record_times(&rollouts, "v2", 5.0, 20);
+    let stopped = rollouts.evaluate(now);
+    assert_eq!(stopped.len(), 1);
+}
+
+/// A new version begins without cached prompts.
+#[test]
+fn a_version_that_is_a_little_slower_is_completed() {
+    let now = BootInstant::now();
+    let rollouts = running(now);
+    record_times(&rollouts, "v1", 1.0, 300);
+    record_times(&rollouts, "v2", 1.3, u64::from(MIN_RAMP_ANSWERS));
+    assert_eq!(written(&rollouts, now), [RolloutProgress::Completed]);
+}
+
 /// Prompts differ in length, so some answers of any version take far longer
 /// than the mean. If those counted as bad for the new version only, a good one
 /// would be stopped with "4 of 19 answers bad on one route, 0 of 317 of the
@@ -424,6 +487,21 @@
     }
 }
 
+/// Its times are known to be those of the old version.
+#[test]
+fn a_version_with_half_of_the_answers_is_completed_if_they_compare_well() {
+    for (factor, progress) in
+        [(1.0, RolloutProgress::Completed), (2.0, RolloutProgress::Reverted)]
+    {
+        let now = BootInstant::now();
+        let rollouts = running(now);
+        record_times(&rollouts, "v1", 1.0, 300);
+        let half = u64::from(MIN_RAMP_ANSWERS) / 2;
+        record_times(&rollouts, "v2", factor, half);
+        assert_eq!(written(&rollouts, now), [progress], "{factor}");
+    }
+}
+
 /// Enough of its answers came, beside too many that were bad or lost.
 #[test]
 fn a_version_with_doubtful_answers_is_reverted_at_the_end() {
