Say which requests a store outage rejected in the test that failed once

The listed failure (36 of 40 answered, 38 wanted) kept no codes. The bound and the check are as before; the message names each request that got no answer.

--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -132,6 +132,7 @@
             let outage = KvFaults { outage: true, ..KvFaults::default() };
             fleet.set_kv_faults(outage).await.unwrap();
             let mut answered = 0;
+            let mut rejected = Vec::new();
             for nonce in 1..=40 {
                 let nonce = round * 1000 + nonce;
                 let key = format!("key-{nonce}");
@@ -139,6 +140,9 @@
                 let vm = VMS[nonce as usize % 4];
                 let first = ask(&fleet, vm, &request).await;
                 answered += usize::from(first.is_whole());
+                if !first.is_whole() {
+                    rejected.push(format!("{vm}, key-{nonce}: {first:?}"));
+                }
                 calls.push(first);
                 let other = VMS[(nonce as usize + 1) % 4];
                 let again = ask(&fleet, other, &request).await;
@@ -148,7 +152,7 @@
             }
             assert!(
                 answered >= 38,
-                "{answered} of 40 answered in round {round}"
+                "{answered} of 40 answered in round {round}: {rejected:#?}"
             );
             fleet.set_kv_faults(KvFaults::default()).await.unwrap();
             Timer::after(Duration::from_millis(500)).await;
