Connect to upstreams for partitioned VMs during a graceful shutdown

Cause: each VM that still reached upstreams was in its graceful shutdown, refused to connect for others ("this VM is stopping"), and was no longer asked.

VMs that leave are asked after those that stay, so that they get none while others can.

Evidence: a_partitioned_vm_serves_through_the_last_vm_while_that_one_stops served 0 of 40 before and serves 40 of 40. Both interfaces share the code. Ruled out: the number of VMs asked; the failures begin with the shutdowns.

--- a/src/api/view.rs
+++ b/src/api/view.rs
@@ -242,13 +242,12 @@
         let candidates = peers.iter().filter(|peer| {
             let hash = ShortHash::of(peer.vm.as_str());
             let known = members.get(hash);
-            let is_alive =
-                known.is_none_or(|member| member.liveness == Liveness::Alive);
-            !peer.leaving && is_alive
+            known.is_none_or(|member| member.liveness == Liveness::Alive)
         });
         let relays = candidates.map(|peer| RelayVm {
             address: peer.address,
             is_same_hall: peer.data_hall == self.data_hall,
+            is_leaving: peer.leaving,
         });
         relays.collect()
     }
--- a/src/api/vm.rs
+++ b/src/api/vm.rs
@@ -502,10 +502,6 @@
         self.view.relay_candidates()
     }
 
-    fn is_stopping(&self) -> bool {
-        Vm::is_stopping(self)
-    }
-
     fn http(&self) -> &HttpClient {
         &self.http
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -586,10 +586,6 @@
         self.peers.relay_candidates(self.clock.now())
     }
 
-    fn is_stopping(&self) -> bool {
-        Gateway::is_stopping(self)
-    }
-
     fn http(&self) -> &HttpClient {
         &self.http
     }
--- a/src/placing/paths.rs
+++ b/src/placing/paths.rs
@@ -46,6 +46,8 @@
     pub(crate) address: SocketAddr,
     /// Whether it is in this VM's data hall.
     pub(crate) is_same_hall: bool,
+    /// Whether a graceful shutdown of it is under way.
+    pub(crate) is_leaving: bool,
 }
 
 /// An upstream to connect to.
@@ -151,9 +153,9 @@
     }
 
     /// Chooses the VMs to ask for a connection, the first one first: those
-    /// that have not failed, then those that have failed but reached another
-    /// upstream, then the rest; among these, those of this data hall first, in
-    /// random order.
+    /// that have not failed, the ones that leave after the others, then those
+    /// that have failed but reached another upstream, then the rest; among
+    /// these, those of this data hall first, in random order.
     pub(crate) fn choose_relays(
         &self,
         mut candidates: Vec<RelayVm>,
@@ -169,9 +171,10 @@
             at.is_some_and(|at| is_recent(*at, now))
         };
         let rank = |relay: &RelayVm| match has_failed(relay) {
-            false => 0,
-            true if is_working(relay) => 1,
-            true => 2,
+            false if !relay.is_leaving => 0,
+            false => 1,
+            true if is_working(relay) => 2,
+            true => 3,
         };
         candidates.sort_by_cached_key(|relay| {
             (rank(relay), !relay.is_same_hall, rand::random::<u32>())
--- a/src/placing/paths/tests.rs
+++ b/src/placing/paths/tests.rs
@@ -7,7 +7,7 @@
 
 fn relay(number: u16, is_same_hall: bool) -> RelayVm {
     let address = SocketAddr::from(([127, 0, 0, 1], number));
-    RelayVm { address, is_same_hall }
+    RelayVm { address, is_same_hall, is_leaving: false }
 }
 
 #[test]
@@ -89,3 +89,14 @@
     let later = now + FAILED_RELAY_PAUSE / 2;
     assert_eq!(paths.choose_relays(all.clone(), later)[0], all[5]);
 }
+
+#[test]
+fn relays_that_leave_are_asked_after_those_that_stay() {
+    let now = BootInstant::now();
+    let paths = Paths::default();
+    let leaving = RelayVm { is_leaving: true, ..relay(1, true) };
+    let all = vec![leaving, relay(2, false), relay(3, true)];
+    paths.record_failed_relay(relay(3, true).address, now);
+    let chosen = paths.choose_relays(all, now);
+    assert_eq!(chosen, [relay(2, false), leaving, relay(3, true)]);
+}
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -367,14 +367,14 @@
     /// Returns the live VMs that may connect to upstreams for this one.
     pub(crate) fn relay_candidates(&self, now: BootInstant) -> Vec<RelayVm> {
         let known = self.known.lock().expect("peers lock");
-        let is_candidate = |peer: &&Peer| {
-            let last = peer.last_heartbeat.as_ref();
-            peer.is_alive(now) && last.is_some_and(|last| !last.is_leaving)
-        };
-        let candidates = known.values().filter(is_candidate);
-        let relays = candidates.map(|peer| RelayVm {
-            address: peer.address,
-            is_same_hall: peer.data_hall == self.data_hall,
+        let alive = known.values().filter(|peer| peer.is_alive(now));
+        let relays = alive.filter_map(|peer| {
+            let last = peer.last_heartbeat.as_ref()?;
+            Some(RelayVm {
+                address: peer.address,
+                is_same_hall: peer.data_hall == self.data_hall,
+                is_leaving: last.is_leaving,
+            })
         });
         relays.collect()
     }
--- a/src/upstream_dialer.rs
+++ b/src/upstream_dialer.rs
@@ -61,9 +61,6 @@
     /// Returns the live VMs that may connect to upstreams for this one.
     fn relay_candidates(&self) -> Vec<RelayVm>;
 
-    /// Whether a graceful shutdown is under way.
-    fn is_stopping(&self) -> bool;
-
     /// The client that sends requests to upstreams.
     fn http(&self) -> &HttpClient;
 
@@ -206,13 +203,13 @@
 
 /// Connects to an upstream on behalf of another VM, from here alone: a request
 /// passes through one other VM at most.
+///
+/// A VM connects during its graceful shutdown as well: it may be the last one
+/// that reaches upstreams.
 pub(crate) async fn connect_for_peer(
     vm: &impl UpstreamAccess,
     upstream: ShortHash,
 ) -> Result<TcpStream, String> {
-    if vm.is_stopping() {
-        return Err("this VM is stopping".to_owned());
-    }
     let Some((target, address)) = vm.find_upstream(upstream) else {
         return Err("the upstream is unknown here".to_owned());
     };
--- a/standins/tests/partitioned_vms.rs
+++ b/standins/tests/partitioned_vms.rs
@@ -6,6 +6,7 @@
 
 use std::{path::PathBuf, thread, time::Duration};
 
+use rustix::process::Signal;
 use standins::{
     gateway_site::{
         MODELS, PLAIN, Site, configuration, request, stream_request,
@@ -135,3 +136,15 @@
     thread::sleep(Duration::from_secs(2));
     assert_eq!(partition.served("after"), REQUESTS);
 }
+
+/// A VM in its graceful shutdown refused to connect to upstreams for others.
+#[test]
+fn a_partitioned_vm_serves_through_the_last_vm_while_that_one_stops() {
+    let partition = Partition::start();
+    assert_eq!(partition.served("before"), REQUESTS);
+    partition.set_mode(Mode::Gone);
+    partition.site.vms[1].signal(Signal::TERM);
+    // The heartbeat that says so.
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(partition.served("during"), REQUESTS);
+}
