--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -170,12 +170,34 @@
     }
 }
 
+/// Why it is unknown whether an upstream has executed a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnknownCause {
+    /// The connection broke, or what came on it is no response.
+    Broken,
+    /// The upstream was given up before its response.
+    Silent,
+    /// The response belongs to another request.
+    Foreign,
+}
+
+impl UnknownCause {
+    /// Returns the label of the attempt's end in the request's line.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            UnknownCause::Broken => "broken",
+            UnknownCause::Silent => "silent",
+            UnknownCause::Foreign => "foreign",
+        }
+    }
+}
+
 /// Why an attempt gave no response for the caller.
 pub(crate) enum AttemptError {
     /// The upstream did not execute the request: label and reason.
     NotRun(&'static str, String),
-    /// The upstream may have executed the request: label and reason.
-    Unknown(&'static str, String),
+    /// The upstream may have executed the request: cause and reason.
+    Unknown(UnknownCause, String),
     /// The upstream executed the request and failed; holds its response.
     Failed(Box<Reply>),
     /// The model was not confident enough; holds the larger model to ask.
@@ -485,13 +507,16 @@
             Err(Some(error)) => {
                 self.record_sent(attempt);
                 return Err(AttemptError::Unknown(
-                    "broken",
+                    UnknownCause::Broken,
                     error.to_string(),
                 ));
             }
             Err(None) => {
                 self.record_sent(attempt);
-                return Err(AttemptError::Unknown("silent", String::new()));
+                return Err(AttemptError::Unknown(
+                    UnknownCause::Silent,
+                    String::new(),
+                ));
             }
         };
         self.record_arrival(attempt);
@@ -512,7 +537,7 @@
         if !head.matches_request && !head.not_executed {
             self.may_have_run = true;
             let reason = "response belongs to another request".to_owned();
-            return Err(AttemptError::Unknown("foreign", reason));
+            return Err(AttemptError::Unknown(UnknownCause::Foreign, reason));
         }
         if head.not_executed {
             return Err(AttemptError::NotRun("declined", status.to_string()));
@@ -586,12 +611,15 @@
             Some(Ok(answer)) => answer,
             Some(Err(error)) => {
                 return Err(AttemptError::Unknown(
-                    "broken",
+                    UnknownCause::Broken,
                     error.to_string(),
                 ));
             }
             None => {
-                return Err(AttemptError::Unknown("silent", String::new()));
+                return Err(AttemptError::Unknown(
+                    UnknownCause::Silent,
+                    String::new(),
+                ));
             }
         };
         self.record_completion();
@@ -721,7 +749,9 @@
         error: &AttemptError,
     ) {
         match error {
-            AttemptError::Unknown("silent", _) => self.record_silent(attempt),
+            AttemptError::Unknown(UnknownCause::Silent, _) => {
+                self.record_silent(attempt)
+            }
             error => {
                 if let Some(outcome) = error.outcome() {
                     self.record_attempt(attempt, outcome, None);
@@ -753,9 +783,9 @@
                 trace.end_attempt(label, &reason);
                 (true, FinalFailure::NotRun(reason))
             }
-            AttemptError::Unknown(label, reason) => {
+            AttemptError::Unknown(cause, reason) => {
                 trace.record_digest(self.digest());
-                trace.end_attempt(label, &reason);
+                trace.end_attempt(cause.label(), &reason);
                 (
                     self.route.repeat == Repeat::Any,
                     FinalFailure::Unknown(reason),
@@ -844,8 +874,9 @@
 }
 
 fn status_of(status: u16) -> Result<StatusCode, AttemptError> {
-    StatusCode::from_u16(status)
-        .map_err(|error| AttemptError::Unknown("broken", error.to_string()))
+    StatusCode::from_u16(status).map_err(|error| {
+        AttemptError::Unknown(UnknownCause::Broken, error.to_string())
+    })
 }
 
 /// Ends the trace of a request and returns the error response to it.
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -17,7 +17,7 @@
     gateway::{
         forward::{
             Attempt, AttemptError, Job, Reply, ReplyBody,
-            SILENCE_CHECK_INTERVAL,
+            SILENCE_CHECK_INTERVAL, UnknownCause,
         },
         trace::{RequestEnd, Trace},
     },
@@ -91,10 +91,10 @@
 }
 
 impl StreamError {
-    fn label(&self) -> &'static str {
+    fn cause(&self) -> UnknownCause {
         match self {
-            StreamError::Broken(_) => "broken",
-            StreamError::Silent => "silent",
+            StreamError::Broken(_) => UnknownCause::Broken,
+            StreamError::Silent => UnknownCause::Silent,
         }
     }
 
@@ -274,7 +274,7 @@
             Ok(StreamRead::End) => (Bytes::new(), true),
             Err(error) => {
                 let error =
-                    AttemptError::Unknown(error.label(), error.reason());
+                    AttemptError::Unknown(error.cause(), error.reason());
                 self.record_error(&source.attempt, &error);
                 return Err(error);
             }
@@ -311,7 +311,7 @@
         let Some(Ok(answer)) = task::within(left, read).await else {
             self.record_attempt(&attempt, AttemptOutcome::Lost, None);
             return AttemptError::Unknown(
-                "broken",
+                UnknownCause::Broken,
                 format!("status {status}"),
             );
         };
@@ -435,7 +435,7 @@
         };
         let mut reason = error.reason();
         self.job.record_attempt(&source.attempt, AttemptOutcome::Lost, None);
-        self.end_attempt(error.label(), &reason);
+        self.end_attempt(error.cause().label(), &reason);
         // Dropping the connection stops the old upstream before another one
         // continues.
         let model = source.attempt.model.clone();
@@ -509,9 +509,9 @@
             Err(AttemptError::NotRun(label, reason)) => {
                 fail(self, label, reason)
             }
-            Err(AttemptError::Unknown(label, reason)) => {
+            Err(AttemptError::Unknown(cause, reason)) => {
                 self.job.record_attempt(&attempt, AttemptOutcome::Lost, None);
-                fail(self, label, reason)
+                fail(self, cause.label(), reason)
             }
             Err(AttemptError::LowConfidence(_)) => {
                 fail(self, "poor", String::new())
--- a/src/placing/paths.rs
+++ b/src/placing/paths.rs
@@ -71,10 +71,16 @@
 #[derive(Debug, Default)]
 struct State {
     services: HashMap<String, ServicePaths>,
-    /// When VMs last failed to reach an upstream.
-    failed_relays: HashMap<SocketAddr, BootInstant>,
-    /// When VMs last reached an upstream for this one.
-    working_relays: HashMap<SocketAddr, BootInstant>,
+    relays: HashMap<SocketAddr, RelayHistory>,
+}
+
+/// What came of asking another VM for connections.
+#[derive(Debug, Default)]
+struct RelayHistory {
+    /// When it last failed to reach an upstream.
+    failed_at: Option<BootInstant>,
+    /// When it last reached one.
+    reached_at: Option<BootInstant>,
 }
 
 /// The paths to the upstreams of one service.
@@ -130,26 +136,20 @@
         paths.indirect.insert(target.upstream, now);
     }
 
-    /// Records that a VM did not connect this one to an upstream.
-    pub(crate) fn record_failed_relay(
+    /// Records whether a VM connected this one to an upstream.
+    pub(crate) fn record_relay(
         &self,
         relay: SocketAddr,
+        is_connected: bool,
         now: BootInstant,
     ) {
         let mut state = self.0.lock().expect("paths lock");
-        state.failed_relays.retain(|_, at| is_paused(*at, now));
-        state.failed_relays.insert(relay, now);
-    }
-
-    /// Records that a VM connected this one to an upstream.
-    pub(crate) fn record_working_relay(
-        &self,
-        relay: SocketAddr,
-        now: BootInstant,
-    ) {
-        let mut state = self.0.lock().expect("paths lock");
-        state.working_relays.retain(|_, at| is_recent(*at, now));
-        state.working_relays.insert(relay, now);
+        state.relays.retain(|_, history| history.is_known(now));
+        let history = state.relays.entry(relay).or_default();
+        match is_connected {
+            true => history.reached_at = Some(now),
+            false => history.failed_at = Some(now),
+        }
     }
 
     /// Chooses the VMs to ask for a connection, the first one first: those
@@ -162,19 +162,16 @@
         now: BootInstant,
     ) -> Vec<RelayVm> {
         let state = self.0.lock().expect("paths lock");
-        let has_failed = |relay: &RelayVm| {
-            let at = state.failed_relays.get(&relay.address);
-            at.is_some_and(|at| is_paused(*at, now))
-        };
-        let is_working = |relay: &RelayVm| {
-            let at = state.working_relays.get(&relay.address);
-            at.is_some_and(|at| is_recent(*at, now))
-        };
-        let rank = |relay: &RelayVm| match has_failed(relay) {
-            false if !relay.is_leaving => 0,
-            false => 1,
-            true if is_working(relay) => 2,
-            true => 3,
+        let unknown = RelayHistory::default();
+        let rank = |relay: &RelayVm| {
+            let history = state.relays.get(&relay.address);
+            let history = history.unwrap_or(&unknown);
+            match history.has_failed(now) {
+                false if !relay.is_leaving => 0,
+                false => 1,
+                true if history.has_reached(now) => 2,
+                true => 3,
+            }
         };
         candidates.sort_by_cached_key(|relay| {
             (rank(relay), !relay.is_same_hall, rand::random::<u32>())
@@ -256,6 +253,20 @@
     }
 }
 
+impl RelayHistory {
+    fn has_failed(&self, now: BootInstant) -> bool {
+        self.failed_at.is_some_and(|at| is_paused(at, now))
+    }
+
+    fn has_reached(&self, now: BootInstant) -> bool {
+        self.reached_at.is_some_and(|at| is_recent(at, now))
+    }
+
+    fn is_known(&self, now: BootInstant) -> bool {
+        self.has_failed(now) || self.has_reached(now)
+    }
+}
+
 fn is_recent(at: BootInstant, now: BootInstant) -> bool {
     now.saturating_duration_since(at) < EVIDENCE_TTL
 }
--- a/src/placing/paths/tests.rs
+++ b/src/placing/paths/tests.rs
@@ -66,8 +66,8 @@
     let paths = Paths::default();
     let all = vec![relay(1, false), relay(2, true), relay(3, true)];
     assert!(paths.choose_relays(all.clone(), now)[0].is_same_hall);
-    paths.record_failed_relay(relay(2, true).address, now);
-    paths.record_failed_relay(relay(3, true).address, now);
+    paths.record_relay(relay(2, true).address, false, now);
+    paths.record_relay(relay(3, true).address, false, now);
     let chosen = paths.choose_relays(all.clone(), now);
     assert_eq!(chosen[0], relay(1, false));
     let later = now + FAILED_RELAY_PAUSE;
@@ -83,9 +83,9 @@
     let all: Vec<RelayVm> = (1..=6).map(|n| relay(n, n != 6)).collect();
     assert_eq!(paths.choose_relays(all.clone(), now).len(), 6);
     for vm in &all {
-        paths.record_failed_relay(vm.address, now);
+        paths.record_relay(vm.address, false, now);
     }
-    paths.record_working_relay(all[5].address, now);
+    paths.record_relay(all[5].address, true, now);
     let later = now + FAILED_RELAY_PAUSE / 2;
     assert_eq!(paths.choose_relays(all.clone(), later)[0], all[5]);
 }
@@ -96,7 +96,7 @@
     let paths = Paths::default();
     let leaving = RelayVm { is_leaving: true, ..relay(1, true) };
     let all = vec![leaving, relay(2, false), relay(3, true)];
-    paths.record_failed_relay(relay(3, true).address, now);
+    paths.record_relay(relay(3, true).address, false, now);
     let chosen = paths.choose_relays(all, now);
     assert_eq!(chosen, [relay(2, false), leaving, relay(3, true)]);
 }
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -336,7 +336,7 @@
         by_vm.sort_by_key(|(vm, _)| *vm);
         let is_new = |answers: &AnswersByRoute| {
             let mut sides = answers.values();
-            sides.any(|sides| sides[1] != AnswerCounts::default())
+            sides.any(|[_, new]| *new != AnswerCounts::default())
         };
         if !by_vm.iter().any(|(_, answers)| is_new(answers)) {
             return None;
--- a/src/upstream_dialer.rs
+++ b/src/upstream_dialer.rs
@@ -4,9 +4,7 @@
 //! connection serves one request, so that a VM which reaches upstreams again
 //! soon uses its own paths.
 
-use std::{
-    future::pending, net::SocketAddr, pin::pin, sync::Weak, time::Duration,
-};
+use std::{net::SocketAddr, pin::pin, sync::Weak, time::Duration};
 
 use async_trait::async_trait;
 use futures_lite::future;
@@ -157,12 +155,12 @@
             let outcome = if opened.is_some() { "opened" } else { "failed" };
             let counter = &self.vm.metrics().relayed_connections;
             counter.with_label_values(&[outcome]).inc();
+            let now = self.vm.now();
+            paths.record_relay(relay.address, opened.is_some(), now);
             if let Some(stream) = opened {
-                paths.record_working_relay(relay.address, self.vm.now());
                 let relay = Some(relay.address);
                 return Some(Dialed { stream: Box::new(stream), relay });
             }
-            paths.record_failed_relay(relay.address, self.vm.now());
         }
         None
     }
@@ -174,30 +172,17 @@
     directly: impl Future<Output = Result<Dialed, DialError>>,
     relayed: impl Future<Output = Option<Dialed>>,
 ) -> Result<Dialed, DialError> {
-    let mut failure = None;
-    let mut has_no_relay = false;
-    let (mut directly, mut relayed) = (pin!(directly), pin!(relayed));
-    loop {
-        let direct = async {
-            match failure {
-                None => Some(directly.as_mut().await),
-                Some(_) => pending().await,
-            }
-        };
-        let relay = async {
-            match has_no_relay {
-                false => relayed.as_mut().await.map(Ok),
-                true => pending().await,
-            }
-        };
-        match future::or(direct, relay).await {
-            Some(Ok(dialed)) => return Ok(dialed),
-            Some(Err(error)) => failure = Some(error),
-            None => has_no_relay = true,
-        }
-        if has_no_relay && let Some(error) = failure.take() {
-            return Err(error);
+    // An open connection stands as the error, which ends the wait for both.
+    let directly = async {
+        match directly.await {
+            Ok(dialed) => Err(dialed),
+            Err(error) => Ok(error),
         }
+    };
+    let relayed = async { relayed.await.map_or(Ok(()), Err) };
+    match future::try_zip(directly, relayed).await {
+        Err(dialed) => Ok(dialed),
+        Ok((error, ())) => Err(error),
     }
 }
 
