--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -47,7 +47,7 @@
     assert_eq!(share(&rollouts, now), 0.0);
     let in_canary = share(&rollouts, now + ALLOWED / 4);
     assert!((0.06..0.1).contains(&in_canary), "{in_canary}");
-    record_good_answers(&rollouts, MIN_CANARY_ANSWERS);
+    record(&rollouts, "v2", AttemptOutcome::Success, MIN_CANARY_ANSWERS);
     rollouts.evaluate(now + ALLOWED / 4);
     let still_in_canary = share(&rollouts, now + ALLOWED / 2);
     assert!((0.06..0.1).contains(&still_in_canary), "{still_in_canary}");
@@ -58,17 +58,26 @@
         let partial = share(&rollouts, at);
         assert!((0.3..0.5).contains(&partial), "{partial} at {part}");
     }
-    record_good_answers(&rollouts, MIN_RAMP_ANSWERS - MIN_CANARY_ANSWERS);
+    record(
+        &rollouts,
+        "v2",
+        AttemptOutcome::Success,
+        MIN_RAMP_ANSWERS - MIN_CANARY_ANSWERS,
+    );
     rollouts.evaluate(now + ALLOWED.mul_f64(0.7));
     assert_eq!(share(&rollouts, now + ALLOWED.mul_f64(0.7)), 1.0);
 }
 
-/// Records good answers of the new version.
-fn record_good_answers(rollouts: &Rollouts, count: u32) {
-    let new = version("v2");
+/// Records the outcomes of attempts at a version on one route.
+fn record(
+    rollouts: &Rollouts,
+    software: &str,
+    outcome: AttemptOutcome,
+    count: u32,
+) {
+    let software = version(software);
     for _ in 0..count {
-        let outcome = AttemptOutcome::Success;
-        rollouts.record_answer(&service(), &new, "write", outcome, None);
+        rollouts.record_answer(&service(), &software, "a", outcome, None);
     }
 }
 
@@ -79,14 +88,19 @@
     let now = BootInstant::now();
     let rollouts = running(now);
     let at = |part: f64| now + ALLOWED.mul_f64(part);
-    record_good_answers(&rollouts, MIN_CANARY_ANSWERS - 1);
+    record(&rollouts, "v2", AttemptOutcome::Success, MIN_CANARY_ANSWERS - 1);
     rollouts.evaluate(at(0.7));
     let in_canary = share(&rollouts, at(0.7));
     assert!((0.06..0.1).contains(&in_canary), "{in_canary}");
-    record_good_answers(&rollouts, 1);
+    record(&rollouts, "v2", AttemptOutcome::Success, 1);
     rollouts.evaluate(at(0.71));
     let full_at = at(0.711 + RAMP_PART);
-    record_good_answers(&rollouts, MIN_RAMP_ANSWERS - MIN_CANARY_ANSWERS);
+    record(
+        &rollouts,
+        "v2",
+        AttemptOutcome::Success,
+        MIN_RAMP_ANSWERS - MIN_CANARY_ANSWERS,
+    );
     rollouts.evaluate(full_at);
     assert_eq!(share(&rollouts, full_at), 1.0);
     // A VM with fewer answers adopts the end that the first one found.
@@ -377,7 +391,7 @@
 fn completion_waits_for_the_old_versions_last_requests() {
     let now = BootInstant::now();
     let rollouts = running(now);
-    record_good_answers(&rollouts, MIN_RAMP_ANSWERS);
+    record(&rollouts, "v2", AttemptOutcome::Success, MIN_RAMP_ANSWERS);
     rollouts.evaluate(now + ALLOWED.mul_f64(MIN_CANARY_PART));
     let at = now + ALLOWED.mul_f64(0.7);
     rollouts.evaluate(at);
@@ -394,7 +408,7 @@
 fn a_restarted_vm_learns_when_the_rollout_began() {
     let now = BootInstant::now();
     let old = running(now);
-    record_good_answers(&old, MIN_RAMP_ANSWERS);
+    record(&old, "v2", AttemptOutcome::Success, MIN_RAMP_ANSWERS);
     old.evaluate(now + ALLOWED.mul_f64(MIN_CANARY_PART));
     let at = now + ALLOWED.mul_f64(0.7);
     let restarted = running(at);
@@ -434,19 +448,6 @@
     assert!(rollouts.apply_order(service(), order, now), "another order");
 }
 
-/// Records the outcomes of attempts at a version on one route.
-fn record(
-    rollouts: &Rollouts,
-    software: &str,
-    outcome: AttemptOutcome,
-    count: u32,
-) {
-    let software = version(software);
-    for _ in 0..count {
-        rollouts.record_answer(&service(), &software, "a", outcome, None);
-    }
-}
-
 /// Behind a partition, both versions lose most of their answers.
 #[test]
 fn attempts_without_an_answer_do_not_end_the_canary_phase() {
@@ -466,11 +467,11 @@
 /// A version that lost most of its answers is withdrawn, not completed.
 #[test]
 fn a_version_without_enough_answers_is_reverted_at_the_end() {
-    let now = BootInstant::now();
-    let rollouts = running(now);
-    record(&rollouts, "v1", AttemptOutcome::Lost, 60);
-    record(&rollouts, "v2", AttemptOutcome::Lost, MIN_CANARY_ANSWERS);
-    assert_eq!(written(&rollouts, now), [RolloutProgress::Reverted]);
+    let written = written_after(&[
+        ("v1", AttemptOutcome::Lost, 60),
+        ("v2", AttemptOutcome::Lost, MIN_CANARY_ANSWERS),
+    ]);
+    assert_eq!(written, [RolloutProgress::Reverted]);
 }
 
 /// A version that is slow under load was completed after fourteen answers,
@@ -478,12 +479,12 @@
 #[test]
 fn a_version_with_few_answers_beside_many_of_the_old_one_is_reverted() {
     for answers in [MIN_CANARY_ANSWERS - 1, MIN_CANARY_ANSWERS + 2] {
-        let now = BootInstant::now();
-        let rollouts = running(now);
-        record(&rollouts, "v1", AttemptOutcome::Success, 318);
-        record(&rollouts, "v2", AttemptOutcome::Success, answers);
-        record(&rollouts, "v2", AttemptOutcome::Lost, 2);
-        assert_eq!(written(&rollouts, now), [RolloutProgress::Reverted]);
+        let written = written_after(&[
+            ("v1", AttemptOutcome::Success, 318),
+            ("v2", AttemptOutcome::Success, answers),
+            ("v2", AttemptOutcome::Lost, 2),
+        ]);
+        assert_eq!(written, [RolloutProgress::Reverted]);
     }
 }
 
@@ -505,36 +506,48 @@
 /// Enough of its answers came, beside too many that were bad or lost.
 #[test]
 fn a_version_with_doubtful_answers_is_reverted_at_the_end() {
-    let now = BootInstant::now();
-    let rollouts = running(now);
-    record(&rollouts, "v1", AttemptOutcome::Success, 316);
-    record(&rollouts, "v1", AttemptOutcome::Lost, 16);
-    record(&rollouts, "v2", AttemptOutcome::Success, 31);
-    record(&rollouts, "v2", AttemptOutcome::Failed, 7);
-    record(&rollouts, "v2", AttemptOutcome::Lost, 9);
-    assert_eq!(written(&rollouts, now), [RolloutProgress::Reverted]);
+    let written = written_after(&[
+        ("v1", AttemptOutcome::Success, 316),
+        ("v1", AttemptOutcome::Lost, 16),
+        ("v2", AttemptOutcome::Success, 31),
+        ("v2", AttemptOutcome::Failed, 7),
+        ("v2", AttemptOutcome::Lost, 9),
+    ]);
+    assert_eq!(written, [RolloutProgress::Reverted]);
 }
 
 /// A partition takes answers from both versions alike.
 #[test]
 fn a_version_that_loses_as_many_answers_as_the_old_one_is_completed() {
-    let now = BootInstant::now();
-    let rollouts = running(now);
-    record(&rollouts, "v1", AttemptOutcome::Success, 200);
-    record(&rollouts, "v1", AttemptOutcome::Lost, 100);
-    record(&rollouts, "v2", AttemptOutcome::Success, MIN_RAMP_ANSWERS);
-    record(&rollouts, "v2", AttemptOutcome::Lost, 18);
-    assert_eq!(written(&rollouts, now), [RolloutProgress::Completed]);
+    let written = written_after(&[
+        ("v1", AttemptOutcome::Success, 200),
+        ("v1", AttemptOutcome::Lost, 100),
+        ("v2", AttemptOutcome::Success, MIN_RAMP_ANSWERS),
+        ("v2", AttemptOutcome::Lost, 18),
+    ]);
+    assert_eq!(written, [RolloutProgress::Completed]);
 }
 
 /// A service that hardly gets requests cannot prove its new version.
 #[test]
 fn a_version_with_few_answers_beside_few_of_the_old_one_is_completed() {
+    let written = written_after(&[
+        ("v1", AttemptOutcome::Success, 60),
+        ("v2", AttemptOutcome::Success, 5),
+    ]);
+    assert_eq!(written, [RolloutProgress::Completed]);
+}
+
+/// Returns the progress that the steward writes if these are the outcomes.
+fn written_after(
+    outcomes: &[(&str, AttemptOutcome, u32)],
+) -> Vec<RolloutProgress> {
     let now = BootInstant::now();
     let rollouts = running(now);
-    record(&rollouts, "v1", AttemptOutcome::Success, 60);
-    record(&rollouts, "v2", AttemptOutcome::Success, 5);
-    assert_eq!(written(&rollouts, now), [RolloutProgress::Completed]);
+    for (software, outcome, count) in outcomes {
+        record(&rollouts, software, *outcome, *count);
+    }
+    written(&rollouts, now)
 }
 
 /// Returns the progress that the steward writes during the allowed time.
--- a/standins/tests/partitioned_vms.rs
+++ b/standins/tests/partitioned_vms.rs
@@ -71,7 +71,9 @@
         }
         // Heartbeats between the VMs.
         thread::sleep(Duration::from_millis(500));
-        Partition { site, upstreams, proxies }
+        let partition = Partition { site, upstreams, proxies };
+        assert_eq!(partition.served("before"), REQUESTS);
+        partition
     }
 
     /// Sets how the first VM's connections to upstreams are treated, and waits
@@ -99,6 +101,13 @@
         (0..REQUESTS).filter(is_served).count()
     }
 
+    /// Ends the partition; all requests are answered soon afterwards.
+    fn end(&self) {
+        self.set_mode(Mode::Pass);
+        thread::sleep(Duration::from_secs(2));
+        assert_eq!(self.served("after"), REQUESTS);
+    }
+
     /// Returns how often upstreams have received each request at most.
     fn most_runs(&self) -> usize {
         let received = self.upstreams.iter().flat_map(|u| u.received());
@@ -114,34 +123,27 @@
 #[test]
 fn a_vm_partitioned_from_upstreams_serves_through_another_vm() {
     let partition = Partition::start();
-    assert_eq!(partition.served("before"), REQUESTS);
     partition.set_mode(Mode::Gone);
     assert_eq!(partition.served("during"), REQUESTS);
     assert_eq!(partition.most_runs(), 1, "a request ran twice");
-    partition.set_mode(Mode::Pass);
-    thread::sleep(Duration::from_secs(2));
-    assert_eq!(partition.served("after"), REQUESTS);
+    partition.end();
 }
 
 /// New connections get no reply, and open ones stay open without one.
 #[test]
 fn a_vm_whose_connections_hang_serves_through_another_vm() {
     let partition = Partition::start();
-    assert_eq!(partition.served("before"), REQUESTS);
     partition.set_mode(Mode::Silent);
     // Callers notice the partition until the VM does.
     partition.served("first");
     assert_eq!(partition.served("during"), REQUESTS);
-    partition.set_mode(Mode::Pass);
-    thread::sleep(Duration::from_secs(2));
-    assert_eq!(partition.served("after"), REQUESTS);
+    partition.end();
 }
 
 /// A VM in its graceful shutdown refused to connect to upstreams for others.
 #[test]
 fn a_partitioned_vm_serves_through_the_last_vm_while_that_one_stops() {
     let partition = Partition::start();
-    assert_eq!(partition.served("before"), REQUESTS);
     partition.set_mode(Mode::Gone);
     partition.site.vms[1].signal(Signal::TERM);
     // The heartbeat that says so.
