Quarantine at a VM that starts what the other VMs quarantine

Cause: two requests had crashed upstreams together. A crash that one of them explains does not count against the other, but a request that is quarantined stays so for any crash of its own. A VM that starts reads both entries from the store, the one with more crashes first, and finds fewer than three for the other: that it is quarantined is not in the crashes, and was forgotten with the VM. The logs of vm-3 show it: the entry with five crashes is quarantined at its start, the one with three never.

Class: what a VM forgets when it starts, as with the retry budget and the evidence on rollouts. Ruled out: that the store or the heartbeats did not tell it.

--- a/src/crashes/tracker.rs
+++ b/src/crashes/tracker.rs
@@ -132,9 +132,10 @@
     completed: HashMap<RequestDigest, BootInstant>,
     broadcast_queue: BroadcastQueue,
     quarantined: BTreeSet<RequestDigest>,
-    /// The requests that were quarantined by the last update and have remained
-    /// suspects since. A single crash that no other request explains keeps
-    /// them in quarantine, see [`attribution::culprits`].
+    /// The requests that were quarantined by the last update, or by another
+    /// VM, and have remained suspects since. A single crash that no other
+    /// request explains keeps them in quarantine, see
+    /// [`attribution::culprits`].
     retained: BTreeSet<RequestDigest>,
 }
 
@@ -241,7 +242,8 @@
         state.update_quarantine()
     }
 
-    /// Merges observations of other VMs, or those read from the store.
+    /// Merges observations of other VMs, or those read from the store. A
+    /// snapshot holds quarantined requests only.
     pub(crate) fn merge_observations(
         &self,
         observations: &[RequestObservation],
@@ -257,6 +259,9 @@
                 RequestOutcome::Crashed(crash) => {
                     state.record_crash(crash.id, now);
                     state.add_crash(*request, *crash, source, now);
+                    if source == Source::Snapshot {
+                        state.retain_quarantined(*request);
+                    }
                 }
                 RequestOutcome::Completed => {
                     if state.remove_suspect(*request) {
@@ -419,6 +424,16 @@
             .add(RequestObservation { request, outcome }, source);
     }
 
+    /// Keeps a suspect in the quarantine that another VM has put it in: the
+    /// crashes do not tell which of several culprits was found first.
+    fn retain_quarantined(&mut self, request: RequestDigest) {
+        let suspect = self.suspects.get(&request);
+        if suspect.is_some_and(|s| s.crashes.len() >= attribution::MIN_CRASHES)
+        {
+            self.retained.insert(request);
+        }
+    }
+
     /// Removes a request from the suspects; returns whether it was one.
     fn remove_suspect(&mut self, request: RequestDigest) -> bool {
         self.retained.remove(&request);
--- a/src/crashes/tracker/tests.rs
+++ b/src/crashes/tracker/tests.rs
@@ -170,6 +170,25 @@
     );
 }
 
+/// A crash under two quarantined requests, which a VM learns when it starts.
+#[test]
+fn a_vm_that_starts_quarantines_what_others_do() {
+    let (first, now) = (CrashTracker::default(), BootInstant::now());
+    crash_under(&first, DEADLY, 1..=3, now);
+    let reported: Vec<_> = (2..=6).map(|n| crash(OTHER, n)).collect();
+    first.merge_observations(&reported, Source::OwnHall, now);
+    let quarantined = first.quarantined();
+    assert_eq!(quarantined.len(), 2);
+    let started = CrashTracker::default();
+    for (request, crashes) in quarantined.into_iter().rev() {
+        let entry: Vec<_> =
+            RequestObservation::of_crashes(request, crashes).collect();
+        started.merge_observations(&entry, Source::Snapshot, now);
+    }
+    assert!(started.is_quarantined(DEADLY, now));
+    assert!(started.is_quarantined(OTHER, now));
+}
+
 #[test]
 fn a_request_is_released_ten_minutes_after_its_last_crash() {
     let (tracker, now) = (CrashTracker::default(), BootInstant::now());
