Log the shared prompt segments of requests with a lost attempt

The lines of requests that broke beside a crash named a digest of the whole request only. Requests that share one prompt segment, and nothing else, could not be told from bystanders.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -420,8 +420,7 @@
     /// queueing time that reusing its cache is worth: all segments but the
     /// last, which is the request's own.
     fn prefix_affinity(&self) -> Option<PrefixAffinity> {
-        let parts = &self.request.prompt;
-        let (_, shared) = parts.split_last()?;
+        let shared = self.request.shared_segments();
         let prefix_hash = shared.last()?.id;
         let tokens = shared.iter().map(|part| part.tokens).sum();
         let times = &self.gateway.prefill_times;
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -45,6 +45,12 @@
     pub fn path_only(&self) -> &str {
         self.path.split('?').next().unwrap_or("/")
     }
+
+    /// Returns the segments of the prompt that other requests may share: all
+    /// but the last.
+    pub fn shared_segments(&self) -> &[PromptSegment] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// The model that a caller asks for.
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -25,6 +25,9 @@
     unit::Percent,
 };
 
+/// Maximum number of prompt segments in the line of a request.
+const MAX_SEGMENTS_LOGGED: usize = 16;
+
 /// The trace of one attempt at an upstream.
 #[derive(Debug)]
 struct AttemptTrace {
@@ -75,6 +78,8 @@
     proof_age: Option<Duration>,
     prompt_tokens: Option<u64>,
     session: Option<String>,
+    /// Ids of the prompt segments that other requests may share.
+    shared_segments: Vec<u64>,
     digest: Option<RequestDigest>,
     first_part_ms: Option<u64>,
     last_part_ms: Option<u64>,
@@ -101,6 +106,7 @@
             proof_age: None,
             prompt_tokens: None,
             session: None,
+            shared_segments: Vec::new(),
             digest: None,
             first_part_ms: None,
             last_part_ms: None,
@@ -126,10 +132,13 @@
         self.route = Some(route);
     }
 
-    /// Records the prompt length and the session from the request head.
+    /// Records the prompt and the session from the request head.
     pub(crate) fn record_request(&mut self, request: &RequestHead) {
         self.prompt_tokens = request.prompt_tokens;
         self.session.clone_from(&request.session);
+        let shared = request.shared_segments().iter();
+        let ids = shared.take(MAX_SEGMENTS_LOGGED).map(|segment| segment.id);
+        self.shared_segments = ids.collect();
     }
 
     /// Records the digest that identifies the request when it is sent again.
@@ -265,6 +274,11 @@
         put("prompt_tokens", json!(self.prompt_tokens));
         put("session", json!(self.session));
         let digest = self.digest.map(|digest| digest.to_string());
+        if digest.is_some() && !self.shared_segments.is_empty() {
+            let ids = self.shared_segments.iter();
+            let ids: Vec<String> = ids.map(|id| format!("{id:x}")).collect();
+            put("shared_segments", json!(ids));
+        }
         put("request_digest", json!(digest));
         put("passed_ms", json!(self.elapsed_ms()));
         put("first_part_ms", json!(self.first_part_ms));
