Add a failing test of requests that share a crashing prompt segment

Three VMs before four upstreams that crash under one prompt segment; no two requests are alike, and sound ones share caller and other segments.

--- a/standins/tests/crashing_requests.rs
+++ b/standins/tests/crashing_requests.rs
@@ -23,7 +23,7 @@
 
 use standins::{
     gateway_site::{HttpReply, PLAIN, Site, request, wait_until},
-    http_raw::answer,
+    http_raw::{RawRequest, answer},
     scripted::{Script, Step, Upstream, response_headers},
 };
 
@@ -43,6 +43,12 @@
 /// Path segment of requests whose connection every upstream closes.
 const CLOSING: &str = "cut";
 
+/// Id of the prompt segment that crashes every upstream that runs it.
+const CRASHING_SEGMENT: u64 = 0xdead;
+
+/// Ids of prompt segments that crashing and sound requests share.
+const SHARED_SEGMENTS: [u64; 2] = [0xa1, 0xb2];
+
 /// Time that an upstream spends on every request.
 const WORK_TIME: Duration = Duration::from_millis(15);
 
@@ -57,6 +63,9 @@
 /// Number of crashes from which on `PROPAGATION_TIME` is counted.
 const CRASHES: usize = 3;
 
+/// The same number for requests that share only a prompt segment.
+const SEGMENT_CRASHES: usize = 5;
+
 static SITE_LOCK: Mutex<()> = Mutex::new(());
 
 /// Serializes the tests: sites side by side would slow each other down.
@@ -64,7 +73,8 @@
     SITE_LOCK.lock().unwrap_or_else(|failed| failed.into_inner())
 }
 
-/// Crashes, closes the connection or sends a response, depending on the path.
+/// Crashes, closes the connection or sends a response, depending on the path
+/// and the prompt.
 fn script() -> Script {
     Box::new(|request| {
         let well = || {
@@ -73,12 +83,18 @@
         let step = match request.path.rsplit('/').next() {
             Some(CRASHING) => Step::Crash,
             Some(CLOSING) => Step::Close,
+            _ if has_crashing_segment(request) => Step::Crash,
             _ => well(),
         };
         vec![Step::Wait(WORK_TIME), step]
     })
 }
 
+fn has_crashing_segment(request: &RawRequest) -> bool {
+    let segment = format!("{CRASHING_SEGMENT:x}:");
+    request.header("lupinseam-prefix-hash").contains(&segment)
+}
+
 /// A site whose crashed upstreams are replaced by ones with new ids.
 struct CrashSite {
     site: Site,
@@ -131,6 +147,28 @@
         vm.ask(&request("GET", &path, &id, ""))
     }
 
+    /// Sends a request like no other, whose prompt holds these segments after
+    /// the shared ones and before its own.
+    fn ask_with_segments(&mut self, segments: &[u64]) -> HttpReply {
+        self.asked += 1;
+        let own = 0x1_0000 + self.asked as u64;
+        let ids = SHARED_SEGMENTS.iter().chain(segments).chain([&own]);
+        let prompt: Vec<String> = ids.map(|id| format!("{id:x}:40")).collect();
+        let prompt = prompt.join(",");
+        let more = format!("Lupinseam-Prefix-Hash: {prompt}\r\n");
+        let id = format!("r-{}", self.asked);
+        let path = format!("/read/{}", self.asked);
+        let vm = &self.site.vms[self.asked % VMS];
+        vm.ask(&request("GET", &path, &id, &more))
+    }
+
+    /// Returns how many requests with the crashing segment have reached
+    /// upstreams.
+    fn sends_of_crashing_segment(&self) -> usize {
+        let received = self.upstreams.iter().flat_map(|u| u.received());
+        received.filter(has_crashing_segment).count()
+    }
+
     /// Sends the crashing request until every VM rejects it.
     fn quarantine(&mut self) {
         let until = Instant::now() + PROPAGATION_TIME;
@@ -190,6 +228,52 @@
     );
 }
 
+/// Guards against a quarantine that knows whole requests only: requests that
+/// share one crashing segment, and nothing else, crash upstream after upstream.
+#[test]
+fn requests_that_share_a_crashing_segment_are_no_longer_sent() {
+    let _guard = lock_site();
+    let mut crash_site = CrashSite::start();
+    let mut crashes: Vec<Instant> = Vec::new();
+    // When each round ended, and the crashing sends until then.
+    let mut sends: Vec<(Instant, usize)> = Vec::new();
+    // When each sound request was sent, and whether it was served.
+    let mut sound: Vec<(Instant, bool)> = Vec::new();
+    let until = Instant::now() + PROPAGATION_TIME * 4;
+    while Instant::now() < until {
+        crash_site.ask_with_segments(&[CRASHING_SEGMENT]);
+        crashes.resize(crash_site.crashed_upstreams(), Instant::now());
+        crash_site.replace_crashed();
+        let sent_at = Instant::now();
+        let got = crash_site.ask_with_segments(&[]);
+        sound.push((sent_at, got.status == 200));
+        sends.push((Instant::now(), crash_site.sends_of_crashing_segment()));
+        thread::sleep(Duration::from_millis(60));
+    }
+    let since = crashes.get(SEGMENT_CRASHES - 1).or(crashes.last());
+    let since = *since.expect("an upstream crashed");
+    let bound = since + PROPAGATION_TIME;
+    let sends_until = |at: Instant| {
+        let until = sends.iter().take_while(|(ended_at, _)| *ended_at <= at);
+        until.last().map_or(0, |(_, count)| *count)
+    };
+    let later = sends_until(until + PROPAGATION_TIME) - sends_until(bound);
+    assert!(
+        later <= MAX_SENDS,
+        "sent {later} times more; {} upstreams crashed in total",
+        crashes.len()
+    );
+    let late = sound.iter().filter(|(at, _)| *at >= bound + PROPAGATION_TIME);
+    let late: Vec<bool> = late.map(|(_, is_served)| *is_served).collect();
+    let served = late.iter().filter(|is_served| **is_served).count();
+    assert!(late.len() >= 20, "{} sound requests", late.len());
+    assert!(
+        served * 2 >= late.len(),
+        "{served} of {} sound requests were served",
+        late.len()
+    );
+}
+
 #[test]
 fn a_quarantined_request_is_rejected_immediately() {
     let _guard = lock_site();
