--- a/src/crashes/attribution.rs
+++ b/src/crashes/attribution.rs
@@ -1,70 +1,163 @@
-//! Attributes the crashes of upstreams to the requests that caused them.
+//! Attributes the crashes of upstreams to the subjects that caused them.
 //!
 //! An engine runs sixteen requests and more at once, and a crash breaks off
 //! all of them. Bystanders that are retried beside the culprit see the next
 //! crash as well: of 585 bystanders in the logs of an incident, 164 saw three
-//! crashes and more. So a crash that is explained by a request with more
-//! crashes does not count against any other request.
+//! crashes and more. So a crash that is explained by a subject with more
+//! crashes does not count against any other subject.
+//!
+//! A crashing prompt segment never comes alone: its requests share other
+//! segments with sound requests, and each of those segments has at least as
+//! many crashes. They are told apart by what upstreams have completed.
 
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
 
-use crate::crashes::{digest::RequestDigest, observation::CrashId};
+use crate::{
+    clock::BootInstant,
+    crashes::{
+        observation::CrashId,
+        subject::{Subject, SubjectKind},
+    },
+};
 
-/// Crashes that no other request explains after which a request is
-/// quarantined. Operators allow three.
+/// Crashes that no other subject explains after which a subject is
+/// quarantined. Operators allow three for requests and five for segments.
 pub(crate) const MIN_CRASHES: usize = 3;
 
-/// The crashes under one request, each with the time for which the upstream
-/// had been running the request, in milliseconds.
-pub(crate) type Crashes = BTreeMap<CrashId, u16>;
+/// Minimum time between the first and the last crash of a segment that is
+/// quarantined. Upstreams that lose power together crash at the same moment
+/// under whatever runs there.
+pub(crate) const MIN_SEGMENT_SPAN: Duration = Duration::from_millis(500);
+
+/// Minimum number of crashes since an upstream last completed the subject, if
+/// that was a short time ago.
+pub(crate) const MIN_CRASHES_AFTER_COMPLETION: usize = 5;
+
+/// Minimum time between the first and the last of those crashes: all upstreams
+/// of a service may crash at once while they run what every caller sends.
+pub(crate) const MIN_SPAN_AFTER_COMPLETION: Duration = Duration::from_secs(2);
+
+/// Ratio between the crashes of a segment that was completed and those of a
+/// request that was not, above which the request is taken for a bystander.
+const MAX_BYSTANDER_RATIO: usize = 3;
+
+/// One crash of an upstream that was running a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Occurrence {
+    /// How long the upstream had been running the subject, in milliseconds.
+    pub(crate) in_flight_ms: u16,
+    /// When the first VM learned of the crash.
+    pub(crate) learned_at: BootInstant,
+}
+
+/// The crashes under one subject since an upstream last completed it.
+pub(crate) type Crashes = BTreeMap<CrashId, Occurrence>;
+
+/// What speaks for and against one subject.
+#[derive(Clone, Debug)]
+pub(crate) struct Evidence {
+    /// The crashes that nothing else explains.
+    pub(crate) crashes: Crashes,
+    /// Whether an upstream completed the subject a short time ago.
+    pub(crate) was_completed: bool,
+}
+
+impl Evidence {
+    /// Whether the subject is a culprit if nothing else explains its crashes.
+    fn is_culprit(&self, kind: SubjectKind) -> bool {
+        let (count, span) = match (self.was_completed, kind) {
+            (true, _) => {
+                (MIN_CRASHES_AFTER_COMPLETION, MIN_SPAN_AFTER_COMPLETION)
+            }
+            (false, SubjectKind::Request) => (MIN_CRASHES, Duration::ZERO),
+            (false, SubjectKind::Segment) => (MIN_CRASHES, MIN_SEGMENT_SPAN),
+        };
+        self.crashes.len() >= count && self.span() >= span
+    }
+
+    fn span(&self) -> Duration {
+        let times = || self.crashes.values().map(|crash| crash.learned_at);
+        match (times().min(), times().max()) {
+            (Some(first), Some(last)) => last.saturating_duration_since(first),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Orders subjects by how well they explain crashes. An upstream crashes
+    /// soon after it begins to run the culprit, and whatever else all requests
+    /// of the culprit share has been running for at least as long.
+    fn weight(&self, kind: SubjectKind) -> impl Ord + use<> {
+        let in_flight = self.crashes.values().map(|crash| crash.in_flight_ms);
+        let in_flight_ms: u64 = in_flight.map(u64::from).sum();
+        (self.crashes.len(), Reverse(in_flight_ms), Reverse(kind))
+    }
+}
 
-/// Returns the requests that explain the crashes: repeatedly the request with
-/// the most unexplained crashes. Of two with as many it takes the one that
-/// had been running for less time, since an upstream crashes soon after it
-/// begins to run the culprit.
+/// Returns the subjects that explain the crashes: repeatedly the one that
+/// explains the rest best.
 ///
-/// A request in `quarantined` stays a culprit while any of its crashes is not
+/// A subject in `quarantined` stays a culprit while any of its crashes is not
 /// explained by others. Otherwise two culprits that sometimes run on the same
 /// upstream would release each other, and each release costs three more
 /// upstreams.
-pub(crate) fn culprits<'a>(
-    crashes: impl Iterator<Item = (RequestDigest, &'a Crashes)>,
-    quarantined: &BTreeSet<RequestDigest>,
-) -> BTreeSet<RequestDigest> {
-    let is_candidate = |request: &RequestDigest, crashes: &Crashes| {
-        let least =
-            if quarantined.contains(request) { 1 } else { MIN_CRASHES };
-        crashes.len() >= least
+pub(crate) fn culprits(
+    evidence: impl Iterator<Item = (Subject, Evidence)>,
+    quarantined: &BTreeSet<Subject>,
+) -> BTreeSet<Subject> {
+    let is_culprit = |subject: &Subject, evidence: &Evidence| {
+        let is_unexplained = !evidence.crashes.is_empty();
+        let is_retained = quarantined.contains(subject) && is_unexplained;
+        is_retained || evidence.is_culprit(subject.kind())
     };
-    let mut candidates: BTreeMap<RequestDigest, Crashes> = crashes
-        .filter(|(request, crashes)| is_candidate(request, crashes))
-        .map(|(request, crashes)| (request, crashes.clone()))
+    let mut candidates: BTreeMap<Subject, Evidence> = evidence
+        .filter(|(subject, evidence)| is_culprit(subject, evidence))
         .collect();
     let mut found = BTreeSet::new();
-    while let Some(request) = most_crashes(&candidates) {
-        let Some(explained) = candidates.remove(&request) else { break };
-        found.insert(request);
-        candidates.retain(|request, crashes| {
-            crashes.retain(|crash, _| !explained.contains_key(crash));
-            is_candidate(request, crashes)
+    while let Some(subject) = best_explanation(&candidates) {
+        let Some(best) = candidates.remove(&subject) else { break };
+        found.insert(subject);
+        candidates.retain(|subject, evidence| {
+            evidence
+                .crashes
+                .retain(|crash, _| !best.crashes.contains_key(crash));
+            is_culprit(subject, evidence)
         });
     }
     found
 }
 
-fn most_crashes(
-    candidates: &BTreeMap<RequestDigest, Crashes>,
-) -> Option<RequestDigest> {
-    let weight = |crashes: &Crashes| {
-        let in_flight_ms: u64 =
-            crashes.values().map(|ms| u64::from(*ms)).sum();
-        (crashes.len(), Reverse(in_flight_ms))
+/// Returns the subject that explains the crashes best.
+///
+/// A segment that all callers send has the crashes of all culprits together,
+/// so segments that were completed come after those that were not. A request
+/// that was not completed may still be a bystander of a segment that was.
+fn best_explanation(
+    candidates: &BTreeMap<Subject, Evidence>,
+) -> Option<Subject> {
+    let best = |was_completed: bool| {
+        let of_group = candidates
+            .iter()
+            .filter(|(_, evidence)| evidence.was_completed == was_completed);
+        of_group
+            .max_by_key(|(subject, evidence)| evidence.weight(subject.kind()))
     };
-    let most = candidates.iter().max_by_key(|(_, crashes)| weight(crashes));
-    most.map(|(request, _)| *request)
+    let (new, known) = match (best(false), best(true)) {
+        (Some(new), Some(known)) => (new, known),
+        (new, known) => return new.or(known).map(|(subject, _)| *subject),
+    };
+    let has_new_segment = candidates.iter().any(|(subject, evidence)| {
+        !evidence.was_completed && subject.kind() == SubjectKind::Segment
+    });
+    let is_bystander =
+        new.1.crashes.len() * MAX_BYSTANDER_RATIO < known.1.crashes.len();
+    match is_bystander && !has_new_segment {
+        true => Some(*known.0),
+        false => Some(*new.0),
+    }
 }
 
 #[cfg(test)]
--- a/src/crashes/broadcast_queue.rs
+++ b/src/crashes/broadcast_queue.rs
@@ -1,20 +1,44 @@
 //! The queue of observations that this VM sends to others in its heartbeats.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, collections::BTreeMap};
 
-use crate::crashes::observation::RequestObservation;
+use crate::{clock::BootInstant, crashes::observation::SubjectObservation};
 
 /// Rounds of heartbeats in which an observation is repeated. Each round
 /// reaches all VMs of the data hall, and at worst one datagram in thirty is
 /// lost.
 pub(crate) const BROADCAST_ROUNDS: u8 = 4;
 
-/// Maximum number of observations in one heartbeat, some 600 bytes.
-pub(crate) const MAX_PER_HEARTBEAT: usize = 32;
+/// Maximum number of observations in one heartbeat, some 800 bytes.
+pub(crate) const MAX_PER_HEARTBEAT: usize = 40;
 
 /// Maximum number of observations that stay queued after a heartbeat.
 const MAX_QUEUED: usize = 512;
 
+/// What an observation is about, in the order in which a heartbeat carries
+/// them. Only a few of the first two kinds are taken, to leave room for the
+/// rest: segments that all callers send have the most crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ObservationClass {
+    /// A completion, which spares rejections of sound requests.
+    Completion,
+    /// A crash under a subject that was completed a short time ago.
+    CrashOfCompleted,
+    /// Any other crash.
+    Crash,
+}
+
+impl ObservationClass {
+    /// Returns the maximum number in one heartbeat.
+    fn max_per_heartbeat(self) -> usize {
+        match self {
+            ObservationClass::Completion => 10,
+            ObservationClass::CrashOfCompleted => 16,
+            ObservationClass::Crash => MAX_PER_HEARTBEAT,
+        }
+    }
+}
+
 /// Where an observation comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
@@ -40,13 +64,18 @@
 /// A queued observation, with the rounds that are left for each audience.
 #[derive(Debug)]
 struct Broadcast {
-    observation: RequestObservation,
+    observation: SubjectObservation,
+    queued_at: BootInstant,
     own_hall_left: u8,
     other_halls_left: u8,
 }
 
 impl Broadcast {
-    fn new(observation: RequestObservation, source: Source) -> Broadcast {
+    fn new(
+        observation: SubjectObservation,
+        source: Source,
+        now: BootInstant,
+    ) -> Broadcast {
         let (own_hall_left, other_halls_left) = match source {
             Source::Own | Source::OtherHall => {
                 (BROADCAST_ROUNDS, BROADCAST_ROUNDS)
@@ -54,7 +83,18 @@
             Source::OwnHall => (0, BROADCAST_ROUNDS),
             Source::Snapshot => (0, 0),
         };
-        Broadcast { observation, own_hall_left, other_halls_left }
+        Broadcast {
+            observation,
+            queued_at: now,
+            own_hall_left,
+            other_halls_left,
+        }
+    }
+
+    /// Returns the observation as of `now`.
+    fn observation_at(&self, now: BootInstant) -> SubjectObservation {
+        let waited = now.saturating_duration_since(self.queued_at);
+        self.observation.after(waited)
     }
 
     fn is_over(&self) -> bool {
@@ -74,37 +114,48 @@
 pub(crate) struct BroadcastQueue(Vec<Broadcast>);
 
 impl BroadcastQueue {
-    /// Queues an observation that came from `source`, unless it is queued
-    /// already or no other VM needs it from this one.
+    /// Queues an observation that came from `source`, unless no other VM needs
+    /// it from this one. It replaces an earlier one of the same event.
     pub(crate) fn add(
         &mut self,
-        observation: RequestObservation,
+        observation: SubjectObservation,
         source: Source,
+        now: BootInstant,
     ) {
-        let is_queued =
-            self.0.iter().any(|queued| queued.observation == observation);
-        let broadcast = Broadcast::new(observation, source);
-        if !is_queued && !broadcast.is_over() {
-            self.0.push(broadcast);
+        let broadcast = Broadcast::new(observation, source, now);
+        if broadcast.is_over() {
+            return;
         }
+        self.0.retain(|queued| !observation.replaces(&queued.observation));
+        self.0.push(broadcast);
     }
 
-    /// Returns the observations for the next heartbeat to `audience`, those
-    /// of the highest `priority` first, and counts the round.
+    /// Returns the observations for the next heartbeat to `audience`, and
+    /// counts the round. `rank` returns the class and the priority of each;
+    /// the highest priority of a class goes first.
     pub(crate) fn take(
         &mut self,
         audience: Audience,
-        priority: impl Fn(&RequestObservation) -> usize,
-    ) -> Vec<RequestObservation> {
+        now: BootInstant,
+        rank: impl Fn(&SubjectObservation) -> (ObservationClass, usize),
+    ) -> Vec<SubjectObservation> {
         self.0.sort_by_key(|broadcast| {
-            Reverse(priority(&broadcast.observation))
+            let (class, priority) = rank(&broadcast.observation);
+            (class, Reverse(priority))
         });
         let mut taken = Vec::new();
+        let mut of_class = BTreeMap::new();
         for broadcast in &mut self.0 {
-            let observation = broadcast.observation;
+            if taken.len() == MAX_PER_HEARTBEAT {
+                break;
+            }
+            let (class, _) = rank(&broadcast.observation);
+            let count = of_class.entry(class).or_insert(0);
+            let observation = broadcast.observation_at(now);
             let left = broadcast.left(audience);
-            if *left > 0 && taken.len() < MAX_PER_HEARTBEAT {
+            if *left > 0 && *count < class.max_per_heartbeat() {
                 *left -= 1;
+                *count += 1;
                 taken.push(observation);
             }
         }
--- a/src/crashes/crash_check.rs
+++ b/src/crashes/crash_check.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::BootInstant,
-    crashes::{digest::RequestDigest, tracker::NextStep},
+    crashes::{subject::Subject, tracker::NextStep},
     event::Event,
     gateway::{Gateway, fields},
     http_client::Listening,
@@ -28,7 +28,7 @@
 pub(crate) fn record_lost_attempt(
     gateway: &Arc<Gateway>,
     member: &Arc<Member>,
-    request: RequestDigest,
+    subjects: &[Subject],
     began_at: BootInstant,
 ) {
     let now = gateway.clock.now();
@@ -39,12 +39,13 @@
         return;
     }
     let (next, changes) = gateway.crashes.record_lost_attempt(
-        request,
+        subjects,
         incarnation,
         began_at,
         now,
     );
     gateway.log_quarantine_changes(&changes);
+    let request = subjects.first().copied();
     match next {
         NextStep::Nothing => gateway.early_heartbeat.wake(),
         NextStep::Check if has_crashed => {
@@ -60,7 +61,7 @@
 async fn check(
     gateway: Arc<Gateway>,
     member: Arc<Member>,
-    request: RequestDigest,
+    request: Option<Subject>,
 ) {
     let address = member.entry.address;
     let mut listening = gateway.http.probe(address).await;
@@ -79,10 +80,10 @@
 }
 
 /// Records that an upstream has crashed.
-fn record_crash(gateway: &Gateway, member: &Member, request: RequestDigest) {
+fn record_crash(gateway: &Gateway, member: &Member, request: Option<Subject>) {
     Event::UpstreamEnded.record(fields(json!({
         "upstream": member.entry.incarnation().to_string(),
-        "request": request.to_string(),
+        "request": request.map(|request| request.to_string()),
     })));
     gateway.metrics.upstreams_ended.inc();
     let now = gateway.clock.now();
--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -2,18 +2,19 @@
 //! queries of death, and keeps them from further upstreams.
 //!
 //! The caller of such a request sends it again, to any VM and under a new id,
-//! and each crash looks like a fault of the upstream alone. This module
-//! recognizes the request by its content and quarantines it on all VMs once
-//! three upstreams have crashed while running it.
+//! and each crash looks like a fault of the upstream alone. Or one segment of
+//! a prompt crashes upstreams, in requests that share nothing else. This
+//! module recognizes both, the *subjects* of a crash, and quarantines them on
+//! all VMs once several upstreams have crashed while running them.
 //!
 //! # From a crash to a quarantine
 //!
-//! * [`digest`]: identifies a request by its content.
+//! * [`subject`]: identifies a request or a prompt segment.
 //! * [`crash_check`]: after a lost attempt, checks whether the upstream has
 //!   crashed.
-//! * [`tracker`]: the crashes and completed requests that this VM knows of,
-//!   and the requests that it quarantines.
-//! * [`attribution`]: distinguishes the requests that cause crashes from
+//! * [`tracker`]: the crashes and completions that this VM knows of, and the
+//!   subjects that it quarantines.
+//! * [`attribution`]: distinguishes the subjects that cause crashes from
 //!   bystanders.
 //! * [`observation`], [`broadcast_queue`]: what VMs report to each other
 //!   about crashes, in their heartbeats.
@@ -23,9 +24,9 @@
 pub(crate) mod attribution;
 pub(crate) mod broadcast_queue;
 pub(crate) mod crash_check;
-pub mod digest;
 pub mod observation;
 pub(crate) mod persistence;
+pub mod subject;
 pub(crate) mod tracker;
 
 #[cfg(test)]
--- a/src/crashes/persistence.rs
+++ b/src/crashes/persistence.rs
@@ -1,4 +1,4 @@
-//! Writes the quarantined requests to the platform's store.
+//! Writes the quarantined subjects to the platform's store.
 //!
 //! Heartbeats carry the quarantine to the VMs that are running. A VM that
 //! starts later, even after all of them have gone, reads it from the store.
@@ -22,7 +22,7 @@
     task,
 };
 
-/// Interval between checks for quarantined requests that are not stored yet.
+/// Interval between checks for quarantined subjects that are not stored yet.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Longest wait before a failed write is repeated.
@@ -72,8 +72,8 @@
         return Vec::new();
     }
     let quarantined = gateway.crashes.quarantined().into_iter();
-    let missing = quarantined.filter_map(|(request, crashes)| {
-        let key = document::crashing_request_key(request);
+    let missing = quarantined.filter_map(|(subject, crashes)| {
+        let key = document::quarantine_key(subject);
         if gateway.knowledge.version_of(&key).is_some() {
             return None;
         }
--- a/src/crashes/tracker.rs
+++ b/src/crashes/tracker.rs
@@ -1,11 +1,11 @@
-//! The requests under which upstreams have crashed, as this VM knows them
-//! from its own attempts and from the reports of other VMs.
+//! The subjects under which upstreams have crashed, as this VM knows them from
+//! its own attempts and from the reports of other VMs.
 //!
 //! A lost attempt alone proves nothing. Once its upstream is known to have
-//! crashed, every request that was in flight there becomes a suspect, and a
-//! request that explains three crashes is quarantined (see
-//! [`attribution`](crate::crashes::attribution)). A request that any upstream
-//! has completed is not a suspect.
+//! crashed, every request that was in flight there and every shared segment of
+//! its prompt becomes a suspect, and a subject that explains enough crashes is
+//! quarantined (see [`attribution`](crate::crashes::attribution)). Crashes
+//! before an upstream completed the subject do not count.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -17,39 +17,57 @@
 use crate::{
     clock::BootInstant,
     crashes::{
-        attribution::{self, Crashes},
-        broadcast_queue::{Audience, BroadcastQueue, Source},
-        digest::RequestDigest,
-        observation::{Crash, CrashId, RequestObservation, RequestOutcome},
+        attribution::{self, Crashes, Evidence, Occurrence},
+        broadcast_queue::{
+            Audience, BroadcastQueue, ObservationClass, Source,
+        },
+        observation::{Crash, CrashId, SubjectObservation, SubjectOutcome},
+        subject::{Subject, SubjectKind},
     },
     http_client::Listening,
     message::ShortHash,
+    rendezvous,
 };
 
-/// Time for which a request stays a suspect after the last crash that this VM
+/// Time for which a subject stays a suspect after the last crash that this VM
 /// learned of: long enough that a request sent once a minute is recognized,
 /// and short enough that a caller who corrects what it sends is not rejected
 /// for ever.
 pub(crate) const CRASH_TTL: Duration = Duration::from_secs(600);
 
-/// Time for which a completed request is not a suspect.
+/// Time for which a completed subject needs more evidence to be quarantined.
 const COMPLETED_TTL: Duration = Duration::from_secs(60);
 
+/// Age from which a completion that other VMs know of is reported again if the
+/// subject crashes upstreams.
+const COMPLETION_REPORT_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Time for which a lost attempt is kept until it is known whether its
 /// upstream crashed.
 const PENDING_TTL: Duration = Duration::from_secs(10);
 
-/// Maximum number of suspects. An engine runs at most some sixty requests, so
-/// they cover at least seventy crashes; beyond that the least suspect one is
-/// evicted.
+/// Time without a crash under a quarantined subject after which a further one
+/// shows that some VM does not know of the quarantine: reports reach all VMs
+/// that are connected within this time.
+const LATE_CRASH_GAP: Duration = Duration::from_secs(1);
+
+/// Minimum time without a crash after which a VM sends one request with a
+/// quarantined segment as a trial. It doubles with each trial that crashes
+/// another upstream. A segment may be quarantined by mistake, while nothing
+/// could complete, and many requests may share it.
+const TRIAL_DELAY: Duration = Duration::from_secs(30);
+
+/// Maximum number of suspects. An engine runs at most some sixty requests with
+/// a few segments each, so they cover some twenty crashes; beyond that the
+/// least suspect one is evicted, a request before a segment.
 const MAX_SUSPECTS: usize = 4096;
 
-/// Maximum number of crashes kept for each request; further ones do not
-/// change the attribution.
-const MAX_CRASHES_PER_REQUEST: usize = 16;
+/// Maximum number of crashes kept for each subject. Crashes of a culprit
+/// beyond that no longer clear its bystanders.
+const MAX_CRASHES_PER_SUBJECT: usize = 64;
 
-/// Maximum number of completed requests kept: those of one minute on one VM.
-const MAX_COMPLETED: usize = 1024;
+/// Maximum number of completed subjects kept: those of one minute on one VM.
+const MAX_COMPLETED: usize = 4096;
 
 /// Maximum number of upstream incarnations with lost attempts kept.
 const MAX_UPSTREAMS: usize = 1024;
@@ -63,31 +81,32 @@
     Nothing,
 }
 
-/// A change of the set of quarantined requests.
+/// A change of the set of quarantined subjects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum QuarantineChange {
-    /// The request crashes upstreams and is quarantined from now on.
+    /// The subject crashes upstreams and is quarantined from now on.
     Added {
-        /// The request.
-        request: RequestDigest,
+        /// The subject.
+        subject: Subject,
         /// Crashes of upstreams that were running it.
         crashes: usize,
     },
-    /// The request is no longer quarantined.
-    Released(RequestDigest),
+    /// The subject is no longer quarantined.
+    Released(Subject),
 }
 
 /// Attempts lost at an upstream that may or may not have crashed.
 #[derive(Debug)]
 struct PendingAttempts {
-    requests: Vec<(RequestDigest, u16)>,
+    subjects: Vec<(Subject, u16)>,
     since: BootInstant,
 }
 
 /// One incarnation of an upstream at which attempts were lost.
 #[derive(Debug)]
 struct UpstreamState {
-    /// Number of its known crashes, and when this VM learned of the last one.
+    /// Number of its known crashes, and when a VM first learned of the last
+    /// one.
     crashes: u8,
     crashed_at: Option<BootInstant>,
     pending: Option<PendingAttempts>,
@@ -117,88 +136,182 @@
     }
 }
 
-/// A request that was in flight when upstreams crashed.
+/// A subject that was in flight when upstreams crashed.
 #[derive(Debug)]
 struct Suspect {
     crashes: Crashes,
-    /// When this VM learned of the last crash.
+    /// When the first VM learned of the last crash.
     updated_at: BootInstant,
+    /// Whether an upstream completed the subject a short time before.
+    was_completed: bool,
+    /// When this VM last sent a request with the subject as a trial.
+    trial_at: Option<BootInstant>,
+}
+
+impl Suspect {
+    /// Whether it is time for a trial, if this VM waits `spread` times as long
+    /// as it has to.
+    fn is_trial_due(&self, spread: f64, now: BootInstant) -> bool {
+        let doubled = 1 << self.failed_trials().min(8);
+        let delay = TRIAL_DELAY.mul_f64(spread) * doubled;
+        let since = self
+            .trial_at
+            .map_or(self.updated_at, |trial_at| trial_at.max(self.updated_at));
+        !is_recent(since, delay, now)
+    }
+
+    /// Returns how many crashes came long enough after the one before to be
+    /// those of trials.
+    fn failed_trials(&self) -> u32 {
+        let mut times: Vec<BootInstant> =
+            self.crashes.values().map(|crash| crash.learned_at).collect();
+        times.sort();
+        let pairs = times.windows(2);
+        let gaps =
+            pairs.map(|pair| pair[1].saturating_duration_since(pair[0]));
+        let failed = gaps.filter(|gap| *gap >= TRIAL_DELAY).count();
+        u32::try_from(failed).unwrap_or(u32::MAX)
+    }
+}
+
+/// The last known completion of a subject.
+#[derive(Clone, Copy, Debug)]
+struct Completion {
+    at: BootInstant,
+    /// The last completion that was reported to other VMs, or by them.
+    reported: Option<BootInstant>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     upstreams: HashMap<ShortHash, UpstreamState>,
-    suspects: HashMap<RequestDigest, Suspect>,
-    completed: HashMap<RequestDigest, BootInstant>,
+    suspects: HashMap<Subject, Suspect>,
+    completed: HashMap<Subject, Completion>,
+    /// The last known completion of any segment. While no segment completes,
+    /// that a segment does not says nothing against it.
+    segment_completed_at: Option<BootInstant>,
     broadcast_queue: BroadcastQueue,
-    quarantined: BTreeSet<RequestDigest>,
-    /// The requests that were quarantined by the last update, or by another
+    quarantined: BTreeSet<Subject>,
+    /// The subjects that were quarantined by the last update, or by another
     /// VM, and have remained suspects since. A single crash that no other
-    /// request explains keeps them in quarantine, see
+    /// subject explains keeps them in quarantine, see
     /// [`attribution::culprits`].
-    retained: BTreeSet<RequestDigest>,
+    retained: BTreeSet<Subject>,
 }
 
-/// The crashes that one VM knows of, and the requests that it quarantines.
-#[derive(Debug, Default)]
+/// The crashes that one VM knows of, and the subjects that it quarantines.
+#[derive(Debug)]
 pub(crate) struct CrashTracker {
+    /// The VM, which makes trials at another time than others.
+    vm: ShortHash,
     state: Mutex<State>,
 }
 
 impl CrashTracker {
-    /// Whether any request is quarantined.
+    /// Creates the tracker of a VM, which knows of no crashes.
+    pub(crate) fn new(vm: ShortHash) -> CrashTracker {
+        CrashTracker { vm, state: Mutex::default() }
+    }
+
+    /// Whether any subject is quarantined.
     pub(crate) fn has_quarantined(&self) -> bool {
         !self.lock().quarantined.is_empty()
     }
 
-    /// Whether a request is quarantined.
-    pub(crate) fn is_quarantined(
+    /// Returns the first of these subjects that is quarantined.
+    pub(crate) fn first_quarantined(
         &self,
-        request: RequestDigest,
+        subjects: &[Subject],
         now: BootInstant,
-    ) -> bool {
+    ) -> Option<Subject> {
         let state = self.lock();
-        state.is_suspect(request, now) && state.quarantined.contains(&request)
+        let is_quarantined = |subject: &Subject| {
+            state.quarantined.contains(subject)
+                && state.is_suspect(*subject, now)
+        };
+        subjects.iter().copied().find(is_quarantined)
+    }
+
+    /// Decides whether a request with these subjects may be sent to an
+    /// upstream.
+    ///
+    /// # Errors
+    ///
+    /// The quarantined subject because of which it may not.
+    pub(crate) fn admit(
+        &self,
+        subjects: &[Subject],
+        now: BootInstant,
+    ) -> Result<(), Subject> {
+        let Some(first) = self.first_quarantined(subjects, now) else {
+            return Ok(());
+        };
+        let mut state = self.lock();
+        let quarantined =
+            subjects.iter().filter(|s| state.quarantined.contains(s));
+        let is_due = |subject: &Subject| {
+            subject.kind() == SubjectKind::Segment
+                && state.suspects.get(subject).is_some_and(|suspect| {
+                    suspect.is_trial_due(self.trial_spread(*subject), now)
+                })
+        };
+        if !quarantined.clone().all(is_due) {
+            return Err(first);
+        }
+        let tried: Vec<Subject> = quarantined.copied().collect();
+        for subject in tried {
+            if let Some(suspect) = state.suspects.get_mut(&subject) {
+                suspect.trial_at = Some(now);
+            }
+        }
+        Ok(())
     }
 
-    /// Returns the quarantined requests, with the crashes under each.
-    pub(crate) fn quarantined(&self) -> Vec<(RequestDigest, Vec<Crash>)> {
+    /// Returns a factor from 1 to 2, different for each VM, so that the VM
+    /// whose trial is the first can report its outcome to the others.
+    fn trial_spread(&self, subject: Subject) -> f64 {
+        let mixed = rendezvous::mix(subject.0, u64::from(self.vm.0));
+        1.0 + mixed as f64 / u64::MAX as f64
+    }
+
+    /// Returns the quarantined subjects, with the crashes under each.
+    pub(crate) fn quarantined(&self) -> Vec<(Subject, Vec<Crash>)> {
         let state = self.lock();
         let quarantined = state.quarantined.iter();
         quarantined
-            .map(|request| (*request, state.crashes(*request)))
+            .map(|subject| (*subject, state.crashes(*subject)))
             .collect()
     }
 
-    /// Records that an attempt which began at `began_at` was lost.
+    /// Records that an attempt at a request with these subjects, which began
+    /// at `began_at`, was lost.
     pub(crate) fn record_lost_attempt(
         &self,
-        request: RequestDigest,
+        subjects: &[Subject],
         upstream: ShortHash,
         began_at: BootInstant,
         now: BootInstant,
     ) -> (NextStep, Vec<QuarantineChange>) {
         let in_flight = now.saturating_duration_since(began_at).as_millis();
         let in_flight_ms = u16::try_from(in_flight).unwrap_or(u16::MAX);
+        let lost = subjects.iter().map(|subject| (*subject, in_flight_ms));
         let mut state = self.lock();
         let known = state.upstream(upstream, now);
         if let Some(id) = known.crash_during(upstream, began_at) {
-            state.add_crash(
-                request,
-                Crash { id, in_flight_ms },
-                Source::Own,
-                now,
-            );
+            for (subject, in_flight_ms) in lost {
+                let crash = Crash { id, in_flight_ms };
+                state.add_crash(subject, crash, Source::Own, now);
+            }
             return (NextStep::Nothing, state.update_quarantine());
         }
         if let Some(pending) = &mut known.pending
             && is_recent(pending.since, PENDING_TTL, now)
         {
-            pending.requests.push((request, in_flight_ms));
+            pending.subjects.extend(lost);
             return (NextStep::Nothing, Vec::new());
         }
-        let requests = vec![(request, in_flight_ms)];
-        known.pending = Some(PendingAttempts { requests, since: now });
+        let subjects = lost.collect();
+        known.pending = Some(PendingAttempts { subjects, since: now });
         (NextStep::Check, Vec::new())
     }
 
@@ -217,7 +330,7 @@
             // in the meantime.
             Listening::No if known.pending.is_some() => {
                 let number = known.crashes;
-                state.record_crash(CrashId { upstream, number }, now);
+                state.record_crash(CrashId { upstream, number }, now, now);
             }
             Listening::Yes => known.pending = None,
             // Another VM may still report a crash.
@@ -226,27 +339,29 @@
         state.update_quarantine()
     }
 
-    /// Records that an upstream completed a request.
+    /// Records that an upstream completed a request with these subjects.
+    /// Returns what changed, or `None` if other VMs need not know of it.
     pub(crate) fn record_completed(
         &self,
-        request: RequestDigest,
+        subjects: &[Subject],
         now: BootInstant,
-    ) -> Vec<QuarantineChange> {
+    ) -> Option<Vec<QuarantineChange>> {
         let mut state = self.lock();
-        evict_oldest(&mut state.completed, MAX_COMPLETED, |at| *at);
-        state.completed.insert(request, now);
-        if !state.remove_suspect(request) {
-            return Vec::new();
+        let mut has_cleared = false;
+        for subject in subjects {
+            if state.record_completion(*subject, now) {
+                state.report_completion(*subject, Source::Own, now);
+                has_cleared = true;
+            }
         }
-        state.broadcast(request, RequestOutcome::Completed, Source::Own);
-        state.update_quarantine()
+        has_cleared.then(|| state.update_quarantine())
     }
 
     /// Merges observations of other VMs, or those read from the store. A
-    /// snapshot holds quarantined requests only.
+    /// snapshot holds quarantined subjects only.
     pub(crate) fn merge_observations(
         &self,
-        observations: &[RequestObservation],
+        observations: &[SubjectObservation],
         source: Source,
         now: BootInstant,
     ) -> Vec<QuarantineChange> {
@@ -254,23 +369,20 @@
             return Vec::new();
         }
         let mut state = self.lock();
-        for RequestObservation { request, outcome } in observations {
+        for SubjectObservation { subject, outcome, age_ms } in observations {
+            let age = Duration::from_millis(u64::from(*age_ms));
+            // What happened before this VM's clock began is too old to matter.
+            let Some(at) = now.checked_sub(age) else { continue };
             match outcome {
-                RequestOutcome::Crashed(crash) => {
-                    state.record_crash(crash.id, now);
-                    state.add_crash(*request, *crash, source, now);
+                SubjectOutcome::Crashed(crash) => {
+                    state.record_crash(crash.id, at, now);
+                    state.add_crash(*subject, *crash, source, now);
                     if source == Source::Snapshot {
-                        state.retain_quarantined(*request);
+                        state.retain_quarantined(*subject);
                     }
                 }
-                RequestOutcome::Completed => {
-                    if state.remove_suspect(*request) {
-                        state.broadcast(
-                            *request,
-                            RequestOutcome::Completed,
-                            source,
-                        );
-                    }
+                SubjectOutcome::Completed => {
+                    state.merge_completion(*subject, at, source, now);
                 }
             }
         }
@@ -278,26 +390,40 @@
     }
 
     /// Returns the observations for the next heartbeat to `audience`, those
-    /// of the requests with the most crashes first.
+    /// of the subjects with the most crashes first in each class.
     pub(crate) fn next_broadcasts(
         &self,
         audience: Audience,
-    ) -> Vec<RequestObservation> {
+        now: BootInstant,
+    ) -> Vec<SubjectObservation> {
         let mut state = self.lock();
-        let State { broadcast_queue, suspects, .. } = &mut *state;
-        broadcast_queue.take(audience, |observation| {
-            suspects.get(&observation.request).map_or(0, |s| s.crashes.len())
+        let State { broadcast_queue, suspects, completed, .. } = &mut *state;
+        broadcast_queue.take(audience, now, |observation| {
+            let subject = &observation.subject;
+            let class = match observation.outcome {
+                SubjectOutcome::Completed => ObservationClass::Completion,
+                SubjectOutcome::Crashed(_)
+                    if completed.contains_key(subject) =>
+                {
+                    ObservationClass::CrashOfCompleted
+                }
+                SubjectOutcome::Crashed(_) => ObservationClass::Crash,
+            };
+            let crashes = suspects.get(subject).map_or(0, |s| s.crashes.len());
+            (class, crashes)
         })
     }
 
-    /// Returns the crashes under all quarantined requests, for a VM that asks
+    /// Returns the crashes under all quarantined subjects, for a VM that asks
     /// for everything that is known.
-    pub(crate) fn quarantine_observations(&self) -> Vec<RequestObservation> {
-        let quarantined = self.quarantined().into_iter();
+    pub(crate) fn quarantine_observations(
+        &self,
+        now: BootInstant,
+    ) -> Vec<SubjectObservation> {
+        let state = self.lock();
+        let quarantined = state.quarantined.iter();
         quarantined
-            .flat_map(|(request, crashes)| {
-                RequestObservation::of_crashes(request, crashes)
-            })
+            .flat_map(|subject| state.crash_observations(*subject, now))
             .collect()
     }
 
@@ -307,15 +433,17 @@
         state
             .upstreams
             .retain(|_, known| is_recent(known.updated_at, CRASH_TTL, now));
-        state.completed.retain(|_, at| is_recent(*at, COMPLETED_TTL, now));
+        state
+            .completed
+            .retain(|_, known| is_recent(known.at, COMPLETED_TTL, now));
         let suspects = state.suspects.iter();
         let expired = suspects.filter(|(_, suspect)| {
             !is_recent(suspect.updated_at, CRASH_TTL, now)
         });
-        let expired: Vec<RequestDigest> =
-            expired.map(|(request, _)| *request).collect();
-        for request in expired {
-            state.remove_suspect(request);
+        let expired: Vec<Subject> =
+            expired.map(|(subject, _)| *subject).collect();
+        for subject in expired {
+            state.remove_suspect(subject);
         }
         state.update_quarantine()
     }
@@ -326,19 +454,57 @@
 }
 
 impl State {
-    fn crashes(&self, request: RequestDigest) -> Vec<Crash> {
-        let suspect = self.suspects.get(&request);
+    fn crashes(&self, subject: Subject) -> Vec<Crash> {
+        let suspect = self.suspects.get(&subject);
         let crashes = suspect.into_iter().flat_map(|suspect| &suspect.crashes);
-        crashes.map(|(id, ms)| Crash { id: *id, in_flight_ms: *ms }).collect()
+        crashes
+            .map(|(id, crash)| Crash {
+                id: *id,
+                in_flight_ms: crash.in_flight_ms,
+            })
+            .collect()
+    }
+
+    /// Returns one observation for each crash under a subject.
+    fn crash_observations(
+        &self,
+        subject: Subject,
+        now: BootInstant,
+    ) -> Vec<SubjectObservation> {
+        let suspect = self.suspects.get(&subject);
+        let crashes = suspect.into_iter().flat_map(|suspect| &suspect.crashes);
+        crashes
+            .map(|(id, crash)| {
+                let in_flight_ms = crash.in_flight_ms;
+                let crashed = Crash { id: *id, in_flight_ms };
+                let observation = SubjectObservation {
+                    subject,
+                    outcome: SubjectOutcome::Crashed(crashed),
+                    age_ms: 0,
+                };
+                let age = now.saturating_duration_since(crash.learned_at);
+                observation.after(age)
+            })
+            .collect()
     }
 
-    /// Whether unexpired crashes under a request are known.
-    fn is_suspect(&self, request: RequestDigest, now: BootInstant) -> bool {
-        self.suspects.get(&request).is_some_and(|suspect| {
+    /// Whether unexpired crashes under a subject are known.
+    fn is_suspect(&self, subject: Subject, now: BootInstant) -> bool {
+        self.suspects.get(&subject).is_some_and(|suspect| {
             is_recent(suspect.updated_at, CRASH_TTL, now)
         })
     }
 
+    /// Returns the last completion of a subject, unless it was long ago.
+    fn completion(
+        &self,
+        subject: Subject,
+        now: BootInstant,
+    ) -> Option<Completion> {
+        let known = self.completed.get(&subject).copied();
+        known.filter(|known| is_recent(known.at, COMPLETED_TTL, now))
+    }
+
     /// Returns the state of an incarnation of an upstream, created if needed.
     fn upstream(
         &mut self,
@@ -356,88 +522,199 @@
         known
     }
 
-    /// Records a crash, unless it is known, and adds it to the requests of
-    /// this VM whose attempts are pending there.
-    fn record_crash(&mut self, id: CrashId, now: BootInstant) {
+    /// Records a crash that some VM learned of at `at`, unless it is known, and
+    /// adds it to the subjects of this VM's attempts that are pending there.
+    fn record_crash(
+        &mut self,
+        id: CrashId,
+        at: BootInstant,
+        now: BootInstant,
+    ) {
         let known = self.upstream(id.upstream, now);
         if id.number < known.crashes {
             return;
         }
         known.crashes = id.number.saturating_add(1);
-        known.crashed_at = Some(now);
+        known.crashed_at = Some(at);
         let Some(pending) = known.pending.take() else { return };
         if !is_recent(pending.since, PENDING_TTL, now) {
             return;
         }
-        for (request, in_flight_ms) in pending.requests {
-            self.add_crash(
-                request,
-                Crash { id, in_flight_ms },
-                Source::Own,
-                now,
-            );
+        for (subject, in_flight_ms) in pending.subjects {
+            let crash = Crash { id, in_flight_ms };
+            self.add_crash(subject, crash, Source::Own, now);
         }
     }
 
-    /// Adds a crash to those under a request, unless an upstream completed
-    /// the request lately.
+    /// Returns when the first VM learned of a crash that is recorded.
+    fn crash_time(&mut self, id: CrashId, now: BootInstant) -> BootInstant {
+        self.upstream(id.upstream, now).crashed_at.unwrap_or(now)
+    }
+
+    /// Adds a recorded crash to those under a subject, unless an upstream has
+    /// completed the subject since.
     fn add_crash(
         &mut self,
-        request: RequestDigest,
+        subject: Subject,
         crash: Crash,
         source: Source,
         now: BootInstant,
     ) {
-        let completed_at = self.completed.get(&request);
-        if completed_at.is_some_and(|at| is_recent(*at, COMPLETED_TTL, now)) {
-            // VMs that have not had this request yet would suspect it.
-            self.broadcast(request, RequestOutcome::Completed, Source::Own);
-            return;
+        let learned_at = self.crash_time(crash.id, now);
+        let completion = self.completion(subject, now);
+        if let Some(completion) = completion {
+            let has_run_since = completion.at >= learned_at;
+            let is_reported = completion.reported.is_some_and(|reported| {
+                is_recent(reported, COMPLETION_REPORT_INTERVAL, now)
+                    && !(has_run_since && reported < learned_at)
+            });
+            if !is_reported {
+                self.report_completion(subject, Source::Own, now);
+            }
+            if has_run_since {
+                return;
+            }
         }
-        if !self.is_suspect(request, now) {
-            self.remove_suspect(request);
+        if !self.is_suspect(subject, now) {
+            self.remove_suspect(subject);
             self.evict_least_suspect();
         }
-        let suspect = self.suspects.entry(request);
+        let suspect = self.suspects.entry(subject);
         let suspect = suspect.or_insert_with(|| Suspect {
             crashes: Crashes::new(),
-            updated_at: now,
+            updated_at: learned_at,
+            was_completed: completion.is_some(),
+            trial_at: None,
         });
+        let mut is_late = false;
         let crashes = &mut suspect.crashes;
-        if crashes.len() >= MAX_CRASHES_PER_REQUEST
-            || crashes.contains_key(&crash.id)
-        {
+        let in_flight_ms = crash.in_flight_ms;
+        let is_full = crashes.len() >= MAX_CRASHES_PER_SUBJECT;
+        match crashes.get_mut(&crash.id) {
+            // Another request with the same segment was there for longer.
+            Some(known) => {
+                let is_news = known.in_flight_ms < in_flight_ms / 2;
+                known.in_flight_ms = known.in_flight_ms.max(in_flight_ms);
+                if !is_news {
+                    return;
+                }
+            }
+            None if is_full => return,
+            None => {
+                let occurrence = Occurrence { in_flight_ms, learned_at };
+                crashes.insert(crash.id, occurrence);
+                let quiet =
+                    learned_at.saturating_duration_since(suspect.updated_at);
+                suspect.updated_at = suspect.updated_at.max(learned_at);
+                is_late = quiet >= LATE_CRASH_GAP;
+            }
+        }
+        if is_late && self.quarantined.contains(&subject) {
+            self.report_crashes(subject, now);
             return;
         }
-        crashes.insert(crash.id, crash.in_flight_ms);
-        suspect.updated_at = now;
-        self.broadcast(request, RequestOutcome::Crashed(crash), source);
+        let outcome = SubjectOutcome::Crashed(crash);
+        self.broadcast(subject, outcome, learned_at, source, now);
+    }
+
+    /// Reports all crashes under a quarantined subject again: a VM that did
+    /// not know of them has sent it to an upstream.
+    fn report_crashes(&mut self, subject: Subject, now: BootInstant) {
+        for observation in self.crash_observations(subject, now) {
+            self.broadcast_queue.add(observation, Source::Own, now);
+        }
     }
 
     fn broadcast(
         &mut self,
-        request: RequestDigest,
-        outcome: RequestOutcome,
+        subject: Subject,
+        outcome: SubjectOutcome,
+        at: BootInstant,
         source: Source,
+        now: BootInstant,
     ) {
-        self.broadcast_queue
-            .add(RequestObservation { request, outcome }, source);
+        let observation = SubjectObservation { subject, outcome, age_ms: 0 };
+        let age = now.saturating_duration_since(at);
+        self.broadcast_queue.add(observation.after(age), source, now);
+    }
+
+    /// Records that an upstream completed a subject; returns whether that
+    /// clears it of crashes.
+    fn record_completion(
+        &mut self,
+        subject: Subject,
+        at: BootInstant,
+    ) -> bool {
+        if !self.completed.contains_key(&subject) {
+            evict_oldest(&mut self.completed, MAX_COMPLETED, |known| known.at);
+        }
+        let known = self.completed.entry(subject);
+        let known = known.or_insert(Completion { at, reported: None });
+        known.at = known.at.max(at);
+        if subject.kind() == SubjectKind::Segment {
+            self.segment_completed_at =
+                self.segment_completed_at.max(Some(at));
+        }
+        let Some(suspect) = self.suspects.get_mut(&subject) else {
+            return false;
+        };
+        let age = suspect.updated_at.saturating_duration_since(at);
+        suspect.was_completed |= age < COMPLETED_TTL;
+        let count_before = suspect.crashes.len();
+        suspect.crashes.retain(|_, crash| crash.learned_at > at);
+        let count = suspect.crashes.len();
+        if count == 0 {
+            self.remove_suspect(subject);
+        }
+        count < count_before
+    }
+
+    /// Merges a completion that another VM reports.
+    fn merge_completion(
+        &mut self,
+        subject: Subject,
+        at: BootInstant,
+        source: Source,
+        now: BootInstant,
+    ) {
+        let before = self.completion(subject, now);
+        let reported = before.and_then(|known| known.reported);
+        let is_first = reported.is_none_or(|reported| {
+            !is_recent(reported, COMPLETION_REPORT_INTERVAL, now)
+        });
+        let has_cleared = self.record_completion(subject, at);
+        if has_cleared || is_first {
+            self.report_completion(subject, source, now);
+        }
+    }
+
+    /// Reports the last completion of a subject to other VMs.
+    fn report_completion(
+        &mut self,
+        subject: Subject,
+        source: Source,
+        now: BootInstant,
+    ) {
+        let Some(known) = self.completed.get_mut(&subject) else { return };
+        let at = known.at;
+        known.reported = Some(at);
+        self.broadcast(subject, SubjectOutcome::Completed, at, source, now);
     }
 
     /// Keeps a suspect in the quarantine that another VM has put it in: the
     /// crashes do not tell which of several culprits was found first.
-    fn retain_quarantined(&mut self, request: RequestDigest) {
-        let suspect = self.suspects.get(&request);
+    fn retain_quarantined(&mut self, subject: Subject) {
+        let suspect = self.suspects.get(&subject);
         if suspect.is_some_and(|s| s.crashes.len() >= attribution::MIN_CRASHES)
         {
-            self.retained.insert(request);
+            self.retained.insert(subject);
         }
     }
 
-    /// Removes a request from the suspects; returns whether it was one.
-    fn remove_suspect(&mut self, request: RequestDigest) -> bool {
-        self.retained.remove(&request);
-        self.suspects.remove(&request).is_some()
+    /// Removes a subject from the suspects.
+    fn remove_suspect(&mut self, subject: Subject) {
+        self.retained.remove(&subject);
+        self.suspects.remove(&subject);
     }
 
     /// Evicts the suspect with the fewest crashes if [`MAX_SUSPECTS`] are
@@ -446,30 +723,43 @@
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let least = self.suspects.iter().min_by_key(|(_, suspect)| {
-            (suspect.crashes.len(), suspect.updated_at)
+        let least = self.suspects.iter().min_by_key(|(subject, suspect)| {
+            (suspect.crashes.len(), subject.kind(), suspect.updated_at)
         });
-        if let Some(request) = least.map(|(request, _)| *request) {
-            self.remove_suspect(request);
+        if let Some(subject) = least.map(|(subject, _)| *subject) {
+            self.remove_suspect(subject);
         }
     }
 
     /// Recomputes the quarantine and returns what changed.
     fn update_quarantine(&mut self) -> Vec<QuarantineChange> {
-        let suspects = self.suspects.iter();
-        let crashes =
-            suspects.map(|(request, suspect)| (*request, &suspect.crashes));
-        let culprits = attribution::culprits(crashes, &self.retained);
+        let is_relevant = |(subject, suspect): &(&Subject, &Suspect)| {
+            let can_compare = self.segment_completed_at.is_some_and(|at| {
+                is_recent(at, COMPLETED_TTL, suspect.updated_at)
+            });
+            let is_comparable =
+                can_compare || subject.kind() == SubjectKind::Request;
+            self.retained.contains(subject)
+                || is_comparable
+                    && suspect.crashes.len() >= attribution::MIN_CRASHES
+        };
+        let suspects = self.suspects.iter().filter(is_relevant);
+        let evidence = suspects.map(|(subject, suspect)| {
+            let crashes = suspect.crashes.clone();
+            let was_completed = suspect.was_completed;
+            (*subject, Evidence { crashes, was_completed })
+        });
+        let culprits = attribution::culprits(evidence, &self.retained);
         let released = self.quarantined.difference(&culprits);
         let mut changes: Vec<QuarantineChange> = released
-            .map(|request| QuarantineChange::Released(*request))
+            .map(|subject| QuarantineChange::Released(*subject))
             .collect();
-        let added = culprits.difference(&self.quarantined).map(|request| {
+        let added = culprits.difference(&self.quarantined).map(|subject| {
             QuarantineChange::Added {
-                request: *request,
+                subject: *subject,
                 crashes: self
                     .suspects
-                    .get(request)
+                    .get(subject)
                     .map_or(0, |s| s.crashes.len()),
             }
         });
--- a/src/event.rs
+++ b/src/event.rs
@@ -217,13 +217,13 @@
         "An upstream accepts no connections right after an attempt there was cut off, so it has crashed. Names the digest of the request whose attempt was the first to be cut off at this VM.";
     /// A request was quarantined.
     RequestHeld = 93, Error,
-        "Enough upstreams crashed while running a request for it to be quarantined; the request is rejected at every VM from now on, until ten minutes after the last crash. States the request's identifier and how many upstreams crashed.";
+        "Enough upstreams crashed while running a request, or requests that share a segment of their prompts, for it to be quarantined; such requests are rejected at every VM from now on, until ten minutes after the last crash. States the digest, whether it is of a `request` or a `segment`, and how many upstreams crashed.";
     /// A request is no longer quarantined.
     RequestReleased = 94, Info,
-        "A request that was quarantined is accepted again: it completed elsewhere, another request explains the crashes, or ten minutes have passed.";
+        "A request or segment that was quarantined is accepted again: it completed elsewhere, another one explains the crashes, or ten minutes have passed.";
     /// The quarantined requests could not be stored.
     HeldNotKept = 95, Warn,
-        "The quarantined requests could not be written to the platform's store; the VMs that are running know them, and the write is retried.";
+        "The quarantined requests and segments could not be written to the platform's store; the VMs that are running know them, and the write is retried.";
     /// An upstream stated a rate limit.
     UpstreamLimited = 96, Info,
         "An upstream stated the rate of requests that it accepts from all VMs together; states whether its answer or another VM reported it. A few VMs share that rate from now on, and the others send it no requests.";
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock::BootInstant,
-    crashes::{crash_check, digest::RequestDigest},
+    crashes::{crash_check, subject::Subject},
     error::{Error, ErrorKind},
     gateway::{
         Gateway,
@@ -115,8 +115,9 @@
     pub(crate) sent: u32,
     /// Whether any upstream may have executed the request.
     pub(crate) may_have_run: bool,
-    /// Identifies the request when it is sent again; computed on first use.
-    pub(crate) digest: OnceLock<RequestDigest>,
+    /// What a crash under the request may be attributed to; computed on first
+    /// use.
+    pub(crate) subjects: OnceLock<Vec<Subject>>,
 }
 
 /// A response to a caller.
@@ -251,20 +252,32 @@
         }
     }
 
-    /// Returns the digest that identifies the request when it is sent again.
-    pub(crate) fn digest(&self) -> RequestDigest {
-        *self.digest.get_or_init(|| {
+    /// Returns what a crash under the request may be attributed to: the whole
+    /// request, then the segments of its prompt that others may share.
+    pub(crate) fn subjects(&self) -> &[Subject] {
+        self.subjects.get_or_init(|| {
             let request = &self.request;
-            let organisation = self.organisation.as_ref();
-            RequestDigest::of(
+            let organisation = self.organisation.as_ref().map(|o| &o.id);
+            let whole = Subject::of_request(
                 request.method.as_str(),
                 &request.path,
-                organisation.map(|o| &o.id),
+                organisation,
                 &self.body,
-            )
+            );
+            let segments = Subject::of_segments(
+                &self.service,
+                organisation,
+                request.shared_segments(),
+            );
+            std::iter::once(whole).chain(segments).collect()
         })
     }
 
+    /// Returns the digest that identifies the request when it is sent again.
+    pub(crate) fn digest(&self) -> Subject {
+        self.subjects()[0]
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self, now: BootInstant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -386,21 +399,23 @@
         if !crashes.has_quarantined() {
             return Ok(());
         }
-        let digest = self.digest();
-        if !crashes.is_quarantined(digest, self.gateway.clock.now()) {
-            return Ok(());
-        }
-        Err(Error::new(ErrorKind::CrashesUpstreams).context(format!(
-            "upstreams crashed while they ran request {digest}"
-        )))
+        let now = self.gateway.clock.now();
+        crashes.admit(self.subjects(), now).map_err(|subject| {
+            Error::new(ErrorKind::CrashesUpstreams).context(format!(
+                "upstreams crashed while they ran {} {subject}",
+                subject.kind().as_str()
+            ))
+        })
     }
 
     /// Records that an upstream ran the request to its end without a crash.
     pub(crate) fn record_completion(&self) {
         let now = self.gateway.clock.now();
         let crashes = &self.gateway.crashes;
-        let changes = crashes.record_completed(self.digest(), now);
-        self.gateway.log_quarantine_changes(&changes);
+        if let Some(changes) = crashes.record_completed(self.subjects(), now) {
+            self.gateway.log_quarantine_changes(&changes);
+            self.gateway.early_heartbeat.wake();
+        }
     }
 
     /// Records which version an attempt of the session goes to; `None` if the
@@ -719,7 +734,7 @@
             crash_check::record_lost_attempt(
                 gateway,
                 &attempt.member,
-                self.digest(),
+                self.subjects(),
                 attempt.began_at,
             );
         }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -233,7 +233,7 @@
         tried: Vec::new(),
         sent: 0,
         may_have_run: false,
-        digest: OnceLock::new(),
+        subjects: OnceLock::new(),
     };
     Ok((job, trace))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,7 @@
     clock::{BootInstant, SharedClock},
     crashes::{
         broadcast_queue::Source,
-        observation::RequestObservation,
+        observation::SubjectObservation,
         tracker::{CrashTracker, QuarantineChange},
     },
     dialer::DirectDialer,
@@ -171,7 +171,7 @@
                 settings.warm_up_slack,
             ),
             rollouts: Rollouts::new(settings.session_timeout),
-            crashes: CrashTracker::default(),
+            crashes: CrashTracker::new(ShortHash::of(settings.vm.as_str())),
             prefill_times: PrefillTimes::default(),
             service_times: ServiceTimes::default(),
             peers: Peers::new(
@@ -422,9 +422,9 @@
                     "progress": status.progress.to_string(),
                 })));
             }
-            StoreUpdate::CrashingRequest(request, crashes) => {
-                let observations: Vec<RequestObservation> =
-                    RequestObservation::of_crashes(request, crashes).collect();
+            StoreUpdate::Quarantined(subject, crashes) => {
+                let observations: Vec<SubjectObservation> =
+                    SubjectObservation::of_crashes(subject, crashes).collect();
                 self.merge_observations(&observations, Source::Snapshot);
             }
             StoreUpdate::Peer(vm, record) => {
@@ -460,10 +460,10 @@
         }
     }
 
-    /// Merges observations of requests and crashes from elsewhere.
+    /// Merges observations of subjects and crashes from elsewhere.
     pub(crate) fn merge_observations(
         &self,
-        observations: &[RequestObservation],
+        observations: &[SubjectObservation],
         source: Source,
     ) {
         let now = self.clock.now();
@@ -475,22 +475,24 @@
         }
     }
 
-    /// Logs which requests are quarantined from now on, and which no longer.
+    /// Logs which subjects are quarantined from now on, and which no longer.
     pub(crate) fn log_quarantine_changes(&self, changes: &[QuarantineChange]) {
         for change in changes {
             match change {
-                QuarantineChange::Added { request, crashes } => {
+                QuarantineChange::Added { subject, crashes } => {
                     self.metrics.requests_held.inc();
                     Event::RequestHeld.record(fields(json!({
-                        "request": request.to_string(),
+                        "request": subject.to_string(),
+                        "kind": subject.kind().as_str(),
                         "upstreams_ended": crashes,
                     })));
                 }
-                QuarantineChange::Released(request) => {
+                QuarantineChange::Released(subject) => {
                     self.metrics.requests_held.dec();
-                    Event::RequestReleased.record(fields(
-                        json!({ "request": request.to_string() }),
-                    ));
+                    Event::RequestReleased.record(fields(json!({
+                        "request": subject.to_string(),
+                        "kind": subject.kind().as_str(),
+                    })));
                 }
             }
         }
--- a/src/gateway/suspension_tests.rs
+++ b/src/gateway/suspension_tests.rs
@@ -13,7 +13,7 @@
 use super::*;
 use crate::{
     clock::Clock,
-    crashes::digest::RequestDigest,
+    crashes::subject::Subject,
     gateway::test_fleet::Fleet,
     http_client::Listening,
     id::UpstreamId,
@@ -25,7 +25,7 @@
     },
 };
 
-const REQUEST: RequestDigest = RequestDigest(1);
+const REQUEST: Subject = Subject(1);
 
 /// The VM whose timers have not run, the one whose timers have, and a third
 /// one that sends heartbeats to both.
@@ -91,7 +91,7 @@
         Input::Crash(number) => {
             let incarnation = ShortHash(number);
             gateway.crashes.record_lost_attempt(
-                REQUEST,
+                &[REQUEST],
                 incarnation,
                 now,
                 now,
@@ -99,7 +99,7 @@
             gateway.crashes.record_probe(incarnation, Listening::No, now);
         }
         Input::Complete => {
-            gateway.crashes.record_completed(REQUEST, now);
+            gateway.crashes.record_completed(&[REQUEST], now);
         }
         Input::AddEntry => {
             gateway.pool.set(entry(), now);
@@ -136,7 +136,7 @@
         ("is ready", gateway.is_ready()),
         (
             "quarantines the request",
-            gateway.crashes.is_quarantined(REQUEST, now),
+            gateway.crashes.first_quarantined(&[REQUEST], now).is_some(),
         ),
         ("may retry", gateway.can_retry(&service())),
         ("has an upstream", picked.is_ok()),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     clock::{BootInstant, SharedClock},
-    crashes::digest::RequestDigest,
+    crashes::subject::Subject,
     event::Event,
     gateway::request_head::RequestHead,
     id::{ModelId, OrganisationId},
@@ -80,7 +80,7 @@
     session: Option<String>,
     /// Ids of the prompt segments that other requests may share.
     shared_segments: Vec<u64>,
-    digest: Option<RequestDigest>,
+    digest: Option<Subject>,
     first_part_ms: Option<u64>,
     last_part_ms: Option<u64>,
     longest_pause_ms: u64,
@@ -142,7 +142,7 @@
     }
 
     /// Records the digest that identifies the request when it is sent again.
-    pub(crate) fn record_digest(&mut self, digest: RequestDigest) {
+    pub(crate) fn record_digest(&mut self, digest: Subject) {
         self.digest = Some(digest);
     }
 
--- a/src/message.rs
+++ b/src/message.rs
@@ -21,7 +21,7 @@
         claim::{ClaimOutcome, ClaimRequest, ClaimVerdict, OfflineClaim},
         configuration::Change,
     },
-    crashes::observation::RequestObservation,
+    crashes::observation::SubjectObservation,
     id::{DataHallId, Incarnation, RequestId, Revision, VmId},
     placing::health::AttemptOutcome,
     rollouts::evidence::{Evidence, HallEvidence},
@@ -266,8 +266,8 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// Its evidence on the running rollouts, for the VMs of its data hall.
     pub evidence: Vec<Evidence>,
-    /// Recent observations of requests and of crashed upstreams.
-    pub observations: Vec<RequestObservation>,
+    /// Recent crashes and completions, by what was running.
+    pub observations: Vec<SubjectObservation>,
     /// The evidence of whole data halls: that of its own hall for the VMs of
     /// other halls, and that received from other halls for the VMs of its own.
     pub hall_evidence: Vec<HallEvidence>,
@@ -362,8 +362,8 @@
         packed: Vec<u8>,
         /// The age of the proof that they are current, in milliseconds.
         proof_age_ms: u32,
-        /// The crashes under all quarantined requests.
-        observations: Vec<RequestObservation>,
+        /// The crashes under all quarantined subjects.
+        observations: Vec<SubjectObservation>,
     },
     /// The receiver cannot or may not carry out the request, for this reason.
     Rejected(String),
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -16,7 +16,7 @@
     chains::store::StoreVersion,
     crashes::{
         broadcast_queue::{Audience, Source},
-        observation::RequestObservation,
+        observation::SubjectObservation,
     },
     event::Event,
     gateway::{Gateway, fields},
@@ -117,7 +117,7 @@
 /// Fields of a heartbeat whose values differ for other data halls.
 struct OtherHallFields {
     hall_evidence: Vec<HallEvidence>,
-    observations: Vec<RequestObservation>,
+    observations: Vec<SubjectObservation>,
     rate_limits: Vec<RateLimitReport>,
 }
 
@@ -136,13 +136,13 @@
             ),
             observations: gateway
                 .crashes
-                .next_broadcasts(Audience::OtherHalls),
+                .next_broadcasts(Audience::OtherHalls, now),
             rate_limits: gateway.pool.due_rate_limits(false, now),
         };
         heartbeat.hall_evidence =
             rollouts.relayed_evidence(&heartbeat.evidence, now);
         heartbeat.observations =
-            gateway.crashes.next_broadcasts(Audience::OwnHall);
+            gateway.crashes.next_broadcasts(Audience::OwnHall, now);
         let receivers = gateway.peers.receivers(now);
         HeartbeatRound {
             heartbeat,
@@ -460,7 +460,9 @@
                     as_of: as_of.0,
                     packed: packed.to_vec(),
                     proof_age_ms: age.as_millis() as u32 + 1,
-                    observations: self.crashes.quarantine_observations(),
+                    observations: self
+                        .crashes
+                        .quarantine_observations(self.clock.now()),
                 }
             }
             PeerRequest::KnowledgeDelta { digest_before, as_of, items } => {
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -20,7 +20,7 @@
 use crate::{
     chains::store::StoreVersion,
     clock::BootInstant,
-    crashes::{digest::RequestDigest, observation::Crash},
+    crashes::{observation::Crash, subject::Subject},
     id::{DataHallId, ServiceId, UpstreamId},
     placing::member::UpstreamEntry,
     platform::{
@@ -74,8 +74,8 @@
     UpstreamGone(UpstreamId),
     /// The record of an upstream can no longer be read.
     UpstreamUnreadable(UpstreamId),
-    /// Upstreams have crashed under a request.
-    CrashingRequest(RequestDigest, Vec<Crash>),
+    /// Upstreams have crashed under a request or a segment of prompts.
+    Quarantined(Subject, Vec<Crash>),
     /// A router VM was added, or its record changed.
     Peer(String, PeerRecord),
     /// The record of a router VM was removed.
