Clear no request of crashes because an upstream failed it

What callers saw: a request that crashes upstreams was taken again after each run that ended with an error, and crashed the next ones.

Cause: any whole answer counted as a completed run, whatever its status. Now only a success does; an error shows that the upstream answered, not that it can run the request.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -636,8 +636,10 @@
                 ));
             }
         };
-        self.record_completion();
         let status = status_of(answer.status)?;
+        if status.is_success() {
+            self.record_completion();
+        }
         let body = ReplyBody::Whole(answer.body);
         let reply = Reply { status, headers, body };
         if status.is_server_error() {
--- a/standins/tests/crashing_requests.rs
+++ b/standins/tests/crashing_requests.rs
@@ -16,7 +16,10 @@
 
 use std::{
     path::PathBuf,
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -43,6 +46,14 @@
 /// Path segment of requests whose connection every upstream closes.
 const CLOSING: &str = "cut";
 
+/// Path segment of requests that every second run answers with an error, and
+/// that crash the upstream otherwise.
+const FLAKY: &str = "flaky";
+
+/// Path segment of requests that crash every upstream in the middle of an
+/// answer without a length.
+const TORN: &str = "torn";
+
 /// Id of the prompt segment that crashes every upstream that runs it.
 const CRASHING_SEGMENT: u64 = 0xdead;
 
@@ -83,6 +94,15 @@
         let step = match request.path.rsplit('/').next() {
             Some(CRASHING) => Step::Crash,
             Some(CLOSING) => Step::Close,
+            Some(FLAKY) if is_second_flaky_run() => {
+                let headers = response_headers(request, &[]);
+                Step::Send(answer(500, &headers, "failed"))
+            }
+            Some(FLAKY) => Step::Crash,
+            Some(TORN) => {
+                let head = unframed_head(request);
+                return vec![Step::Send(head), Step::Crash];
+            }
             _ if has_crashing_segment(request) => Step::Crash,
             _ => well(),
         };
@@ -90,6 +110,23 @@
     })
 }
 
+/// Returns true for every second run of a flaky request at any upstream.
+fn is_second_flaky_run() -> bool {
+    static RUNS: AtomicUsize = AtomicUsize::new(0);
+    !RUNS.fetch_add(1, Ordering::SeqCst).is_multiple_of(2)
+}
+
+/// Returns the head of an answer that ends with its connection, and the first
+/// bytes of its body.
+fn unframed_head(request: &RawRequest) -> Vec<u8> {
+    let mut head = String::from("HTTP/1.1 200 OK\r\n");
+    for (name, value) in response_headers(request, &[]) {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\nha");
+    head.into_bytes()
+}
+
 fn has_crashing_segment(request: &RawRequest) -> bool {
     let segment = format!("{CRASHING_SEGMENT:x}:");
     request.header("lupinseam-prefix-hash").contains(&segment)
@@ -201,26 +238,27 @@
     }
 }
 
-#[test]
-fn a_request_that_crashed_three_upstreams_is_no_longer_sent() {
+/// Checks that a request is no longer sent once it has crashed three
+/// upstreams.
+fn assert_quarantined(what: &str) {
     let _guard = lock_site();
     let mut crash_site = CrashSite::start();
     let mut third_at = None;
     let mut sends_before = 0;
     let until = Instant::now() + PROPAGATION_TIME * 3;
     while Instant::now() < until {
-        crash_site.ask(CRASHING);
+        crash_site.ask(what);
         crash_site.replace_crashed();
         thread::sleep(Duration::from_millis(100));
         if crash_site.crashed_upstreams() >= CRASHES {
             third_at.get_or_insert(Instant::now());
         }
         if third_at.is_none_or(|at| at.elapsed() < PROPAGATION_TIME) {
-            sends_before = crash_site.sends(CRASHING);
+            sends_before = crash_site.sends(what);
         }
     }
     assert!(third_at.is_some(), "fewer than {CRASHES} upstreams have crashed");
-    let later = crash_site.sends(CRASHING) - sends_before;
+    let later = crash_site.sends(what) - sends_before;
     assert!(
         later <= MAX_SENDS,
         "sent {later} times more; {} upstreams crashed in total",
@@ -228,6 +266,25 @@
     );
 }
 
+#[test]
+fn a_request_that_crashed_three_upstreams_is_no_longer_sent() {
+    assert_quarantined(CRASHING);
+}
+
+/// Guards against taking an error for proof that an upstream can run a
+/// request.
+#[test]
+fn an_error_answer_does_not_clear_a_crashing_request() {
+    assert_quarantined(FLAKY);
+}
+
+/// Guards against taking the close of a crashed upstream's connection for the
+/// end of an answer without a length.
+#[test]
+fn an_answer_that_a_crash_cut_off_does_not_clear_a_crashing_request() {
+    assert_quarantined(TORN);
+}
+
 /// Guards against a quarantine that knows whole requests only: requests that
 /// share one crashing segment, and nothing else, crash upstream after upstream.
 #[test]
