Take no closed connection for proof that an upstream ran a request

What callers saw: requests that crash upstreams in the middle of an answer without length or chunks came back whole in appearance, and went on to crash the next upstreams.

Cause: such an answer ends when its connection closes, which is an end for the caller, but a crash closes the connection as well. It counted as a completed run, and no crash was looked for.

Change: whether the upstream lived on is checked with one connection shortly after; if it did, the run counts as completed, else as lost, and the crash is attributed like any other. Answers with a length or chunks are not checked.

--- a/src/crashes/crash_check.rs
+++ b/src/crashes/crash_check.rs
@@ -20,7 +20,8 @@
 };
 
 /// Time after which an upstream that still takes connections is probed once
-/// more: a process that exits closes its sockets one after the other.
+/// more, and one that has closed a connection is probed first: a process that
+/// exits closes its sockets one after the other.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(150);
 
 /// Records that an attempt which began at `began_at` was lost, and checks in
@@ -58,6 +59,39 @@
     }
 }
 
+/// Records that an upstream completed an attempt which began at `began_at`,
+/// unless it has crashed: the connection that ended the answer also closes in
+/// a crash. Checks that in the background.
+pub(crate) fn record_end_at_close(
+    gateway: &Arc<Gateway>,
+    member: &Arc<Member>,
+    subjects: &[Subject],
+    began_at: BootInstant,
+) {
+    let (gateway, member) = (gateway.clone(), member.clone());
+    let subjects = subjects.to_vec();
+    task::spawn(async move {
+        task::sleep(SECOND_PROBE_DELAY).await;
+        let listening = gateway.http.probe(member.entry.address).await;
+        match listening == Listening::Yes && !member.has_crashed() {
+            true => record_completion(&gateway, &subjects),
+            false => {
+                record_lost_attempt(&gateway, &member, &subjects, began_at);
+            }
+        }
+    })
+    .detach();
+}
+
+/// Records that an upstream ran a request to a successful end.
+pub(crate) fn record_completion(gateway: &Gateway, subjects: &[Subject]) {
+    let now = gateway.clock.now();
+    if let Some(changes) = gateway.crashes.record_completed(subjects, now) {
+        gateway.log_quarantine_changes(&changes);
+        gateway.early_heartbeat.wake();
+    }
+}
+
 async fn check(
     gateway: Arc<Gateway>,
     member: Arc<Member>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -408,13 +408,22 @@
         })
     }
 
-    /// Records that an upstream ran the request to its end without a crash.
-    pub(crate) fn record_completion(&self) {
-        let now = self.gateway.clock.now();
-        let crashes = &self.gateway.crashes;
-        if let Some(changes) = crashes.record_completed(self.subjects(), now) {
-            self.gateway.log_quarantine_changes(&changes);
-            self.gateway.early_heartbeat.wake();
+    /// Records that an upstream ran the request to a successful end.
+    /// `is_framed` says whether the answer itself shows that it is whole.
+    pub(crate) fn record_completion(
+        &self,
+        attempt: &Attempt,
+        is_framed: bool,
+    ) {
+        let (gateway, subjects) = (&self.gateway, self.subjects());
+        match is_framed {
+            true => crash_check::record_completion(gateway, subjects),
+            false => crash_check::record_end_at_close(
+                gateway,
+                &attempt.member,
+                subjects,
+                attempt.began_at,
+            ),
         }
     }
 
@@ -616,6 +625,7 @@
         let limit = self.attempt_timeout(attempt, max_wait);
         let (mut exchange, _) = self.send(attempt, None, limit, trace).await?;
         exchange.allow_end_at_close();
+        let is_framed = exchange.is_framed();
         let headers = headers::response_headers(&exchange.headers);
         let now = self.gateway.clock.now();
         let waited = now.saturating_duration_since(attempt.began_at);
@@ -638,7 +648,7 @@
         };
         let status = status_of(answer.status)?;
         if status.is_success() {
-            self.record_completion();
+            self.record_completion(attempt, is_framed);
         }
         let body = ReplyBody::Whole(answer.body);
         let reply = Reply { status, headers, body };
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -405,7 +405,8 @@
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             self.job.learn_service_time(&source.attempt);
-            self.job.record_completion();
+            let is_framed = source.exchange.is_framed();
+            self.job.record_completion(&source.attempt, is_framed);
             source.exchange.finish();
         }
         if let Some(mut trace) = self.trace.take() {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -457,6 +457,12 @@
         self.connection.as_ref()?.relay
     }
 
+    /// Whether the body has a length or chunked encoding, so that its end is
+    /// known from the body itself.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.is_framed
+    }
+
     /// Treats a body without a length or chunked encoding as complete when its
     /// connection is closed rather than reset.
     pub fn allow_end_at_close(&mut self) {
