Break off a stream that closes before its first event

What callers saw: a stream from an upstream that crashed before its first event came as a whole, empty answer (200), and the rest of a resumed stream as its regular end, if the answer had neither length nor chunks.

Cause: the end of such an answer is the close of its connection, and only a close within an event counted as broken. A crash before the first event closes the connection as well, and no retry, no resumption and no crash check came.

Change: without a length or chunks, a close before the first event of an attempt is a broken one; between two events it is the end, as before. With chunks an empty stream stays whole.

--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -67,6 +67,8 @@
     attempt: Attempt,
     exchange: Exchange,
     events: Splitter,
+    /// Whether a whole event has been read.
+    has_begun: bool,
 }
 
 /// A stream from an upstream whose first events, or its end, have been read.
@@ -107,6 +109,11 @@
 }
 
 impl UpstreamStream {
+    fn new(attempt: Attempt, exchange: Exchange) -> UpstreamStream {
+        let events = Splitter::default();
+        UpstreamStream { attempt, exchange, events, has_begun: false }
+    }
+
     /// Returns the next whole events after the event id `last`, and advances
     /// `last`.
     async fn next(
@@ -118,6 +125,7 @@
         loop {
             let ready = self.take_events(last)?;
             if !ready.is_empty() {
+                self.has_begun = true;
                 return Ok(StreamRead::Events(ready));
             }
             let member = self.attempt.member.clone();
@@ -134,10 +142,15 @@
                     self.events.push(&chunk);
                     member.record_activity(job.gateway.clock.now());
                 }
-                None if self.events.is_empty() => return Ok(StreamRead::End),
-                None => {
+                None if !self.events.is_empty() => {
                     return Err(StreamError::Broken("within an event".into()));
                 }
+                // An upstream that crashes before the first event closes its
+                // connection like one that has no events to send.
+                None if !self.exchange.is_framed() && !self.has_begun => {
+                    return Err(StreamError::Broken("before an event".into()));
+                }
+                None => return Ok(StreamRead::End),
             }
         }
     }
@@ -265,8 +278,7 @@
             return Err(self.read_failure(attempt, exchange, headers).await);
         }
         let mut last_event = self.request.last_event;
-        let mut source =
-            UpstreamStream { attempt, exchange, events: Splitter::default() };
+        let mut source = UpstreamStream::new(attempt, exchange);
         let limit = self.first_event_timeout();
         let read = source.next(self, &mut last_event, limit).await;
         let (first, ended) = match read {
@@ -495,8 +507,7 @@
             {
                 exchange.allow_end_at_close();
                 attempt.prefill = None;
-                let events = Splitter::default();
-                Ok(UpstreamStream { attempt, exchange, events })
+                Ok(UpstreamStream::new(attempt, exchange))
             }
             Ok((exchange, _)) => {
                 self.job.record_attempt(
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -282,6 +282,67 @@
     assert_eq!(count_with_id(&[&one, &two], "r-1"), 1);
 }
 
+/// Sends the head of a stream that ends with its connection, the events of
+/// these ids, and closes the connection.
+fn unframed_stream(request: &RawRequest, from: u64, to: u64) -> Vec<Step> {
+    let more = [("content-type", "text/event-stream")];
+    let mut text = String::from("HTTP/1.1 200 OK\r\n");
+    for (name, value) in response_headers(request, &more) {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    text.push_str(&events(from, to));
+    vec![Step::Send(text.into_bytes()), Step::Close]
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_is_whole() {
+    let _guard = lock_site();
+    let script = || Box::new(|request: &_| unframed_stream(request, 1, 5));
+    let one = Upstream::start("i-1", script());
+    let site = site_with(&[(&one, MODELS)]);
+    let got = site.vms[0].ask(&stream_request("/write/x", "r-1"));
+    assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    assert_eq!(got.body, events(1, 5));
+}
+
+/// An upstream that crashes before the first event closes its connection too.
+#[test]
+fn a_stream_that_closes_before_its_first_event_is_not_whole() {
+    let _guard = lock_site();
+    let script = || Box::new(|request: &_| unframed_stream(request, 1, 0));
+    let one = Upstream::start("i-1", script());
+    let two = Upstream::start("i-2", script());
+    let site = site_with(&[(&one, MODELS), (&two, MODELS)]);
+    let got = site.vms[0].ask(&stream_request("/write/x", "r-1"));
+    assert_eq!(got.status, 502, "{got:?}");
+}
+
+/// The same while the rest of a broken stream is resumed.
+#[test]
+fn a_resumed_stream_that_closes_before_its_next_event_is_not_whole() {
+    let _guard = lock_site();
+    let script = || {
+        Box::new(|request: &RawRequest| {
+            match request.header("last-event-id").is_empty() {
+                true => {
+                    let mut steps = unframed_stream(request, 1, 3);
+                    let partial = Step::Send(b"id: 4\ndata: h".to_vec());
+                    steps.insert(1, partial);
+                    steps
+                }
+                false => unframed_stream(request, 1, 0),
+            }
+        })
+    };
+    let one = Upstream::start("i-1", script());
+    let two = Upstream::start("i-2", script());
+    let site = site_with(&[(&one, MODELS), (&two, MODELS)]);
+    let got = site.vms[0].ask(&stream_request("/write/x", "r-1"));
+    assert_eq!(got.body, events(1, 3), "{got:?}");
+    assert!(!got.whole, "{got:?}");
+}
+
 /// Guards against charging the retry budget for attempts that are never sent,
 /// which would leave too little for other streams.
 #[test]
