Soak: send crashing requests that share only a segment

The soak sent crashing requests identically, so it could not show what requests do of which no two are alike. Half of the crashing requests now share only a prompt segment; reads share the caller and their other segments, and must not be rejected. Their bound is the operators' five crashes; that of identical ones stays three.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -17,6 +17,7 @@
 
 use super::{
     client::Connection,
+    crashing::crashing_segment,
     evidence::{Call, Kind},
     upstreams::{EVENTS, event, plain_body},
 };
@@ -223,8 +224,11 @@
     let session = session.unwrap_or_default();
     let deadline_ms = DEADLINE.as_millis();
     let path = kind.path(id);
+    let prompt = prompt(kind, id);
     let (method, more) = match kind {
-        Kind::Read | Kind::Probe(_) | Kind::Deadly(_) => ("GET", ""),
+        Kind::Read | Kind::Probe(_) | Kind::Deadly(_) => {
+            ("GET", prompt.as_str())
+        }
         Kind::Once => ("POST", "Content-Length: 0\r\n"),
         Kind::Write | Kind::Tell => (
             "POST",
@@ -241,6 +245,19 @@
     )
 }
 
+/// Returns the header with the prompt of a plain request: two segments that
+/// all share, the crashing one of some, and its own.
+fn prompt(kind: Kind, id: &str) -> String {
+    let crashing = match kind {
+        Kind::Deadly(number) => crashing_segment(number),
+        _ => None,
+    };
+    let crashing = crashing.map(|segment| format!("{segment:x}:40,"));
+    let crashing = crashing.unwrap_or_default();
+    let own = id.trim_start_matches("c-");
+    format!("Lupinseam-Prefix-Hash: a1:40,b2:40,{crashing}{own}:20\r\n")
+}
+
 /// Returns whether a response body is exactly what an upstream generates for
 /// this call.
 fn is_own(kind: Kind, id: &str, response: &HttpReply) -> bool {
--- a/standins/src/soak/crashing.rs
+++ b/standins/src/soak/crashing.rs
@@ -3,6 +3,8 @@
 //!
 //! A run has a few different ones. Each is sent again and again to random VMs,
 //! one after the other and several at once, always with another attempt ID.
+//! Some are sent identically; of others, no two are alike, but their prompts
+//! share the segment that crashes upstreams.
 //! [`Kind::Deadly`] and the paths call such a request "deadly".
 
 use std::{
@@ -34,12 +36,44 @@
 /// Upstream crashes after which a request must be quarantined.
 const MAX_CRASHES: usize = 3;
 
+/// Upstream crashes after which a shared segment must be quarantined.
+const MAX_SEGMENT_CRASHES: usize = 5;
+
+/// Added to the number of crashing requests that share only a segment.
+const SEGMENT_OFFSET: u64 = 100;
+
+/// Added to that number for the ID of the segment.
+const FIRST_SEGMENT: u64 = 0xdead_0000;
+
 /// Arrivals that are still allowed once the request must be quarantined.
 const MAX_LATE_ARRIVALS: usize = 3;
 
-/// Returns the path of the crashing request with this number.
-pub fn path(number: u64) -> String {
-    format!("/read/deadly-{number}")
+/// Returns whether the crashing requests with this number share only a
+/// segment of their prompts.
+fn shares_only_segment(number: u64) -> bool {
+    number > SEGMENT_OFFSET
+}
+
+/// Returns the path of the crashing request with this number and call ID.
+pub fn path(number: u64, id: &str) -> String {
+    match shares_only_segment(number) {
+        true => format!("/read/deadly-{number}/{id}"),
+        false => format!("/read/deadly-{number}"),
+    }
+}
+
+/// Returns the segment of its prompt that crashes upstreams, if it has one.
+pub fn crashing_segment(number: u64) -> Option<u64> {
+    shares_only_segment(number).then_some(FIRST_SEGMENT + number)
+}
+
+/// Returns what the paths of all crashing requests with the same number begin
+/// with, and that number.
+fn group(path: &str) -> (&str, u64) {
+    let rest = path.strip_prefix("/read/deadly-").unwrap_or_default();
+    let digits = rest.split('/').next().unwrap_or_default();
+    let length = path.len() - rest.len() + digits.len();
+    (&path[..length], digits.parse().unwrap_or(0))
 }
 
 /// Returns whether a path is that of a crashing request.
@@ -52,12 +86,14 @@
 pub fn run(callers: &Arc<Callers>, seed: u64) -> Vec<thread::JoinHandle<()>> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::MAX << 48));
     let count = rng.random_range(1..=MAX_REQUESTS);
-    let sender = |number| {
+    let mut sender = |number| {
+        let offset = if rng.random() { SEGMENT_OFFSET } else { 0 };
+        let number = number + offset;
         let callers = callers.clone();
         let rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 52));
         thread::spawn(move || send_repeatedly(&callers, number, rng))
     };
-    (1..=count).map(sender).collect()
+    (1..=count).map(&mut sender).collect()
 }
 
 fn send_repeatedly(callers: &Arc<Callers>, number: u64, mut rng: ChaCha8Rng) {
@@ -97,7 +133,7 @@
 fn runs_by_path(evidence: &Evidence) -> BTreeMap<&str, Vec<&Run>> {
     let mut by_path: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
     for run in evidence.runs.iter().filter(|run| is_crashing(&run.path)) {
-        by_path.entry(&run.path).or_default().push(run);
+        by_path.entry(group(&run.path).0).or_default().push(run);
     }
     for runs in by_path.values_mut() {
         runs.sort_by_key(|run| run.at);
@@ -116,18 +152,21 @@
 }
 
 /// Checks that undisturbed VMs stop sending a request once it has crashed
-/// three upstreams.
+/// three upstreams, or different ones once their segment has crashed five.
 pub(super) fn crashing_requests_are_quarantined(
     evidence: &Evidence,
 ) -> Vec<Violation> {
     let calls = evidence.calls_by_id();
     let mut found = Vec::new();
     for (path, runs) in runs_by_path(evidence) {
-        let Some(third) = crash_times(&runs).get(MAX_CRASHES - 1).copied()
-        else {
+        let allowed = match shares_only_segment(group(path).1) {
+            true => MAX_SEGMENT_CRASHES,
+            false => MAX_CRASHES,
+        };
+        let Some(last) = crash_times(&runs).get(allowed - 1).copied() else {
             continue;
         };
-        let from = third + CONTACT_TIME + SLACK;
+        let from = last + CONTACT_TIME + SLACK;
         let later = runs.iter().filter(|run| {
             let call = calls.get(run.id.as_str());
             run.at > from
@@ -138,7 +177,7 @@
         let later: Vec<&str> = later.map(|run| run.id.as_str()).collect();
         if later.len() > MAX_LATE_ARRIVALS {
             let what = format!(
-                "{path} crashed three by {third:?}, then ran as {later:?}"
+                "{path} crashed {allowed} by {last:?}, then ran as {later:?}"
             );
             found.push(violation(Promise::Deadly, what));
         }
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -32,7 +32,7 @@
     /// A request to the added route with this number; checks whether a VM
     /// knows the route.
     Probe(u64),
-    /// The crashing request with this number: it crashes each upstream that
+    /// A crashing request with this number: it crashes each upstream that
     /// runs it.
     Deadly(u64),
 }
@@ -64,7 +64,7 @@
             Kind::Write => format!("/write/{id}"),
             Kind::Tell => format!("/tell/{id}"),
             Kind::Probe(number) => format!("/added-{number}/{id}"),
-            Kind::Deadly(number) => crashing::path(number),
+            Kind::Deadly(number) => crashing::path(number, id),
         }
     }
 }
