Quarantine crashing requests and messages at the own interface too

What callers saw: a chat whose history holds a message that crashes engines, or a call that crashes a service, ended upstream after upstream: each call and each VM began at zero, and retries carried it on.

Cause: the one of the gateway, and more: the own interface had no record of crashes at all.

Change: the tracker of the gateway at the own interface. A chat is known as a whole and by its tools and all messages but the last, a call of a service as a whole, each by organisation. VMs report crashes and completions to each other in a datagram of their own, at once and in each gossip round.

Not built: the quarantine is not kept in the store there.

--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -88,6 +88,20 @@
         Value::Object(fields).to_string().into_bytes()
     }
 
+    /// Returns ids of the parts of the prompt that other requests may share:
+    /// the tools and all messages but the last.
+    pub(crate) fn shared_segments(&self) -> impl Iterator<Item = u64> {
+        let list =
+            |name: &str| self.fields.get(name).and_then(Value::as_array);
+        let tools = list("tools").map_or(&[][..], Vec::as_slice);
+        let messages = list("messages").map_or(&[][..], Vec::as_slice);
+        let earlier = messages.split_last().map_or(&[][..], |(_, all)| all);
+        tools.iter().chain(earlier).map(|part| {
+            let hash = blake3::hash(part.to_string().as_bytes());
+            rendezvous::first_u64(&hash)
+        })
+    }
+
     /// Returns the text of the last message, for the rating service.
     pub fn last_text(&self) -> String {
         let messages = self.fields.get("messages").and_then(Value::as_array);
@@ -233,4 +247,20 @@
         assert_eq!(forwarded["temperature"], 0.5);
         assert_eq!(forwarded["priority"], 10);
     }
+
+    #[test]
+    fn all_parts_of_a_prompt_but_the_last_message_are_shared() {
+        let segments = |body: &[u8]| -> Vec<u64> {
+            let request = ChatRequest::from_json(body).unwrap();
+            request.shared_segments().collect()
+        };
+        let one = br#"{"messages":[{"role":"user","content":"a"}]}"#;
+        assert!(segments(one).is_empty());
+        let long = br#"{"tools":[{"name":"t"}],"messages":[
+            {"role":"system","content":"s"},{"role":"user","content":"a"}]}"#;
+        let other = br#"{"tools":[{"name":"t"}],"messages":[
+            {"role":"system","content":"s"},{"role":"user","content":"b"}]}"#;
+        assert_eq!(segments(long).len(), 2);
+        assert_eq!(segments(long), segments(other));
+    }
 }
--- a/src/api/dispatch.rs
+++ b/src/api/dispatch.rs
@@ -59,6 +59,9 @@
 /// The status of an inference engine that has not loaded the version.
 pub(super) const STATUS_NOT_LOADED: u16 = 409;
 
+/// The path of chat requests, at this interface and at engines.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
 /// A call of a plain service as it is forwarded.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceTarget {
@@ -124,6 +127,7 @@
         let body = RequestHash::of(method, &target.path, &target.body);
         let key = self.state.key.clone();
         let repeatable = self.state.call.repeatable;
+        self.context.set_subjects(method, &target.path, &target.body, []);
         if let Err(end) = self.context.claim(key, body, repeatable).await {
             return self.context.settle(*end);
         }
@@ -198,9 +202,12 @@
     /// Dispatches a chat request and settles it, or returns when its stream
     /// has started.
     pub(crate) async fn run(mut self, body: &[u8]) -> Answer {
-        let hash = RequestHash::of("POST", "/v1/chat/completions", body);
+        let hash = RequestHash::of("POST", CHAT_PATH, body);
         let key = self.state.admitted.key.clone();
         let repeatable = self.state.repeatable;
+        let segments: Vec<u64> =
+            self.state.admitted.call.chat.shared_segments().collect();
+        self.context.set_subjects("POST", CHAT_PATH, body, segments);
         if let Err(end) = self.context.claim(key, hash, repeatable).await {
             return self.context.settle(*end);
         }
@@ -352,7 +359,7 @@
         };
         AttemptRequest {
             method: Method::POST,
-            path: "/v1/chat/completions".to_owned(),
+            path: CHAT_PATH.to_owned(),
             headers: vec![Header::new("content-type", "application/json")],
             body: state
                 .call
@@ -665,6 +672,7 @@
         upstreams: &[Arc<Upstream>],
         criteria: UpstreamCriteria<'_>,
     ) -> Result<SelectedUpstream, Error> {
+        self.check_not_quarantined()?;
         let vm = &self.vm;
         let now = vm.clock.now();
         let snapshots: Vec<_> =
@@ -785,6 +793,9 @@
             }
         };
         self.report_to_breaker(selected, result.as_ref().err().copied());
+        if result.as_ref().is_ok_and(|answer| is_success(answer.status)) {
+            self.record_completion();
+        }
         result
     }
 
@@ -832,6 +843,9 @@
         selected: &SelectedUpstream,
         fault: Option<AttemptFault>,
     ) {
+        if fault == Some(AttemptFault::Broken) {
+            self.record_lost_attempt(selected);
+        }
         let upstream = &selected.upstream;
         let change = match fault {
             None | Some(AttemptFault::Cancelled | AttemptFault::TooLarge) => {
@@ -919,6 +933,11 @@
     }
 }
 
+/// Whether a status says that a request was carried out.
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 /// Classifies an error of the HTTP client.
 pub(crate) fn attempt_fault(error: SendError) -> AttemptFault {
     match error {
--- a/src/api/gossip.rs
+++ b/src/api/gossip.rs
@@ -17,10 +17,12 @@
 
 use crate::{
     api::{
+        crashes,
         view::{Peer, log_liveness_changes},
         vm::Vm,
     },
     clock::BootInstant,
+    crashes::broadcast_queue::Audience,
     event::Event,
     frame::{FrameError, MAX_DATAGRAM_BYTES},
     id::VmId,
@@ -103,6 +105,26 @@
         }
     }
 
+    /// Sends this VM's observations of crashes to every live peer of the hall
+    /// and to a random VM of another hall.
+    pub(crate) async fn broadcast_observations(vm: &Arc<Vm>) {
+        let now = vm.clock.now();
+        let own_hall = vm.crashes.next_broadcasts(Audience::OwnHall, now);
+        if !own_hall.is_empty() {
+            let datagram = Datagram::Observations(own_hall);
+            for peer in vm.view.live_hall_peers() {
+                vm.gossiper.send(vm, peer.address, &datagram).await;
+            }
+        }
+        let others = vm.crashes.next_broadcasts(Audience::OtherHalls, now);
+        if !others.is_empty()
+            && let Some(peer) = pick_remote_peer(vm)
+        {
+            let datagram = Datagram::Observations(others);
+            vm.gossiper.send(vm, peer.address, &datagram).await;
+        }
+    }
+
     /// Runs a gossip round every `peers.gossip`, with 10 % jitter; never
     /// returns.
     pub(crate) async fn round_loop(vm: Arc<Vm>) {
@@ -112,6 +134,8 @@
             task::sleep(vm.settings.peers.gossip.mul_f64(jitter)).await;
             round = round.wrapping_add(1);
             vm.gossiper.run_round(&vm, round).await;
+            crashes::expire(&vm);
+            Gossiper::broadcast_observations(&vm).await;
         }
     }
 
@@ -205,6 +229,9 @@
     match datagram {
         Datagram::Gossip(gossip) => handle_gossip(vm, &gossip, now).await,
         Datagram::Notice(notice) => handle_notice(vm, notice, now),
+        Datagram::Observations(observations) => {
+            crashes::merge_observations(vm, &observations, now);
+        }
         Datagram::TallyReport { vm: from, tallies } => {
             let mut own_tallies = vm.tallies.lock().expect("tallies lock");
             own_tallies.record_report(
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod caller_api;
 pub(crate) mod chat;
+pub(crate) mod crashes;
 pub mod decision;
 pub(crate) mod dispatch;
 pub mod estimate;
--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -47,7 +47,7 @@
 struct UpstreamStream {
     exchange: Exchange,
     splitter: Splitter,
-    _selected: SelectedUpstream,
+    selected: SelectedUpstream,
 }
 
 impl UpstreamStream {
@@ -177,14 +177,16 @@
                 let mut stream = UpstreamStream {
                     exchange,
                     splitter: Splitter::default(),
-                    _selected: selected,
+                    selected,
                 };
-                match within(limit, stream.next()).await {
+                let fault = match within(limit, stream.next()).await {
                     Some(Ok(Some(first))) => return Ok((stream, first)),
                     Some(Ok(None)) => AttemptFault::Broken,
                     Some(Err(fault)) => fault,
                     None => AttemptFault::TimedOut,
-                }
+                };
+                request.context.record_broken_stream(&stream.selected, fault);
+                fault
             }
         };
         request.context.end_attempt(fault.attempt_status());
@@ -247,7 +249,9 @@
                     return self.request.context.settle_stream(Some(&error));
                 }
                 RelayEnd::Broken(fault) => {
-                    self.request.context.end_attempt(fault.attempt_status());
+                    let context = &mut self.request.context;
+                    context.record_broken_stream(&stream.selected, fault);
+                    context.end_attempt(fault.attempt_status());
                     self.request.record_fault(&self.entry, fault);
                     drop(stream);
                 }
@@ -293,6 +297,7 @@
     /// Forwards the last event and settles the request.
     async fn finish(mut self, last: sse::Event, progress: Progress) {
         let context = &mut self.request.context;
+        context.record_completion();
         context.end_attempt(AttemptStatus::Answered { status: 200 });
         context.set_claim_outcome(ClaimOutcome::Ran {
             status: 200,
@@ -377,14 +382,16 @@
             return Err(AttemptFault::Broken);
         }
         let splitter = Splitter::default();
-        let mut stream =
-            UpstreamStream { exchange, splitter, _selected: selected };
-        match within(limit, stream.next()).await {
-            Some(Ok(Some(event))) => Ok((stream, event)),
-            Some(Ok(None)) => Err(AttemptFault::Broken),
-            Some(Err(fault)) => Err(fault),
-            None => Err(AttemptFault::TimedOut),
-        }
+        let mut stream = UpstreamStream { exchange, splitter, selected };
+        let fault = match within(limit, stream.next()).await {
+            Some(Ok(Some(event))) => return Ok((stream, event)),
+            Some(Ok(None)) => AttemptFault::Broken,
+            Some(Err(fault)) => fault,
+            None => AttemptFault::TimedOut,
+        };
+        let context = &self.request.context;
+        context.record_broken_stream(&stream.selected, fault);
+        Err(fault)
     }
 
     /// Records the token usage; without one from the engine, the number of
--- a/src/api/request.rs
+++ b/src/api/request.rs
@@ -33,6 +33,7 @@
         claims::Claims,
     },
     clock::BootInstant,
+    crashes::subject::Subject,
     error::{Error, ErrorKind, Run},
     id::OrganisationId,
     message::ShortHash,
@@ -71,6 +72,9 @@
     pub(crate) started: BootInstant,
     pub(crate) first_part_at: Option<BootInstant>,
     pub(crate) cancel: CancelSignal,
+    /// What a crash under the request may be attributed to; empty until it is
+    /// dispatched.
+    pub(crate) subjects: Vec<Subject>,
     bill: Option<Bill>,
     claim: Option<ClaimRequest>,
     claim_outcome: Option<ClaimOutcome>,
@@ -155,6 +159,7 @@
                 started: now,
                 first_part_at: None,
                 cancel,
+                subjects: Vec::new(),
                 bill: None,
                 claim: None,
                 claim_outcome: None,
--- a/src/api/vm.rs
+++ b/src/api/vm.rs
@@ -37,6 +37,7 @@
         store::{HttpStore, SharedStore, StoreCounts},
     },
     clock::{BootInstant, SharedClock},
+    crashes::tracker::CrashTracker,
     dialer::DirectDialer,
     event::Event,
     frame::FrameCodec,
@@ -83,6 +84,7 @@
     pub(crate) view: FleetView,
     pub(crate) tallies: Mutex<Tallies>,
     pub(crate) limits: OrganisationLimits,
+    pub(crate) crashes: CrashTracker,
     pub(crate) dispatch_queue: Arc<DispatchQueue>,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) rollout_guard: RolloutGuard,
@@ -151,6 +153,7 @@
             ),
             tallies: Mutex::new(Tallies::new(ShortHash::of(hall.as_str()))),
             limits: OrganisationLimits::new(now),
+            crashes: CrashTracker::new(ShortHash::of(settings.vm.as_str())),
             dispatch_queue: DispatchQueue::new(
                 clock.clone(),
                 requests.queue_limit,
--- a/src/crashes/subject.rs
+++ b/src/crashes/subject.rs
@@ -11,7 +11,6 @@
 
 use crate::{
     error::{Error, ErrorKind},
-    gateway::request_head::PromptSegment,
     id::{OrganisationId, ServiceId},
 };
 
@@ -87,11 +86,11 @@
         Subject(digest(&parts, &segment.to_be_bytes()) | SEGMENT_BIT)
     }
 
-    /// Returns the distinct subjects of prompt segments.
+    /// Returns the distinct subjects of the prompt segments with these ids.
     pub(crate) fn of_segments(
         service: &ServiceId,
         organisation: Option<&OrganisationId>,
-        segments: &[PromptSegment],
+        segments: impl Iterator<Item = u64>,
     ) -> BTreeSet<Subject> {
         let mut subjects = BTreeSet::new();
         for segment in segments {
@@ -101,7 +100,7 @@
             subjects.insert(Subject::of_segment(
                 service,
                 organisation,
-                segment.id,
+                segment,
             ));
         }
         subjects
--- a/src/crashes/subject/tests.rs
+++ b/src/crashes/subject/tests.rs
@@ -58,11 +58,7 @@
 fn a_prompt_has_each_segment_once_and_a_bounded_number() {
     let service = "models".parse().unwrap();
     let prompt = |ids: &[u64]| {
-        let segments: Vec<PromptSegment> = ids
-            .iter()
-            .map(|id| PromptSegment { id: *id, tokens: 9 })
-            .collect();
-        Subject::of_segments(&service, None, &segments)
+        Subject::of_segments(&service, None, ids.iter().copied())
     };
     assert!(prompt(&[]).is_empty());
     assert_eq!(prompt(&[7, 0, 7, 7]), prompt(&[0, 7]));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -267,7 +267,7 @@
             let segments = Subject::of_segments(
                 &self.service,
                 organisation,
-                request.shared_segments(),
+                request.shared_segments().iter().map(|segment| segment.id),
             );
             std::iter::once(whole).chain(segments).collect()
         })
--- a/src/message.rs
+++ b/src/message.rs
@@ -206,6 +206,8 @@
         /// Its tallies.
         tallies: Vec<(TallyKey, Tally)>,
     },
+    /// Recent crashes and completions, by what was running.
+    Observations(Vec<SubjectObservation>),
 }
 
 /// Identifies the last heartbeat received from a VM, echoed back to it.
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -100,6 +100,8 @@
     /// Events that each of the next streams sends before its connection is
     /// closed; the last entry applies first. Resumed streams are exempt.
     pub break_next: Vec<u64>,
+    /// Text in a request at which the engine crashes; empty for none.
+    pub crash_on: String,
 }
 
 /// What `--versions` says of a version.
@@ -286,6 +288,10 @@
         let Some(job) = self.parse_job(&conn, &body) else {
             return conn.with_status(400).halt();
         };
+        let crash_on = self.faults.lock().unwrap().crash_on.clone();
+        if !crash_on.is_empty() && body.to_string().contains(&crash_on) {
+            std::process::exit(1);
+        }
         if !self.loaded.lock().unwrap().contains(&job.version) {
             let reason = json!({ "error": "version not loaded" });
             return web::json(conn, 409, &reason);
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -720,6 +720,12 @@
         }
     }
 
+    /// Whether an upstream accepts connections.
+    pub async fn is_listening(&self, upstream: &str) -> bool {
+        let address = self.upstreams[upstream].address;
+        smol::net::TcpStream::connect(address).await.is_ok()
+    }
+
     /// Kills an upstream and removes it from the platform's list.
     ///
     /// # Errors
--- a/standins/tests/upstreams.rs
+++ b/standins/tests/upstreams.rs
@@ -3,16 +3,29 @@
 
 mod common;
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use common::*;
+use hyper::Method;
+use lupinseam::http_client::Call;
 use serde_json::json;
 use smol::Timer;
 use standins::{
-    caller::CallOutcome, documents::version, engine::EngineFaults,
-    fleet::Fleet, proxy::Mode, service::ServiceFaults, site, web,
+    caller::CallOutcome,
+    documents::{bearer_key, version},
+    engine::EngineFaults,
+    fleet::{EnginePlan, Fleet},
+    proxy::Mode,
+    service::ServiceFaults,
+    site, web,
 };
 
+/// Text of the message that crashes engines.
+const CRASHING_TEXT: &str = "a message that crashes engines";
+
 /// A VM of the first data hall.
 const VM: &str = "vm-hall-a-1";
 /// A VM of the second data hall.
@@ -64,6 +77,113 @@
     });
 }
 
+/// Sends a chat request like no other, after these earlier messages.
+async fn chat_after(
+    fleet: &Fleet,
+    vm: &str,
+    nonce: u64,
+    earlier: &[&str],
+    stream: bool,
+) -> u16 {
+    let prompt = format!("task=summary difficulty=0.1 nonce={nonce}");
+    let earlier = earlier.iter().copied();
+    let messages: Vec<_> = earlier
+        .chain([prompt.as_str()])
+        .map(|text| json!({ "role": "user", "content": text }))
+        .collect();
+    let body = json!({
+        "model": "writer",
+        "messages": messages,
+        "max_tokens": 4,
+        "stream": stream,
+    });
+    let call =
+        Call::new(fleet.vms[vm].callers, Method::POST, "/v1/chat/completions")
+            .body(body.to_string())
+            .header(
+                "authorization",
+                &format!("Bearer {}", bearer_key("collectif")),
+            );
+    let answer = fleet.client.fetch(call, CALLER_TIMEOUT, 1 << 20).await;
+    answer.map_or(0, |answer| answer.status)
+}
+
+/// Guards against counting lost attempts per upstream and call only: requests
+/// that share one crashing message crash engine after engine.
+#[test]
+fn a_message_that_crashes_engines_is_sent_to_no_more_of_them() {
+    const SPARE_ENGINES: usize = 14;
+    const CRASHES: usize = 5;
+    const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+    const MAX_SENDS: usize = 3;
+    run(async {
+        let mut fleet = start(2, |mut plan| {
+            let engine = plan.engines.iter().find(|e| e.model == "writer");
+            let engine = engine.expect("the plan has the model").clone();
+            for number in 1..=SPARE_ENGINES {
+                let name = format!("spare-{number}");
+                plan.engines.push(EnginePlan { name, ..engine.clone() });
+            }
+            plan
+        })
+        .await;
+        let faults = EngineFaults {
+            crash_on: CRASHING_TEXT.to_owned(),
+            ..Default::default()
+        };
+        let engines = fleet.plan.engines.iter();
+        let mut engines: Vec<EnginePlan> = engines
+            .filter(|engine| engine.model == "writer")
+            .cloned()
+            .collect();
+        for engine in &engines {
+            let name = &engine.name;
+            fleet.set_upstream_faults(name, &faults).await.unwrap();
+        }
+        let vms: Vec<String> = fleet.vms.keys().cloned().collect();
+        let mut nonce = 0;
+        for vm in &vms {
+            nonce += 1;
+            let status =
+                chat_after(&fleet, vm, nonce, &["hello"], false).await;
+            assert_eq!(status, 200);
+        }
+        let mut crashed: Vec<Instant> = Vec::new();
+        for round in 0..10 {
+            for vm in &vms {
+                nonce += 1;
+                let earlier = ["hello", CRASHING_TEXT];
+                chat_after(&fleet, vm, nonce, &earlier, round % 2 == 0).await;
+                Timer::after(Duration::from_millis(150)).await;
+                for engine in &mut engines {
+                    if fleet.is_listening(&engine.name).await {
+                        continue;
+                    }
+                    crashed.push(Instant::now());
+                    fleet.remove_upstream(&engine.name).await.unwrap();
+                    engine.name = format!("next-{}", crashed.len());
+                    fleet.start_engine(engine).unwrap();
+                    fleet
+                        .set_upstream_faults(&engine.name, &faults)
+                        .await
+                        .unwrap();
+                    fleet.publish().await.unwrap();
+                }
+            }
+        }
+        let fifth = crashed.get(CRASHES - 1).or(crashed.last());
+        let bound = *fifth.expect("an engine crashed") + PROPAGATION_TIME;
+        let late = crashed.iter().filter(|at| **at > bound).count();
+        assert!(late <= MAX_SENDS, "{late} of {} came late", crashed.len());
+        for vm in &vms {
+            nonce += 1;
+            let status =
+                chat_after(&fleet, vm, nonce, &["hello"], false).await;
+            assert_eq!(status, 200, "others are served");
+        }
+    });
+}
+
 #[test]
 fn a_stream_that_cannot_be_resumed_ends_as_incomplete() {
     run(async {
