--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -14,6 +14,7 @@
 //!   crashed.
 //! * [`tracker`]: the crashes and completions that this VM knows of, and the
 //!   subjects that it quarantines.
+//! * `suspect`: what is known of one subject.
 //! * [`attribution`]: distinguishes the subjects that cause crashes from
 //!   bystanders.
 //! * [`observation`], [`broadcast_queue`]: what VMs report to each other
@@ -27,6 +28,7 @@
 pub mod observation;
 pub(crate) mod persistence;
 pub mod subject;
+mod suspect;
 pub(crate) mod tracker;
 
 #[cfg(test)]
--- a/src/crashes/tracker.rs
+++ b/src/crashes/tracker.rs
@@ -17,12 +17,16 @@
 use crate::{
     clock::BootInstant,
     crashes::{
-        attribution::{self, Crashes, Evidence, Occurrence},
+        attribution::{self, Evidence},
         broadcast_queue::{
             Audience, BroadcastQueue, ObservationClass, Source,
         },
         observation::{Crash, CrashId, SubjectObservation, SubjectOutcome},
         subject::{Subject, SubjectKind},
+        suspect::{
+            AddedCrash, COMPLETED_TTL, COMPLETION_REPORT_INTERVAL, Completion,
+            Suspect, is_recent,
+        },
     },
     http_client::Listening,
     message::ShortHash,
@@ -35,37 +39,15 @@
 /// for ever.
 pub(crate) const CRASH_TTL: Duration = Duration::from_secs(600);
 
-/// Time for which a completed subject needs more evidence to be quarantined.
-const COMPLETED_TTL: Duration = Duration::from_secs(60);
-
-/// Age from which a completion that other VMs know of is reported again if the
-/// subject crashes upstreams.
-const COMPLETION_REPORT_INTERVAL: Duration = Duration::from_secs(30);
-
 /// Time for which a lost attempt is kept until it is known whether its
 /// upstream crashed.
 const PENDING_TTL: Duration = Duration::from_secs(10);
 
-/// Time without a crash under a quarantined subject after which a further one
-/// shows that some VM does not know of the quarantine: reports reach all VMs
-/// that are connected within this time.
-const LATE_CRASH_GAP: Duration = Duration::from_secs(1);
-
-/// Minimum time without a crash after which a VM sends one request with a
-/// quarantined segment as a trial. It doubles with each trial that crashes
-/// another upstream. A segment may be quarantined by mistake, while nothing
-/// could complete, and many requests may share it.
-const TRIAL_DELAY: Duration = Duration::from_secs(30);
-
 /// Maximum number of suspects. An engine runs at most some sixty requests with
 /// a few segments each, so they cover some twenty crashes; beyond that the
 /// least suspect one is evicted, a request before a segment.
 const MAX_SUSPECTS: usize = 4096;
 
-/// Maximum number of crashes kept for each subject. Crashes of a culprit
-/// beyond that no longer clear its bystanders.
-const MAX_CRASHES_PER_SUBJECT: usize = 64;
-
 /// Maximum number of completed subjects kept: those of one minute on one VM.
 const MAX_COMPLETED: usize = 4096;
 
@@ -136,52 +118,6 @@
     }
 }
 
-/// A subject that was in flight when upstreams crashed.
-#[derive(Debug)]
-struct Suspect {
-    crashes: Crashes,
-    /// When the first VM learned of the last crash.
-    updated_at: BootInstant,
-    /// Whether an upstream completed the subject a short time before.
-    was_completed: bool,
-    /// When this VM last sent a request with the subject as a trial.
-    trial_at: Option<BootInstant>,
-}
-
-impl Suspect {
-    /// Whether it is time for a trial, if this VM waits `spread` times as long
-    /// as it has to.
-    fn is_trial_due(&self, spread: f64, now: BootInstant) -> bool {
-        let doubled = 1 << self.failed_trials().min(8);
-        let delay = TRIAL_DELAY.mul_f64(spread) * doubled;
-        let since = self
-            .trial_at
-            .map_or(self.updated_at, |trial_at| trial_at.max(self.updated_at));
-        !is_recent(since, delay, now)
-    }
-
-    /// Returns how many crashes came long enough after the one before to be
-    /// those of trials.
-    fn failed_trials(&self) -> u32 {
-        let mut times: Vec<BootInstant> =
-            self.crashes.values().map(|crash| crash.learned_at).collect();
-        times.sort();
-        let pairs = times.windows(2);
-        let gaps =
-            pairs.map(|pair| pair[1].saturating_duration_since(pair[0]));
-        let failed = gaps.filter(|gap| *gap >= TRIAL_DELAY).count();
-        u32::try_from(failed).unwrap_or(u32::MAX)
-    }
-}
-
-/// The last known completion of a subject.
-#[derive(Clone, Copy, Debug)]
-struct Completion {
-    at: BootInstant,
-    /// The last completion that was reported to other VMs, or by them.
-    reported: Option<BootInstant>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     upstreams: HashMap<ShortHash, UpstreamState>,
@@ -563,15 +499,10 @@
         let learned_at = self.crash_time(crash.id, now);
         let completion = self.completion(subject, now);
         if let Some(completion) = completion {
-            let has_run_since = completion.at >= learned_at;
-            let is_reported = completion.reported.is_some_and(|reported| {
-                is_recent(reported, COMPLETION_REPORT_INTERVAL, now)
-                    && !(has_run_since && reported < learned_at)
-            });
-            if !is_reported {
+            if completion.must_report(learned_at, now) {
                 self.report_completion(subject, Source::Own, now);
             }
-            if has_run_since {
+            if completion.is_after(learned_at) {
                 return;
             }
         }
@@ -580,41 +511,19 @@
             self.evict_least_suspect();
         }
         let suspect = self.suspects.entry(subject);
-        let suspect = suspect.or_insert_with(|| Suspect {
-            crashes: Crashes::new(),
-            updated_at: learned_at,
-            was_completed: completion.is_some(),
-            trial_at: None,
-        });
-        let mut is_late = false;
-        let crashes = &mut suspect.crashes;
-        let in_flight_ms = crash.in_flight_ms;
-        let is_full = crashes.len() >= MAX_CRASHES_PER_SUBJECT;
-        match crashes.get_mut(&crash.id) {
-            // Another request with the same segment was there for longer.
-            Some(known) => {
-                let is_news = known.in_flight_ms < in_flight_ms / 2;
-                known.in_flight_ms = known.in_flight_ms.max(in_flight_ms);
-                if !is_news {
-                    return;
-                }
+        let suspect = suspect
+            .or_insert_with(|| Suspect::new(learned_at, completion.is_some()));
+        let is_quarantined = self.quarantined.contains(&subject);
+        match suspect.add(crash, learned_at) {
+            AddedCrash::Known => {}
+            AddedCrash::Late if is_quarantined => {
+                self.report_crashes(subject, now);
             }
-            None if is_full => return,
-            None => {
-                let occurrence = Occurrence { in_flight_ms, learned_at };
-                crashes.insert(crash.id, occurrence);
-                let quiet =
-                    learned_at.saturating_duration_since(suspect.updated_at);
-                suspect.updated_at = suspect.updated_at.max(learned_at);
-                is_late = quiet >= LATE_CRASH_GAP;
+            AddedCrash::New | AddedCrash::Late => {
+                let outcome = SubjectOutcome::Crashed(crash);
+                self.broadcast(subject, outcome, learned_at, source, now);
             }
         }
-        if is_late && self.quarantined.contains(&subject) {
-            self.report_crashes(subject, now);
-            return;
-        }
-        let outcome = SubjectOutcome::Crashed(crash);
-        self.broadcast(subject, outcome, learned_at, source, now);
     }
 
     /// Reports all crashes under a quarantined subject again: a VM that did
@@ -658,15 +567,11 @@
         let Some(suspect) = self.suspects.get_mut(&subject) else {
             return false;
         };
-        let age = suspect.updated_at.saturating_duration_since(at);
-        suspect.was_completed |= age < COMPLETED_TTL;
-        let count_before = suspect.crashes.len();
-        suspect.crashes.retain(|_, crash| crash.learned_at > at);
-        let count = suspect.crashes.len();
-        if count == 0 {
+        let has_cleared = suspect.clear_until(at);
+        if suspect.crashes.is_empty() {
             self.remove_suspect(subject);
         }
-        count < count_before
+        has_cleared
     }
 
     /// Merges a completion that another VM reports.
@@ -770,14 +675,6 @@
     }
 }
 
-/// Whether less than `limit` has passed since `at`.
-///
-/// Every decision checks this and does not rely on [`CrashTracker::expire`],
-/// which has not run yet right after a suspended VM is resumed.
-fn is_recent(at: BootInstant, limit: Duration, now: BootInstant) -> bool {
-    now.saturating_duration_since(at) < limit
-}
-
 /// Removes the oldest entry if the map has `max` entries already.
 fn evict_oldest<K: Copy + Eq + Hash, V>(
     map: &mut HashMap<K, V>,
--- a/src/crashes/tracker/tests.rs
+++ b/src/crashes/tracker/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::crashes::broadcast_queue::{BROADCAST_ROUNDS, MAX_PER_HEARTBEAT};
+use crate::crashes::{
+    broadcast_queue::{BROADCAST_ROUNDS, MAX_PER_HEARTBEAT},
+    suspect::{LATE_CRASH_GAP, TRIAL_DELAY},
+};
 
 const DEADLY: Subject = Subject(1);
 const OTHER: Subject = Subject(2);
