--- a/standins/src/soak/crashing.rs
+++ b/standins/src/soak/crashing.rs
@@ -62,7 +62,8 @@
     }
 }
 
-/// Returns the segment of its prompt that crashes upstreams, if it has one.
+/// Returns the prompt segment with which the requests with this number crash
+/// upstreams, if they share only that.
 pub fn crashing_segment(number: u64) -> Option<u64> {
     shares_only_segment(number).then_some(FIRST_SEGMENT + number)
 }
@@ -81,19 +82,27 @@
     path.starts_with("/read/deadly-")
 }
 
+/// Returns the numbers of the crashing requests of a run. Those of odd seeds
+/// are all sent identically.
+pub fn numbers(seed: u64) -> Vec<u64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::MAX << 48));
+    let count = rng.random_range(1..=MAX_REQUESTS);
+    let mut offset = || match seed.is_multiple_of(2) && rng.random() {
+        true => SEGMENT_OFFSET,
+        false => 0,
+    };
+    (1..=count).map(|number| number + offset()).collect()
+}
+
 /// Starts a thread for each crashing request, which sends it until the callers
 /// stop.
 pub fn run(callers: &Arc<Callers>, seed: u64) -> Vec<thread::JoinHandle<()>> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::MAX << 48));
-    let count = rng.random_range(1..=MAX_REQUESTS);
-    let mut sender = |number| {
-        let offset = if rng.random() { SEGMENT_OFFSET } else { 0 };
-        let number = number + offset;
+    let sender = |number| {
         let callers = callers.clone();
         let rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 52));
         thread::spawn(move || send_repeatedly(&callers, number, rng))
     };
-    (1..=count).map(&mut sender).collect()
+    numbers(seed).into_iter().map(sender).collect()
 }
 
 fn send_repeatedly(callers: &Arc<Callers>, number: u64, mut rng: ChaCha8Rng) {
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -8,6 +8,7 @@
     soak::{
         Soak,
         check::{Promise, check},
+        crashing,
         evidence::{Call, Change, Evidence, Kind, Order, Run, Scope, Trouble},
         rate_limits::{RateLimitPeriod, RateLimitSignal, sent_past_limit},
         signals::{UpstreamSignal, summary},
@@ -20,7 +21,7 @@
 ///
 /// * 30201: an upstream leaves in the first second of a site, while each VM
 ///   expects the others to follow the store.
-const SEEDS: [u64; 2] = [1, 30201];
+const SEEDS: [u64; 3] = [1, 2, 30201];
 
 /// Time for which faults are injected with each seed, in seconds.
 const SECONDS: u64 = 8;
@@ -556,6 +557,12 @@
     assert_eq!(broken_by(paused), [], "a paused VM is excused");
 }
 
+#[test]
+fn some_seed_sends_crashing_requests_that_share_only_a_segment() {
+    let numbers = SEEDS.iter().flat_map(|seed| crashing::numbers(*seed));
+    assert!(numbers.filter_map(crashing::crashing_segment).count() > 0);
+}
+
 /// Guards against a restarted VM that sends a request which the other VMs have
 /// quarantined.
 #[test]
