Count retries by reason, and log when the retry budget is spent

A fleet that exceeds its retry budget could not be told apart by its logs: whether retries were counted as such (resumed streams, larger models, failed attempts), and whether a VM that had none left knew of its requests and of the other VMs.

lupinseam_retries_total counts what the budget allowed by reason, and E107 states a VM's retries and requests in the window and the VMs that share the fixed number, once a second and service at most.

--- a/src/event.rs
+++ b/src/event.rs
@@ -257,6 +257,9 @@
     /// The VM that coordinates a service did not reply.
     CoordinatorUnreachable = 106, Warn,
         "The VM that coordinates the slots of a service could not be reached or did not reply; this VM asks the next one in the ranking meanwhile, for a second at first and longer each time that it still does not reply.";
+    /// The retry budget of a service is spent at this VM.
+    RetryBudgetSpent = 107, Warn,
+        "The retry budget of a service did not allow this VM a further attempt; at most one line a second and service. States the VM's retries and requests in the window that ends now, and the VMs that share the fixed number.";
 }
 
 impl Event {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -35,6 +35,7 @@
         health::AttemptOutcome,
         member::{Member, MemoryGuard, PrefillGuard},
         pool::{PickCriteria, PickError, PrefixAffinity, ServiceLoad},
+        retry_reason::RetryReason,
         upstream::InFlightGuard,
     },
     platform::headers::{self, ResponseHead},
@@ -941,6 +942,12 @@
             && self.gateway.can_retry(&self.service)
     }
 
+    /// Takes a further attempt from the retry budget; returns whether one was
+    /// left.
+    pub(crate) fn try_retry(&self, reason: RetryReason) -> bool {
+        self.gateway.try_retry(&self.service, reason)
+    }
+
     /// Records the outcome of an attempt for the health of its upstream, for
     /// rollouts and for the detection of crashes.
     ///
@@ -1048,7 +1055,7 @@
             && self.sent < self.route.attempts
             && self.tried.len()
                 < self.route.attempts as usize + MAX_CONNECT_FAILURES
-            && (self.sent == 0 || self.gateway.try_retry(&self.service));
+            && (self.sent == 0 || self.try_retry(RetryReason::Failed));
         if may_retry { Ok(()) } else { Err(failure) }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
         member::{Member, UpstreamState},
         paths::{PathTarget, Paths, RelayVm},
         pool::Pool,
+        retry_reason::RetryReason,
         retry_window::RetryWindow,
     },
     platform::{document, store::PlatformStore},
@@ -319,14 +320,30 @@
 
     /// Takes an attempt from the retry budget of a service; returns whether
     /// one was left.
-    pub(crate) fn try_retry(&self, service: &ServiceId) -> bool {
+    pub(crate) fn try_retry(
+        &self,
+        service: &ServiceId,
+        reason: RetryReason,
+    ) -> bool {
         let now = self.clock.now();
-        let allowed =
-            self.retry_budget(service).try_retry(self.peers.fleet_size(), now);
-        if !allowed {
-            self.metrics.retries_refused.inc();
+        let budget = self.retry_budget(service);
+        let vms = self.peers.fleet_size();
+        if budget.try_retry(vms, now) {
+            let counter = &self.metrics.retries;
+            counter.with_label_values(&[reason.label()]).inc();
+            return true;
+        }
+        self.metrics.retries_refused.inc();
+        if let Some(usage) = budget.report_refusal(now) {
+            Event::RetryBudgetSpent.record(fields(json!({
+                "service": service,
+                "reason": reason.label(),
+                "retries": usage.retries,
+                "requests": usage.requests,
+                "vms": vms,
+            })));
         }
-        allowed
+        false
     }
 
     /// Records that a call to the store failed.
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -26,6 +26,7 @@
         cascade::{NoEscalation, calibration::RatedAnswer},
         health::AttemptOutcome,
         member::Member,
+        retry_reason::RetryReason,
     },
     platform::headers::{self, ResponseHead},
     sse::Splitter,
@@ -229,7 +230,7 @@
             calibration.record(&answer, self.dropped.as_ref(), now);
             let mut escalation = self.escalation(&attempt, &answer);
             if escalation.decision.is_ok()
-                && !self.gateway.try_retry(&self.service)
+                && !self.try_retry(RetryReason::LargerModel)
             {
                 escalation.decision = Err(NoEscalation::NoAttempt);
             }
@@ -445,7 +446,7 @@
                 Err(reason) => return self.abort(reason),
             };
             attempt.model.clone_from(&model);
-            if !self.job.gateway.try_retry(&self.job.service) {
+            if !self.job.try_retry(RetryReason::Resumed) {
                 self.end_attempt("not_sent", "the retry budget is spent");
                 return self.abort(reason);
             }
--- a/src/gateway/suspension_tests.rs
+++ b/src/gateway/suspension_tests.rs
@@ -18,7 +18,9 @@
     http_client::Listening,
     id::UpstreamId,
     message::ShortHash,
-    placing::{member::UpstreamEntry, pool::PickCriteria},
+    placing::{
+        member::UpstreamEntry, pool::PickCriteria, retry_reason::RetryReason,
+    },
     store_sync::{
         gossip::{self, HeartbeatRound},
         route::{InputLimits, RouteTable, TableVersion},
@@ -86,7 +88,7 @@
     match input {
         Input::Prove => gateway.knowledge.prove(now),
         Input::Retry => {
-            gateway.try_retry(&service());
+            gateway.try_retry(&service(), RetryReason::Failed);
         }
         Input::Crash(number) => {
             let incarnation = ShortHash(number);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -39,6 +39,8 @@
     pub requests: IntCounterVec,
     /// Attempts at upstreams, by outcome.
     pub attempts: IntCounterVec,
+    /// Retries before the platform that the retry budget allowed, by reason.
+    pub retries: IntCounterVec,
     /// Retries that the retry budget did not allow.
     pub retries_refused: IntCounter,
     /// Answers that were rated poor and requested from another model.
@@ -156,6 +158,11 @@
                 "Attempts at upstreams by outcome.",
                 &["end"],
             ),
+            retries: r.counters(
+                "lupinseam_retries_total",
+                "Attempts beyond the first of a request before the platform that the retry budget allowed, by reason: failed, resumed, larger_model.",
+                &["reason"],
+            ),
             retries_refused: r.counter(
                 "lupinseam_retries_refused_total",
                 "Retries that the retry budget did not allow.",
@@ -351,6 +358,7 @@
         self.requests.with_label_values(&["", "", ""]);
         for family in [
             &self.attempts,
+            &self.retries,
             &self.cascade_decisions,
             &self.frames_dropped,
             &self.peer_bytes,
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -16,7 +16,7 @@
 //! * [`admission`]: how long the queue of an upstream may be.
 //! * [`cascade`]: which model answers, and when a request is escalated to a
 //!   larger one.
-//! * [`retry_window`]: the retry budget.
+//! * [`retry_window`]: the retry budget; [`retry_reason`]: what takes from it.
 //! * [`warm_up`]: limits for cold upstreams; [`rate_limit`]: limits that
 //!   upstreams announce; [`owners`]: which VMs share such a limit.
 
@@ -33,6 +33,7 @@
 pub mod pool;
 pub(crate) mod rate_limit;
 pub mod reported_state;
+pub(crate) mod retry_reason;
 pub mod retry_window;
 pub mod signals;
 pub(crate) mod slowness;
--- a/src/placing/retry_window.rs
+++ b/src/placing/retry_window.rs
@@ -21,6 +21,9 @@
 /// Fraction of the fixed number that is used, for the same reason.
 const EXTRA_FACTOR: f64 = 0.9;
 
+/// Minimum time between two reports that the budget is spent.
+const REFUSAL_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The retries that a platform allows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBound {
@@ -32,6 +35,15 @@
     pub window: Duration,
 }
 
+/// A VM's retries and requests in the window that ends now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RetryUsage {
+    /// Its retries.
+    pub(crate) retries: u32,
+    /// Its requests.
+    pub(crate) requests: u32,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     number: u64,
@@ -45,6 +57,7 @@
     bound: RetryBound,
     since: BootInstant,
     buckets: Mutex<[Bucket; BUCKETS as usize + 1]>,
+    refusal_reported_at: Mutex<Option<BootInstant>>,
 }
 
 impl RetryWindow {
@@ -54,6 +67,7 @@
             bound,
             since,
             buckets: Mutex::new([Bucket::default(); BUCKETS as usize + 1]),
+            refusal_reported_at: Mutex::new(None),
         }
     }
 
@@ -69,22 +83,46 @@
 
     /// Whether the budget allows a retry to one of `vms` VMs.
     pub fn allows_retry(&self, vms: usize, now: BootInstant) -> bool {
+        let RetryUsage { retries, requests } = self.usage(now);
+        let share = self.bound.share * SHARE_FACTOR * f64::from(requests);
+        let extra = match self.covers_a_window(now) {
+            true => self.bound.extra * EXTRA_FACTOR / vms.max(1) as f64,
+            false => 0.0,
+        };
+        f64::from(retries) + 1.0 <= share + extra
+    }
+
+    /// Counts what lies in the window that ends at `now`.
+    fn usage(&self, now: BootInstant) -> RetryUsage {
         let number = self.bucket_number(now);
         let buckets = self.buckets.lock().expect("buckets lock");
         let recent = |bucket: &&Bucket| bucket.number + BUCKETS >= number;
-        let retries: u32 =
+        let retries =
             buckets.iter().filter(recent).map(|bucket| bucket.retries).sum();
         // The oldest bucket is only partly within the window, so its requests
         // are left out while its retries count.
         let within = |bucket: &&Bucket| bucket.number + BUCKETS > number;
-        let requests: u32 =
+        let requests =
             buckets.iter().filter(within).map(|bucket| bucket.requests).sum();
-        let share = self.bound.share * SHARE_FACTOR * f64::from(requests);
-        let extra = match self.covers_a_window(now) {
-            true => self.bound.extra * EXTRA_FACTOR / vms.max(1) as f64,
-            false => 0.0,
-        };
-        f64::from(retries) + 1.0 <= share + extra
+        RetryUsage { retries, requests }
+    }
+
+    /// Returns what the window holds when a retry has been refused, or `None`
+    /// if that was reported within the last second.
+    pub(crate) fn report_refusal(
+        &self,
+        now: BootInstant,
+    ) -> Option<RetryUsage> {
+        let mut reported_at =
+            self.refusal_reported_at.lock().expect("refusal lock");
+        let is_recent = reported_at.is_some_and(|at| {
+            now.saturating_duration_since(at) < REFUSAL_REPORT_INTERVAL
+        });
+        if is_recent {
+            return None;
+        }
+        *reported_at = Some(now);
+        Some(self.usage(now))
     }
 
     /// Whether every retry of this VM within the window was counted here.
