Replay the retry budget over whole fleets, failing

Four replays exceed the bound that they keep to in none: VMs that restart one after the other or together while upstreams fail, demand that moves from one VM to another, and a burst before a failure.

--- a/src/placing/retry_window.rs
+++ b/src/placing/retry_window.rs
@@ -158,5 +158,7 @@
     }
 }
 
+#[cfg(test)]
+mod fleet_tests;
 #[cfg(test)]
 mod tests;
