Keep the retry budget in every window, in parts that add up

Each VM allowed a retry by its requests of the window that ends with it. That sum does not hold over a fleet: a VM that restarts, or whose demand moves to another VM, has spent an allowance from before the platform's window, and its successor's comes on top. A burst before a failure does the same on one VM.

A VM now looks at every window that contains the retry, and counts its requests in that window and in the one before in fixed proportions. Such parts add up over VMs and incarnations, and the platform goes by the larger of the two sums.

A property test with any requests, retries and restarts failed before as well. While upstreams fail, 0.85 and more of the requests are still retried.

--- a/src/placing/retry_window.rs
+++ b/src/placing/retry_window.rs
@@ -1,11 +1,19 @@
-//! The retry budget of a service on one VM, over a sliding window.
+//! The retry budget of a service on one VM, over sliding windows.
 //!
 //! Within any window, all VMs together may send a service no more retries than
-//! a share of its requests plus a fixed number. Each VM keeps to the share of
-//! its own requests and to its part of the fixed number, so the bound holds
-//! whether or not the VMs can reach each other. A VM uses its part of the fixed
-//! number only once it has run for a whole window, since the retries of its
-//! previous incarnation count until then.
+//! a share of its requests plus a fixed number. No VM knows the others' counts,
+//! so each keeps to a part of the bound, and the parts have to add up: whatever
+//! moves requests from one VM to another, and however often VMs restart.
+//!
+//! A VM therefore looks at *every* window that contains the retry, not only at
+//! the one that ends with it. For each, it goes by its own requests within that
+//! window and within the window before, in fixed proportions. The platform
+//! goes by the larger of the two sums over all VMs, which is at least any mean
+//! of them. If each VM went by the larger of its own two numbers instead,
+//! demand that moves from one VM to another would be counted twice.
+//!
+//! A VM uses its part of the fixed number only once it has run for a whole
+//! window, since the retries of its previous incarnation count until then.
 
 use std::{sync::Mutex, time::Duration};
 
@@ -14,8 +22,20 @@
 /// Buckets into which a window is divided.
 const BUCKETS: u64 = 100;
 
-/// Fraction of the allowed share that is used; the rest covers windows that
-/// begin within a bucket.
+/// Buckets that are kept: those of a window that contains the current one, and
+/// of the window before.
+const KEPT_BUCKETS: usize = 2 * BUCKETS as usize + 1;
+
+/// Proportion of the requests within a window that count for its retries; the
+/// remainder is that of the window before.
+///
+/// The larger it is, the more retries a VM may send that has just started. The
+/// smaller it is, the more requests may be retried at the same moment: while
+/// demand is steady, those of three seconds of a window of ten.
+const CURRENT_WEIGHT: f64 = 0.7;
+
+/// Fraction of the allowed share that is used; the rest covers the time between
+/// the decision for a retry and its arrival.
 const SHARE_FACTOR: f64 = 0.98;
 
 /// Fraction of the fixed number that is used, for the same reason.
@@ -56,7 +76,7 @@
 pub struct RetryWindow {
     bound: RetryBound,
     since: BootInstant,
-    buckets: Mutex<[Bucket; BUCKETS as usize + 1]>,
+    buckets: Mutex<[Bucket; KEPT_BUCKETS]>,
     refusal_reported_at: Mutex<Option<BootInstant>>,
 }
 
@@ -66,7 +86,7 @@
         RetryWindow {
             bound,
             since,
-            buckets: Mutex::new([Bucket::default(); BUCKETS as usize + 1]),
+            buckets: Mutex::new([Bucket::default(); KEPT_BUCKETS]),
             refusal_reported_at: Mutex::new(None),
         }
     }
@@ -83,28 +103,45 @@
 
     /// Whether the budget allows a retry to one of `vms` VMs.
     pub fn allows_retry(&self, vms: usize, now: BootInstant) -> bool {
-        let RetryUsage { retries, requests } = self.usage(now);
-        let share = self.bound.share * SHARE_FACTOR * f64::from(requests);
         let extra = match self.covers_a_window(now) {
             true => self.bound.extra * EXTRA_FACTOR / vms.max(1) as f64,
             false => 0.0,
         };
-        f64::from(retries) + 1.0 <= share + extra
+        let share = self.bound.share * SHARE_FACTOR;
+        let current = self.bucket_number(now);
+        let buckets = self.buckets.lock().expect("buckets lock");
+        let requests_in = |number| bucket(&buckets, number).requests;
+        // A window begins somewhere within its first bucket. All retries of
+        // that bucket count, and its requests like those of the window before.
+        let mut retries = 1;
+        let mut requests = 0;
+        let before = current - BUCKETS + 1..=current;
+        let mut requests_before: u32 = before.map(requests_in).sum();
+        for first in (current - BUCKETS..=current).rev() {
+            retries += bucket(&buckets, first).retries;
+            let counted = CURRENT_WEIGHT * f64::from(requests)
+                + (1.0 - CURRENT_WEIGHT) * f64::from(requests_before);
+            if f64::from(retries) > share * counted + extra {
+                return false;
+            }
+            requests += requests_in(first);
+            requests_before += requests_in(first - BUCKETS);
+            requests_before -= requests_in(first);
+        }
+        true
     }
 
     /// Counts what lies in the window that ends at `now`.
     fn usage(&self, now: BootInstant) -> RetryUsage {
-        let number = self.bucket_number(now);
+        let current = self.bucket_number(now);
         let buckets = self.buckets.lock().expect("buckets lock");
-        let recent = |bucket: &&Bucket| bucket.number + BUCKETS >= number;
-        let retries =
-            buckets.iter().filter(recent).map(|bucket| bucket.retries).sum();
-        // The oldest bucket is only partly within the window, so its requests
-        // are left out while its retries count.
-        let within = |bucket: &&Bucket| bucket.number + BUCKETS > number;
-        let requests =
-            buckets.iter().filter(within).map(|bucket| bucket.requests).sum();
-        RetryUsage { retries, requests }
+        let mut usage = RetryUsage::default();
+        for number in current - BUCKETS..=current {
+            let Bucket { requests, retries, .. } = bucket(&buckets, number);
+            usage.requests += requests;
+            usage.retries += retries;
+        }
+        usage
     }
 
     /// Returns what the window holds when a retry has been refused, or `None`
@@ -140,17 +177,18 @@
         allows_retry
     }
 
-    /// The number of the bucket that contains `now`; the first is 1.
+    /// The number of the bucket that contains `now`. The first is so large that
+    /// the buckets of the windows before it have numbers as well.
     fn bucket_number(&self, now: BootInstant) -> u64 {
         let passed = now.saturating_duration_since(self.since);
         let bucket = self.bound.window.as_secs_f64() / BUCKETS as f64;
-        (passed.as_secs_f64() / bucket) as u64 + 1
+        (passed.as_secs_f64() / bucket) as u64 + KEPT_BUCKETS as u64 + 1
     }
 
     fn with_bucket(&self, now: BootInstant, count: impl FnOnce(&mut Bucket)) {
         let number = self.bucket_number(now);
         let mut buckets = self.buckets.lock().expect("buckets lock");
-        let at = (number % (BUCKETS + 1)) as usize;
+        let at = index(number);
         if buckets[at].number != number {
             buckets[at] = Bucket { number, ..Bucket::default() };
         }
@@ -158,6 +196,20 @@
     }
 }
 
+/// Returns where the bucket with this number is kept.
+fn index(number: u64) -> usize {
+    (number % KEPT_BUCKETS as u64) as usize
+}
+
+/// Returns the bucket with this number; empty if nothing was counted in it.
+fn bucket(buckets: &[Bucket; KEPT_BUCKETS], number: u64) -> Bucket {
+    let bucket = buckets[index(number)];
+    match bucket.number == number {
+        true => bucket,
+        false => Bucket::default(),
+    }
+}
+
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
--- a/src/placing/retry_window/fleet_tests.rs
+++ b/src/placing/retry_window/fleet_tests.rs
@@ -1,5 +1,7 @@
 //! Replays the retries of whole fleets and compares their sum with the bound.
 
+use proptest::prelude::*;
+
 use super::*;
 
 /// Length of a step of the replay.
@@ -59,21 +61,16 @@
 }
 
 impl Scenario {
-    fn latest<T: Copy>(list: &[(Duration, T)], at: Duration) -> Option<T> {
-        let passed = list.iter().filter(|(from, _)| *from <= at);
-        passed.last().map(|(_, value)| *value)
-    }
-
     /// Returns the demand of a VM in requests a second.
     fn demand_of(&self, vm: usize, at: Duration) -> f64 {
-        let factor = Self::latest(&self.demand, at).unwrap_or(1.0);
+        let began = |from: Duration| from <= at;
+        let factor = self.demand.iter().rfind(|(from, _)| began(*from));
+        let factor = factor.map_or(1.0, |(_, factor)| *factor);
         let all = REQUESTS_PER_S * self.vms as f64 * factor;
-        let passed = self.preferred.iter().filter(|(from, ..)| *from <= at);
-        match passed.last() {
+        let others = (self.vms - 1).max(1) as f64;
+        match self.preferred.iter().rfind(|(from, ..)| began(*from)) {
             Some((_, preferred, part)) if *preferred == vm => all * part,
-            Some((_, _, part)) => {
-                all * (1.0 - part) / (self.vms - 1).max(1) as f64
-            }
+            Some((_, _, part)) => all * (1.0 - part) / others,
             None => all / self.vms as f64,
         }
     }
@@ -147,13 +144,16 @@
     /// The bound goes by the requests of that window, of the one before it or
     /// of the one half a window earlier.
     fn fullest_window(&self, bound: RetryBound) -> (f64, f64) {
+        // The times are in order.
         let count = |times: &[Duration], from: Duration| {
-            let within =
-                |at: &&Duration| (from..from + bound.window).contains(*at);
-            times.iter().filter(within).count() as f64
+            let before = |end| times.partition_point(|at| *at < end);
+            (before(from + bound.window) - before(from)) as f64
         };
         let half = bound.window / 2;
-        let starts = (10_000..28_000).step_by(100).map(Duration::from_millis);
+        let latest = self.retries.last().copied().unwrap_or_default();
+        let latest_ms = latest.as_millis() as u64;
+        let starts =
+            (10_000..latest_ms).step_by(100).map(Duration::from_millis);
         let windows = starts.map(|from| {
             let windows = [from, from - half, from - bound.window];
             let requests = windows.map(|from| count(&self.requests, from));
@@ -251,3 +251,57 @@
         assert!(retries >= 0.85 * requests, "{retries} of {requests}");
     }
 }
+
+/// What one VM of a fleet does next.
+#[derive(Clone, Debug)]
+enum Step {
+    /// It gets this many requests.
+    Requests(u32),
+    /// It wants this many retries.
+    Retries(u32),
+    /// It is stopped and starts again.
+    Restart,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u64, usize, Step)>> {
+    let step = prop_oneof![
+        4 => (1..60_u32).prop_map(Step::Requests),
+        4 => (1..60_u32).prop_map(Step::Retries),
+        1 => Just(Step::Restart),
+    ];
+    prop::collection::vec((0..1500_u64, 0..3_usize, step), 1..120)
+}
+
+proptest! {
+    /// Parts of the bound must add up, whatever the VMs do.
+    #[test]
+    fn any_requests_and_restarts_keep_to_the_retry_bound(steps in steps()) {
+        const VMS: usize = 3;
+        let bound = bound(VMS);
+        let start = BootInstant::now();
+        let new_window = |at| RetryWindow::new(bound, start + at);
+        let mut windows: Vec<RetryWindow> =
+            (0..VMS).map(|_| new_window(Duration::ZERO)).collect();
+        let mut sent = Sent { requests: Vec::new(), retries: Vec::new() };
+        // Leaves room for the windows before.
+        let mut at = bound.window * 2;
+        for (pause_ms, vm, step) in steps {
+            at += Duration::from_millis(pause_ms);
+            let now = start + at;
+            match step {
+                Step::Requests(count) => for _ in 0..count {
+                    windows[vm].count_request(now);
+                    sent.requests.push(at);
+                },
+                Step::Retries(count) => for _ in 0..count {
+                    if windows[vm].try_retry(VMS, now) {
+                        sent.retries.push(at);
+                    }
+                },
+                Step::Restart => windows[vm] = new_window(at),
+            }
+        }
+        let (retries, allowed) = sent.fullest_window(bound);
+        prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
+    }
+}
