Measure how long a VM delays its own work

By its logs, a VM that gets more requests than its processor or its link bear looked like one before slow upstreams: the attempts in a request's line begin when they are sent.

lupinseam_own_delay_seconds has the time that an accepted connection waits for the processor, and the time that a new connection to an upstream takes, which grows when packets wait for the network link. lupinseam_connections has the open connections of callers.

--- a/src/api/vm.rs
+++ b/src/api/vm.rs
@@ -521,6 +521,9 @@
     fn metrics(&self) -> &Metrics {
         &self.metrics
     }
+
+    /// The own interface has a queue, which bounds what a VM takes on.
+    fn record_connect_time(&self, _: Duration) {}
 }
 
 fn refusal(reason: &str) -> PeerReply {
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -28,6 +28,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
+    clock::BootInstant,
     error::{Error, ErrorKind},
     gateway::{
         Gateway,
@@ -36,6 +37,7 @@
         request_head::{RequestHead, RequestedModel},
         trace::Trace,
     },
+    intake::overload::Resource,
     platform::headers,
     store_sync::route::{Organisation, RouteTable},
     task,
@@ -89,8 +91,10 @@
             Ok((stream, _)) => {
                 let gateway = gateway.clone();
                 let closing = closing.clone();
-                task::spawn(serve_connection(gateway, stream, closing))
-                    .detach();
+                let accepted_at = gateway.clock.now();
+                let serving =
+                    serve_connection(gateway, stream, accepted_at, closing);
+                task::spawn(serving).detach();
             }
             // For example, the process is out of file descriptors; waits until
             // some are closed.
@@ -121,8 +125,12 @@
 async fn serve_connection(
     gateway: Arc<Gateway>,
     stream: TcpStream,
+    accepted_at: BootInstant,
     closing: Receiver<()>,
 ) {
+    let _open = gateway.connections.enter();
+    let waited = gateway.clock.now().saturating_duration_since(accepted_at);
+    gateway.record_own_delay(Resource::Processor, waited);
     // Nagle's algorithm would delay small events. This cannot fail on an open
     // connection.
     let _ = stream.set_nodelay(true);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
     frame::FrameCodec,
     http_client::HttpClient,
     id::{Incarnation, ServiceId, VersionId},
+    intake::overload::Resource,
     message::ShortHash,
     metrics::Metrics,
     placing::{
@@ -150,6 +151,8 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) in_flight: InFlightCount,
+    /// The open connections of callers.
+    pub(crate) connections: InFlightCount,
     /// Wakes the heartbeat loop, so that the next heartbeat is sent early.
     pub(crate) early_heartbeat: Wake,
     pub(crate) incarnation: Incarnation,
@@ -201,6 +204,7 @@
             ),
             metrics,
             in_flight: InFlightCount::default(),
+            connections: InFlightCount::default(),
             early_heartbeat: Wake::default(),
             incarnation,
             organisation_requests: Arc::default(),
@@ -346,6 +350,18 @@
         false
     }
 
+    /// Records how long something has waited for a resource of this VM.
+    pub(crate) fn record_own_delay(
+        &self,
+        resource: Resource,
+        delay: Duration,
+    ) {
+        let delays = &self.metrics.own_delay_s;
+        delays
+            .with_label_values(&[resource.label()])
+            .observe(delay.as_secs_f64());
+    }
+
     /// Records that a call to the store failed.
     pub(crate) fn record_store_failure(&self) {
         let now = self.clock.now();
@@ -647,6 +663,10 @@
     fn metrics(&self) -> &Metrics {
         &self.metrics
     }
+
+    fn record_connect_time(&self, time: Duration) {
+        self.record_own_delay(Resource::Network, time);
+    }
 }
 
 /// Returns the fields of a JSON object; any other value becomes the field
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -196,6 +196,8 @@
         "/metrics" => {
             let in_flight = gateway.in_flight.count() as i64;
             gateway.metrics.in_flight.set(in_flight);
+            let connections = gateway.connections.count() as i64;
+            gateway.metrics.connections.set(connections);
             let uneven = gateway.pool.uneven_count(gateway.clock.now());
             gateway.metrics.upstreams_uneven.set(uneven as i64);
             let changed = gateway.pool.take_choices_changed_by_pauses();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod gateway;
 pub mod http_client;
 pub mod id;
+mod intake;
 mod log_queue;
 mod logging;
 pub mod message;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -72,6 +72,10 @@
     pub list_age_ms: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Time for which something waited for a resource of this VM, by resource.
+    pub own_delay_s: HistogramVec,
     /// Changes that upstreams signalled in the headers of their answers, by
     /// kind of change.
     pub upstreams_said: IntCounterVec,
@@ -232,6 +236,16 @@
             ),
             in_flight: r
                 .gauge("lupinseam_in_flight", "Requests in flight."),
+            connections: r.gauge(
+                "lupinseam_connections",
+                "Open connections of callers before the platform.",
+            ),
+            own_delay_s: r.histogram(
+                "lupinseam_own_delay_seconds",
+                "Time for which something waited for a resource of this VM, by resource: an accepted connection for the processor, a new connection to an upstream for the network.",
+                &["resource"],
+                LATENCY_BUCKETS_S,
+            ),
             upstreams_said: r.counters(
                 "lupinseam_upstreams_said_total",
                 "Changes that upstreams signalled in the headers of their \
@@ -355,6 +369,7 @@
             family.with_label_values(&["", ""]);
         }
         self.slot_wait_s.with_label_values(&[""]);
+        self.own_delay_s.with_label_values(&[""]);
         self.requests.with_label_values(&["", "", ""]);
         for family in [
             &self.attempts,
--- a/src/upstream_dialer.rs
+++ b/src/upstream_dialer.rs
@@ -67,6 +67,9 @@
 
     /// The metrics.
     fn metrics(&self) -> &Metrics;
+
+    /// Records how long a direct connection to an upstream took to open.
+    fn record_connect_time(&self, time: Duration);
 }
 
 /// The dialer of a VM.
@@ -130,7 +133,10 @@
     }
 
     async fn dial_direct(&self) -> Result<Dialed, DialError> {
+        let began_at = self.vm.now();
         let dialed = self.direct.dial(self.address).await?;
+        let took = self.vm.now().saturating_duration_since(began_at);
+        self.vm.record_connect_time(took);
         self.vm.paths().record_direct(&self.target, self.vm.now());
         Ok(dialed)
     }
