--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -3,3 +3,6 @@
 //! * [`overload`]: which resource of this VM delays what it does.
 
 pub(crate) mod overload;
+
+#[cfg(test)]
+mod replay_tests;
