Refuse connections that a VM cannot serve

While the platform's load balancer sent most new connections to few VMs, callers got their answers late or not at all: a VM accepted and read every connection, so each request waited behind all others for its processor and its link.

While everything is late, a VM now does not listen, so that the kernel refuses connections before callers send their requests and callers try another VM. Then it takes on as many requests a second as it has borne. It also bounds the connections that it holds by its memory and its descriptors.

--- a/src/event.rs
+++ b/src/event.rs
@@ -260,6 +260,12 @@
     /// The retry budget of a service is spent at this VM.
     RetryBudgetSpent = 107, Warn,
         "The retry budget of a service did not allow this VM a further attempt; at most one line a second and service. States the VM's retries and requests in the window that ends now, and the VMs that share the fixed number.";
+    /// This VM begins to refuse connections.
+    ConnectionsLimited = 108, Warn,
+        "This VM gets more connections than it can serve and refuses some, so that their callers try another VM at once. States the open connections, the connections a second that it accepts, and the resource that is exhausted: the processor, the network, or room for connections (`vm.memory_mb`, `vm.max_open_files`).";
+    /// This VM accepts all connections again.
+    ConnectionsUnlimited = 109, Info,
+        "This VM accepts all connections again.";
 }
 
 impl Event {
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -7,7 +7,10 @@
 
 use std::{
     convert::Infallible,
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -28,16 +31,16 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
-    clock::BootInstant,
     error::{Error, ErrorKind},
     gateway::{
         Gateway,
         forward::{Job, Reply, ReplyBody, reject},
+        limit_log::LimitLog,
         relay_events::{self, StreamAborted},
         request_head::{RequestHead, RequestedModel},
         trace::Trace,
     },
-    intake::overload::Resource,
+    intake::{control::Admission, overload::Resource},
     platform::headers,
     store_sync::route::{Organisation, RouteTable},
     task,
@@ -71,6 +74,9 @@
 /// finds the next VM in the same state, and after a second it gives up.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(800);
 
+/// Interval between two checks whether this VM may take on connections again.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Interval between two checks whether a VM that starts is ready.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -78,6 +84,10 @@
 
 /// Accepts connections of callers for as long as it is polled.
 ///
+/// While this VM is to take on no more, it does not listen. The kernel then
+/// refuses connections before callers send their requests, which would fill
+/// the network link of this VM, and callers try another VM at once.
+///
 /// Once `closing` is closed, each connection is closed after the response
 /// under way.
 pub(crate) async fn serve(
@@ -86,23 +96,76 @@
     closing: Receiver<()>,
 ) {
     wait_until_ready(&gateway).await;
+    let address = listener.local_addr().unwrap_or(gateway.settings.callers);
+    let mut listener = Some(listener);
+    let mut log = LimitLog::default();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let gateway = gateway.clone();
-                let closing = closing.clone();
-                let accepted_at = gateway.clock.now();
-                let serving =
-                    serve_connection(gateway, stream, accepted_at, closing);
-                task::spawn(serving).detach();
+        let now = gateway.clock.now();
+        let open = gateway.connections.count();
+        let admission = gateway.intake.admission(open, now);
+        log.record(&gateway, admission, now);
+        if admission != Admission::Accept {
+            if let Some(listening) = listener.take() {
+                accept_pending(&gateway, &listening, &closing).await;
             }
+            task::sleep(LIMIT_CHECK_INTERVAL).await;
+            continue;
+        }
+        let bound = match listener.take() {
+            Some(listening) => Ok(listening),
+            None => TcpListener::bind(address).await,
+        };
+        let accepted = match bound {
+            Ok(listening) => listener.insert(listening).accept().await,
+            Err(error) => Err(error),
+        };
+        match accepted {
+            Ok((stream, _)) => begin_connection(&gateway, stream, &closing),
             // For example, the process is out of file descriptors; waits until
             // some are closed.
-            Err(_) => task::sleep(Duration::from_millis(20)).await,
+            Err(_) => task::sleep(LIMIT_CHECK_INTERVAL).await,
         }
     }
 }
 
+/// Accepts the connections that have arrived already, as far as there is room.
+/// Closing the listener resets them, after their callers have sent their
+/// requests.
+async fn accept_pending(
+    gateway: &Arc<Gateway>,
+    listener: &TcpListener,
+    closing: &Receiver<()>,
+) {
+    while gateway.intake.has_room(gateway.connections.count()) {
+        match future::poll_once(listener.accept()).await {
+            Some(Ok((stream, _))) => {
+                begin_connection(gateway, stream, closing);
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Serves a connection in a task of its own.
+fn begin_connection(
+    gateway: &Arc<Gateway>,
+    stream: TcpStream,
+    closing: &Receiver<()>,
+) {
+    let accepted_at = gateway.clock.now();
+    gateway.intake.record_request(accepted_at);
+    let open = gateway.connections.enter();
+    let (gateway, closing) = (gateway.clone(), closing.clone());
+    let serving = async move {
+        let waited =
+            gateway.clock.now().saturating_duration_since(accepted_at);
+        gateway.record_own_delay(Resource::Processor, waited);
+        serve_connection(gateway, stream, closing).await;
+        drop(open);
+    };
+    task::spawn(serving).detach();
+}
+
 /// Delays the first connections until the VM is ready, within the limits
 /// above.
 async fn wait_until_ready(gateway: &Gateway) {
@@ -125,18 +188,18 @@
 async fn serve_connection(
     gateway: Arc<Gateway>,
     stream: TcpStream,
-    accepted_at: BootInstant,
     closing: Receiver<()>,
 ) {
-    let _open = gateway.connections.enter();
-    let waited = gateway.clock.now().saturating_duration_since(accepted_at);
-    gateway.record_own_delay(Resource::Processor, waited);
     // Nagle's algorithm would delay small events. This cannot fail on an open
     // connection.
     let _ = stream.set_nodelay(true);
     let limits = gateway.knowledge.table().unwrap_or_default().limits();
+    let is_first = AtomicBool::new(true);
     let service = service_fn(|request| {
         let gateway = gateway.clone();
+        if !is_first.swap(false, Ordering::Relaxed) {
+            gateway.intake.record_request(gateway.clock.now());
+        }
         async move { Ok::<_, Infallible>(handle(gateway, request).await) }
     });
     let connection = http1::Builder::new()
@@ -177,7 +240,11 @@
         Ok((job, trace)) => (job.run(trace).await, false),
         Err(rejection) => *rejection,
     };
-    let must_close_after = is_chunked || must_close || gateway.is_stopping();
+    let open = gateway.connections.count();
+    let must_close_after = is_chunked
+        || must_close
+        || gateway.is_stopping()
+        || gateway.intake.must_close_after_response(open);
     into_response(&gateway, reply, must_close_after)
 }
 
@@ -364,3 +431,6 @@
     }
     response
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,10 @@
     frame::FrameCodec,
     http_client::HttpClient,
     id::{Incarnation, ServiceId, VersionId},
-    intake::overload::Resource,
+    intake::{
+        connection_capacity::ConnectionCapacity, control::IntakeControl,
+        overload::Resource,
+    },
     message::ShortHash,
     metrics::Metrics,
     placing::{
@@ -68,6 +71,7 @@
 pub(crate) mod engine_memory;
 pub(crate) mod forward;
 pub(crate) mod ingress;
+pub(crate) mod limit_log;
 pub(crate) mod model_choice;
 pub(crate) mod relay_events;
 pub mod request_head;
@@ -153,6 +157,7 @@
     pub(crate) in_flight: InFlightCount,
     /// The open connections of callers.
     pub(crate) connections: InFlightCount,
+    pub(crate) intake: IntakeControl,
     /// Wakes the heartbeat loop, so that the next heartbeat is sent early.
     pub(crate) early_heartbeat: Wake,
     pub(crate) incarnation: Incarnation,
@@ -205,6 +210,10 @@
             metrics,
             in_flight: InFlightCount::default(),
             connections: InFlightCount::default(),
+            intake: IntakeControl::new(ConnectionCapacity::new(
+                settings.memory,
+                settings.max_open_files,
+            )),
             early_heartbeat: Wake::default(),
             incarnation,
             organisation_requests: Arc::default(),
@@ -360,6 +369,7 @@
         delays
             .with_label_values(&[resource.label()])
             .observe(delay.as_secs_f64());
+        self.intake.record_delay(resource, delay, self.clock.now());
     }
 
     /// Records that a call to the store failed.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -198,6 +198,9 @@
             gateway.metrics.in_flight.set(in_flight);
             let connections = gateway.connections.count() as i64;
             gateway.metrics.connections.set(connections);
+            let limit = gateway.intake.limit();
+            let limit = limit.map_or(-1, |(rate_per_s, _)| rate_per_s as i64);
+            gateway.metrics.connection_limit.set(limit);
             let uneven = gateway.pool.uneven_count(gateway.clock.now());
             gateway.metrics.upstreams_uneven.set(uneven as i64);
             let changed = gateway.pool.take_choices_changed_by_pauses();
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -19,7 +19,7 @@
     settings::{
         SettingKey, SettingsError, SettingsReader, read_file, read_ini,
     },
-    unit::{Mbps, MilliCores},
+    unit::{Mbps, Megabytes, MilliCores},
 };
 
 const fn key(
@@ -50,6 +50,20 @@
         "Its share of processor time in cores, 0 if unknown; the VMs with the \
          largest share coordinate the slots of services for the others.",
     ),
+    key(
+        "vm",
+        "memory_mb",
+        Some("0"),
+        "Its memory in MB, 0 if unknown; bounds the connections of callers \
+         that it holds.",
+    ),
+    key(
+        "vm",
+        "max_open_files",
+        Some("0"),
+        "Descriptors that its process may have open, 0 if unknown; bounds \
+         the connections of callers as well.",
+    ),
     key("listen", "callers", None, "IP and port for callers (HTTP)."),
     key(
         "listen",
@@ -199,6 +213,10 @@
     pub link_rate: Mbps,
     /// Its share of processor time; 0 if unknown.
     pub cores: MilliCores,
+    /// Its memory; 0 if unknown.
+    pub memory: Megabytes,
+    /// The descriptors that its process may have open; 0 if unknown.
+    pub max_open_files: u32,
     /// The address for callers.
     pub callers: SocketAddr,
     /// The address for the platform's readiness check.
@@ -279,6 +297,8 @@
     let data_hall = r.value("vm", "data_hall");
     let link_rate = r.value("vm", "link_mbps");
     let cores = r.value("vm", "cores");
+    let memory = r.value("vm", "memory_mb");
+    let max_open_files = r.value("vm", "max_open_files");
     let callers = r.value("listen", "callers");
     let readiness = r.value("listen", "readiness");
     let peer_address: Option<SocketAddr> = r.value("listen", "peers");
@@ -305,6 +325,8 @@
         data_hall: data_hall?,
         link_rate: link_rate?,
         cores: cores?,
+        memory: memory?,
+        max_open_files: max_open_files?,
         callers: callers?,
         readiness: readiness?,
         peer_address: peer_address?,
--- a/src/intake/replay_tests.rs
+++ b/src/intake/replay_tests.rs
@@ -1,10 +1,20 @@
 //! Replays a load balancer that sends most new connections to one VM.
 
-use std::{collections::BinaryHeap, time::Duration};
+use std::{
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::{
+    connection_capacity::ConnectionCapacity,
+    control::{Admission, IntakeControl},
+    overload::Resource,
+};
+use crate::{clock::BootInstant, unit::Megabytes};
+
 /// Time that a VM needs for each request; it bears a hundred a second.
 const WORK_TIME: Duration = Duration::from_millis(10);
 
@@ -30,9 +40,12 @@
 const LENGTH: Duration = Duration::from_secs(20);
 
 /// A VM that does one request after the other.
-#[derive(Clone, Default)]
 struct Vm {
+    intake: IntakeControl,
     is_busy_until: Duration,
+    /// Requests that have not begun, with the time at which they do and the
+    /// time that they will have waited.
+    waiting: VecDeque<(Duration, Duration)>,
 }
 
 /// A connection that a caller opens.
@@ -65,7 +78,15 @@
 /// Returns the outcome before a VM is preferred, and once the VMs have had the
 /// time to adapt.
 fn replay(vms: usize, requests_per_s: f64) -> (Outcome, Outcome) {
-    let mut fleet = vec![Vm::default(); vms];
+    let start = BootInstant::now();
+    let capacity = ConnectionCapacity::new(Megabytes(0), 0);
+    let mut fleet: Vec<Vm> = (0..vms)
+        .map(|_| Vm {
+            intake: IntakeControl::new(capacity),
+            is_busy_until: Duration::ZERO,
+            waiting: VecDeque::new(),
+        })
+        .collect();
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let mut connections = BinaryHeap::new();
     let mut at = Duration::ZERO;
@@ -90,7 +111,7 @@
             _ => &mut Outcome::default(),
         };
         outcome.asked += u32::from(number == 1);
-        match fleet[vm].connect(at) {
+        match fleet[vm].connect(at, start) {
             Some(answered_at) => {
                 outcome.read += 1;
                 let is_served = answered_at <= asked_at + DEADLINE;
@@ -114,9 +135,26 @@
 impl Vm {
     /// Returns when the request of a new connection is answered, or `None` if
     /// the connection is refused.
-    fn connect(&mut self, at: Duration) -> Option<Duration> {
-        // The listener accepts every connection.
-        self.is_busy_until = self.is_busy_until.max(at) + WORK_TIME;
+    fn connect(
+        &mut self,
+        at: Duration,
+        start: BootInstant,
+    ) -> Option<Duration> {
+        while let Some((began_at, delay)) = self.waiting.front().copied()
+            && began_at <= at
+        {
+            self.waiting.pop_front();
+            let now = start + began_at;
+            self.intake.record_delay(Resource::Processor, delay, now);
+        }
+        let now = start + at;
+        if self.intake.admission(0, now) != Admission::Accept {
+            return None;
+        }
+        self.intake.record_request(now);
+        let begins_at = self.is_busy_until.max(at);
+        self.waiting.push_back((begins_at, begins_at - at));
+        self.is_busy_until = begins_at + WORK_TIME;
         Some(self.is_busy_until)
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,6 +74,9 @@
     pub in_flight: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
+    /// Connections a second to which this VM limits itself; -1 without a
+    /// limit.
+    pub connection_limit: IntGauge,
     /// Time for which something waited for a resource of this VM, by resource.
     pub own_delay_s: HistogramVec,
     /// Changes that upstreams signalled in the headers of their answers, by
@@ -240,6 +243,10 @@
                 "lupinseam_connections",
                 "Open connections of callers before the platform.",
             ),
+            connection_limit: r.gauge(
+                "lupinseam_connection_limit",
+                "New connections a second to which this VM limits itself since it is overloaded; -1 without a limit.",
+            ),
             own_delay_s: r.histogram(
                 "lupinseam_own_delay_seconds",
                 "Time for which something waited for a resource of this VM, by resource: an accepted connection for the processor, a new connection to an upstream for the network.",
--- a/src/token_bucket.rs
+++ b/src/token_bucket.rs
@@ -43,6 +43,18 @@
         Err(Duration::from_secs_f64(wait_s.min(60.0)))
     }
 
+    /// Returns whether at least `amount` tokens are left.
+    pub(crate) fn has(&mut self, amount: f64, now: BootInstant) -> bool {
+        self.refill(now);
+        self.tokens >= amount
+    }
+
+    /// Takes one token; if none is left, the bucket stays empty for longer.
+    pub(crate) fn spend(&mut self, now: BootInstant) {
+        self.refill(now);
+        self.tokens -= 1.0;
+    }
+
     /// Changes rate and burst, and keeps the tokens up to the new burst.
     pub(crate) fn set_rate(
         &mut self,
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -59,6 +59,25 @@
     }
 }
 
+/// An amount of memory, in binary megabytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Megabytes(pub u32);
+
+impl fmt::Display for Megabytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Megabytes {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let value = parse_below(text, "an amount of memory", 1e9)?;
+        Ok(Megabytes(value.round() as u32))
+    }
+}
+
 /// The bandwidth of a network link, in megabits per second.
 #[derive(
     Clone,
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -15,6 +15,8 @@
     ("zone", "plateau"),
     ("limits.link_mbps", "20.0"),
     ("limits.cpu_quota", "0.25"),
+    ("limits.memory_mb", "110"),
+    ("limits.max_fds", "4100"),
     ("ip", "10.1.0.40"),
     ("listen.frontend", "10.1.0.40:8227"),
     ("listen.readiness", "10.1.0.40:8220"),
