Log how a VM has learned of a change, and a store that is behind its copy

After a change that was in force too late, the logs did not say whether a VM had learned of it from its own watch, a read, or another VM, nor that it ignored what it read.

E010, E043 and E044 state learned_by; E110 the versions of a store that is behind.

--- a/src/event.rs
+++ b/src/event.rs
@@ -266,6 +266,9 @@
     /// This VM accepts all connections again.
     ConnectionsUnlimited = 109, Info,
         "This VM accepts all connections again.";
+    /// The store is at an earlier version than this VM's copy.
+    StoreBehind = 110, Warn,
+        "The store was read at an earlier version than that of this VM's copy; states both.";
 }
 
 impl Event {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,6 +60,7 @@
     scheduling::organisation_requests::OrganisationRequests,
     store_sync::{
         knowledge::{AppliedItems, Knowledge, StoreUpdate, Unreadable},
+        learned_by::LearnedBy,
         peers::{Peers, WatchRole},
     },
     task::Wake,
@@ -391,10 +392,10 @@
     }
 
     /// Updates the state of this VM by items of the store.
-    pub(crate) fn apply_items(&self, applied: AppliedItems) {
+    pub(crate) fn apply_items(&self, applied: AppliedItems, by: LearnedBy) {
         self.record_unreadable(&applied.unreadable);
         for update in applied.updates {
-            self.apply_update(update);
+            self.apply_update(update, by);
         }
     }
 
@@ -415,7 +416,7 @@
         }
     }
 
-    fn apply_update(&self, update: StoreUpdate) {
+    fn apply_update(&self, update: StoreUpdate, by: LearnedBy) {
         let now = self.clock.now();
         match update {
             StoreUpdate::Configuration(table) => {
@@ -427,6 +428,7 @@
                     Event::ConfigurationInForce.record(fields(json!({
                         "table": version.0,
                         "routes": routes,
+                        "learned_by": by.label(),
                     })));
                 }
             }
@@ -439,6 +441,7 @@
                     "cold_ms": entry.warm_up_left.as_millis() as u64,
                     "started": entry.started,
                     "begins": self.pool.set(entry.clone(), now),
+                    "learned_by": by.label(),
                 })));
             }
             // An entry that cannot be read gives no address to send to,
@@ -451,6 +454,7 @@
                 Event::UpstreamGone.record(fields(json!({
                     "upstream": id,
                     "sure": is_sure,
+                    "learned_by": by.label(),
                 })));
                 self.pool.remove(&id, is_sure, now);
             }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::{
-    chains::store::{Backoff, StoreError},
+    chains::store::{Backoff, StoreError, StoreVersion},
     clock::BootInstant,
     event::Event,
     gateway::{Gateway, fields},
@@ -19,7 +19,7 @@
         document::{self, ALL_KEYS},
         store::{Consistency, StoreItems, WatchOutcome},
     },
-    store_sync::{gossip, peers::WatchRole},
+    store_sync::{gossip, learned_by::LearnedBy, peers::WatchRole},
     task,
 };
 
@@ -117,7 +117,8 @@
         // If the store does not respond, the full read that follows retries.
         let Ok(recorded) = recorded else { return false };
         for item in recorded.items {
-            gateway.apply_items(gateway.knowledge.apply_item(item));
+            let applied = gateway.knowledge.apply_item(item);
+            gateway.apply_items(applied, LearnedBy::Read);
         }
         let readers = gateway.peers.snapshot_readers();
         gossip::fetch_from_either(gateway, &readers).await
@@ -130,8 +131,9 @@
         let gateway = &self.gateway;
         let asked_at = gateway.clock.now();
         let all = gateway.store.read_all(ALL_KEYS, consistency).await?;
+        log_if_behind(gateway, all.as_of);
         let applied = gateway.knowledge.apply_snapshot(all);
-        gateway.apply_items(applied);
+        gateway.apply_items(applied, LearnedBy::Read);
         match consistency {
             Consistency::Linearizable => {
                 gateway.knowledge.prove(asked_at);
@@ -184,7 +186,12 @@
                     if gateway.knowledge.has_new(&changes) {
                         gossip::push_changes(gateway, digest, &changes);
                     }
-                    apply_changes(gateway, changes, asked_at);
+                    apply_changes(
+                        gateway,
+                        changes,
+                        LearnedBy::Watch,
+                        asked_at,
+                    );
                     self.record_success();
                     task::sleep(watch_pause(&self.gateway)).await;
                 }
@@ -216,6 +223,17 @@
     }
 }
 
+/// Logs that the store is at an earlier version than this VM's copy.
+fn log_if_behind(gateway: &Gateway, as_of: StoreVersion) {
+    let own = gateway.knowledge.as_of();
+    if as_of < own {
+        Event::StoreBehind.record(fields(json!({
+            "store_as_of": as_of.0,
+            "own_as_of": own.0,
+        })));
+    }
+}
+
 /// Returns the pause before the next watch.
 fn watch_pause(gateway: &Gateway) -> Duration {
     match gateway.peers.is_first_watcher(gateway.clock.now()) {
@@ -297,7 +315,7 @@
     let store = &gateway.store;
     match store.watch(ALL_KEYS, since, Duration::ZERO).await? {
         WatchOutcome::Changes(changes) => {
-            apply_changes(gateway, changes, asked_at);
+            apply_changes(gateway, changes, LearnedBy::Poll, asked_at);
             gateway.peers.record_poll(asked_at);
             Ok(Revalidated::Everything)
         }
@@ -313,10 +331,11 @@
 fn apply_changes(
     gateway: &Gateway,
     changes: StoreItems,
+    by: LearnedBy,
     asked_at: BootInstant,
 ) {
     let applied = gateway.knowledge.apply_changes(changes);
-    gateway.apply_items(applied);
+    gateway.apply_items(applied, by);
     gateway.knowledge.prove(asked_at);
 }
 
@@ -326,7 +345,7 @@
     match gateway.store.read(document::CONFIGURATION_KEY).await? {
         Some(item) => {
             let applied = gateway.knowledge.apply_item(item);
-            gateway.apply_items(applied);
+            gateway.apply_items(applied, LearnedBy::Read);
             gateway.knowledge.prove(asked_at);
         }
         None => task::sleep(MAX_RETRY_WAIT).await,
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -30,7 +30,10 @@
     platform::store::{StoreItem, StoreItems},
     rollouts::{evidence::HallEvidence, peer_evidence::Delivery},
     scheduling::slot_decision::SlotDecision,
-    store_sync::{knowledge::ChangedItem, knowledge_pack, peers::Receiver},
+    store_sync::{
+        knowledge::ChangedItem, knowledge_pack, learned_by::LearnedBy,
+        peers::Receiver,
+    },
     task,
     upstream_dialer::connect_for_peer,
 };
@@ -460,7 +463,7 @@
     let all =
         StoreItems { items: items.collect(), as_of: StoreVersion(as_of) };
     let applied = gateway.knowledge.apply_snapshot(all);
-    gateway.apply_items(applied);
+    gateway.apply_items(applied, LearnedBy::Snapshot);
     let age = Duration::from_millis(proof_age_ms.into());
     if let Some(proven_at) = asked_at.checked_sub(age) {
         gateway.knowledge.prove(proven_at);
@@ -506,7 +509,7 @@
                 // If changes are missing, the next heartbeat shows it.
                 let applied =
                     self.knowledge.merge_peer_changes(digest_before, changes);
-                self.apply_items(applied);
+                self.apply_items(applied, LearnedBy::Push);
                 PeerReply::Done
             }
             PeerRequest::PullKnowledge { from } => {
--- a/src/store_sync/mod.rs
+++ b/src/store_sync/mod.rs
@@ -3,6 +3,7 @@
 //! A few VMs watch the store and push its changes to the others.
 //!
 //! * [`knowledge`]: this VM's copy of the store, and how recent it is.
+//! * [`learned_by`]: how a change has reached this VM.
 //! * [`knowledge_pack`]: a packed snapshot of the copy, for VMs that start.
 //! * [`peers`]: the other VMs, and which of them watch the store.
 //! * [`gossip`]: heartbeats, pushed changes and requests between VMs.
@@ -15,5 +16,6 @@
 pub(crate) mod gossip;
 pub mod knowledge;
 pub(crate) mod knowledge_pack;
+pub(crate) mod learned_by;
 pub(crate) mod peers;
 pub mod route;
