--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -44,13 +44,29 @@
     Slow,
 }
 
+/// A document under a key.
+#[derive(Clone)]
+struct Item {
+    text: String,
+    version: u64,
+    /// Whether it was written under a lease.
+    is_leased: bool,
+}
+
+/// A copy of the store's documents, from which it may come back.
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    version: u64,
+}
+
 #[derive(Default)]
 struct Content {
-    /// Document and version of each key.
-    items: BTreeMap<String, (String, u64)>,
+    items: BTreeMap<String, Item>,
     /// Key, document (`None` when deleted) and version of each change.
     events: Vec<(String, Option<String>, u64)>,
     version: u64,
+    /// How often the store has come back from an older copy.
+    era: u64,
     mode: StoreMode,
     calls: Vec<String>,
 }
@@ -104,22 +120,22 @@
     /// Writes a document, as an operator or an upstream would.
     pub fn put(&self, key: &str, document: &Value) {
         let mut content = self.content.0.lock().unwrap();
-        content.write(key, Some(document.to_string()));
+        content.write(key, Some(document.to_string()), false);
         self.content.1.notify_all();
     }
 
     /// Removes a document.
     pub fn remove(&self, key: &str) {
         let mut content = self.content.0.lock().unwrap();
-        content.write(key, None);
+        content.write(key, None, false);
         self.content.1.notify_all();
     }
 
     /// Returns the document of a key; `None` when there is none.
     pub fn get(&self, key: &str) -> Option<Value> {
         let content = self.content.0.lock().unwrap();
-        let (text, _) = content.items.get(key)?;
-        serde_json::from_str(text).ok()
+        let item = content.items.get(key)?;
+        serde_json::from_str(&item.text).ok()
     }
 
     /// Returns all keys that have a document.
@@ -127,6 +143,26 @@
         self.content.0.lock().unwrap().items.keys().cloned().collect()
     }
 
+    /// Returns a copy of the store as it is now.
+    pub fn copy(&self) -> StoreCopy {
+        let content = self.content.0.lock().unwrap();
+        let (items, version) = (content.items.clone(), content.version);
+        StoreCopy { items, version }
+    }
+
+    /// Has the store come back from a copy, in a new era. Later writes are
+    /// lost, and so are all leases; versions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut content = self.content.0.lock().unwrap();
+        let kept = copy.items.iter().filter(|(_, item)| !item.is_leased);
+        content.items =
+            kept.map(|(key, item)| (key.clone(), item.clone())).collect();
+        content.version = copy.version;
+        content.events.retain(|(_, _, version)| *version <= copy.version);
+        content.era += 1;
+        self.content.1.notify_all();
+    }
+
     /// Sets how the store responds to calls, at all its addresses.
     pub fn set_mode(&self, mode: StoreMode) {
         self.content.0.lock().unwrap().mode = mode;
@@ -150,7 +186,7 @@
         let mut writer = stream;
         while let Ok(Some(request)) = read_request(&mut reader) {
             let response = match self.is_rejecting.load(Ordering::Relaxed) {
-                true => Some(answer(503, &[], "")),
+                true => Some(self.answer(503, "")),
                 false => self.respond(&request),
             };
             let Some(bytes) = response else {
@@ -173,7 +209,7 @@
         };
         match mode {
             StoreMode::Resetting => return None,
-            StoreMode::Busy => return Some(answer(503, &[], "")),
+            StoreMode::Busy => return Some(self.answer(503, "")),
             StoreMode::Silent => {
                 thread::sleep(Duration::from_secs(60));
                 return None;
@@ -196,8 +232,13 @@
         if mode == StoreMode::LosingAnswers && is_write {
             return None;
         }
-        let kind = [("content-type", "application/json")];
-        Some(answer(status, &kind, &body.to_string()))
+        Some(self.answer(status, &body.to_string()))
+    }
+
+    fn answer(&self, status: u16, body: &str) -> Vec<u8> {
+        let era = self.content.0.lock().unwrap().era.to_string();
+        let kind = ("content-type", "application/json");
+        answer(status, &[kind, ("store-era", &era)], body)
     }
 
     fn key(&self, request: &RawRequest) -> (u16, Value) {
@@ -205,7 +246,7 @@
         let key = request.parameter("key_file");
         match content.items.get(key) {
             None => (404, json!({"timestamp": content.version})),
-            Some((text, version)) => {
+            Some(Item { text, version, .. }) => {
                 let mut item = item(key, Some(text), *version);
                 item["timestamp"] = content.version.into();
                 (200, item)
@@ -228,7 +269,7 @@
         let entries: Vec<Value> = matching
             .iter()
             .take(PAGE_ENTRIES)
-            .map(|(key, (text, version))| item(key, Some(text), *version))
+            .map(|(key, found)| item(key, Some(&found.text), found.version))
             .collect();
         let body = json!({
             "entries": entries,
@@ -245,7 +286,8 @@
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut content = self.content.0.lock().unwrap();
         loop {
-            if content.mode == StoreMode::Forgetful {
+            if content.mode == StoreMode::Forgetful || since > content.version
+            {
                 return (410, json!({}));
             }
             let events: Vec<Value> = content
@@ -277,7 +319,8 @@
         }
         let holds = rows("expected_revision").iter().all(|row| {
             let key = row["key_file"].as_str().unwrap_or("");
-            let current = content.items.get(key).map_or(0, |(_, v)| *v);
+            let current =
+                content.items.get(key).map_or(0, |item| item.version);
             row["revision"] == current
         });
         if !holds {
@@ -288,7 +331,8 @@
             let value = row["value"].as_str().unwrap_or("");
             let bytes = BASE64.decode(value.as_bytes()).unwrap_or_default();
             let text = String::from_utf8(bytes).unwrap_or_default();
-            content.write(&key, Some(text));
+            let is_leased = row["lease_id"].as_u64().unwrap_or(0) != 0;
+            content.write(&key, Some(text), is_leased);
         }
         self.content.1.notify_all();
         (200, json!({"revision": content.version}))
@@ -298,13 +342,13 @@
 impl Content {
     /// Stores a document, or deletes it when `text` is `None`, under a new
     /// version.
-    fn write(&mut self, key: &str, text: Option<String>) {
+    fn write(&mut self, key: &str, text: Option<String>, is_leased: bool) {
         self.version += 1;
         let version = self.version;
         match &text {
             Some(text) => {
-                let value = (text.clone(), version);
-                self.items.insert(key.to_owned(), value);
+                let item = Item { text: text.clone(), version, is_leased };
+                self.items.insert(key.to_owned(), item);
             }
             None => {
                 self.items.remove(key);
