Tell the other VMs what a watcher learns by reading

Requests reached an upstream 2.0 to 2.2 s after it had said that it was leaving, through VMs that did not watch the store, while the three that did had known of it for 1.9 s. What a watcher learns by a read, or by a call that asks for all changes at once, was told to nobody, and its watch brings nothing new afterwards. The others then find out by heartbeats that they are behind, wait 0.8 s for a push that does not come, and ask by themselves.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -167,12 +167,6 @@
             let wait = gateway.settings.watch_timeout;
             match gateway.store.watch(ALL_KEYS, since, wait).await {
                 Ok(WatchOutcome::Changes(changes)) => {
-                    let digest = gateway.knowledge.digest();
-                    // Changes that the first watcher has already sent to all
-                    // VMs are not sent again.
-                    if gateway.knowledge.has_new(&changes) {
-                        gossip::push_changes(gateway, digest, &changes);
-                    }
                     apply_changes(
                         gateway,
                         changes,
@@ -290,7 +284,7 @@
 /// again at the start, on a VM with an eighth of a core and 20 Mbit/s. Where
 /// the store has lost the history, only reading everything shows what has
 /// changed.
-async fn revalidate(gateway: &Gateway) -> Result<(), StoreError> {
+async fn revalidate(gateway: &Arc<Gateway>) -> Result<(), StoreError> {
     let asked_at = gateway.clock.now();
     let since = gateway.knowledge.as_of();
     let store = &gateway.store;
@@ -308,14 +302,21 @@
     }
 }
 
-/// Reads the whole store and applies it.
+/// Reads the whole store and applies it; tells the other VMs what is new if
+/// this VM is a watcher.
 async fn read_everything(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     consistency: Consistency,
     asked_at: BootInstant,
 ) -> Result<(), StoreError> {
     let all = gateway.store.read_all(ALL_KEYS, consistency).await?;
     log_if_behind(gateway, all.as_of);
+    let digest = gateway.knowledge.digest();
+    // Other VMs do not wait for what a starting one reads first.
+    if gateway.knowledge.is_read() {
+        let changes = gateway.knowledge.changes_in(&all);
+        gossip::push_changes(gateway, digest, &changes);
+    }
     let applied = gateway.knowledge.apply_snapshot(all);
     gateway.apply_items(applied, LearnedBy::Read);
     if consistency == Consistency::Linearizable {
@@ -326,13 +327,18 @@
 }
 
 /// Applies all changes since the last ones; the state is then current as of
-/// `asked_at`.
+/// `asked_at`. Tells the other VMs of them if this VM is a watcher, unless the
+/// first watcher has done so already.
 fn apply_changes(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     changes: StoreItems,
     by: LearnedBy,
     asked_at: BootInstant,
 ) {
+    if gateway.knowledge.has_new(&changes) {
+        let digest = gateway.knowledge.digest();
+        gossip::push_changes(gateway, digest, &changes);
+    }
     let applied = gateway.knowledge.apply_changes(changes);
     gateway.apply_items(applied, by);
     gateway.knowledge.prove(asked_at);
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -70,9 +70,9 @@
 /// polls or watch keep it up to date.
 const FETCH_MIN_PROOF_AGE: Duration = Duration::from_millis(1500);
 
-/// Largest value that is pushed, in bytes before compression. A configuration
-/// may have hundreds of routes; VMs pull larger values as a snapshot, which is
-/// packed once for all of them.
+/// Largest values that are pushed together, in bytes before compression. A
+/// configuration may have hundreds of routes; VMs pull larger ones as a
+/// snapshot, which is packed once for all of them.
 const PUSH_LIMIT_BYTES: usize = 24 << 10;
 
 /// Timeout of a request that pushes changes to another VM.
@@ -375,7 +375,8 @@
     own: SocketAddr,
 ) -> PeerRequest {
     let bytes = |item: &StoreItem| item.value.as_ref().map_or(0, Vec::len);
-    if changes.items.iter().any(|item| bytes(item) > PUSH_LIMIT_BYTES) {
+    let all_bytes: usize = changes.items.iter().map(bytes).sum();
+    if all_bytes > PUSH_LIMIT_BYTES {
         return PeerRequest::PullKnowledge { from: own };
     }
     let items = changes.items.iter().map(|item| ChangedItem {
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -254,6 +254,11 @@
         changes.items.iter().any(|item| mirror.is_new(item))
     }
 
+    /// Returns what a snapshot would change.
+    pub fn changes_in(&self, all: &StoreItems) -> StoreItems {
+        self.mirror.lock().expect("mirror lock").changes_in(all)
+    }
+
     /// Applies changes that a watch returned.
     pub fn apply_changes(&self, changes: StoreItems) -> AppliedItems {
         self.mirror.lock().expect("mirror lock").apply_changes(changes)
@@ -288,20 +293,7 @@
         if all.as_of < mirror.as_of {
             return applied;
         }
-        let present: BTreeSet<String> =
-            all.items.iter().map(|item| item.key.clone()).collect();
-        let removed: Vec<String> = mirror
-            .items
-            .keys()
-            .filter(|key| !present.contains(*key))
-            .cloned()
-            .collect();
-        for key in removed {
-            let version = all.as_of;
-            mirror
-                .apply(StoreItem { key, value: None, version }, &mut applied);
-        }
-        for item in all.items {
+        for item in mirror.changes_in(&all).items {
             mirror.apply(item, &mut applied);
         }
         mirror.as_of = all.as_of;
@@ -320,6 +312,24 @@
         items.collect()
     }
 
+    /// Returns what a snapshot changes: the keys that it lacks, and the items
+    /// that are new.
+    fn changes_in(&self, all: &StoreItems) -> StoreItems {
+        let version = all.as_of;
+        let present: BTreeSet<&str> =
+            all.items.iter().map(|item| item.key.as_str()).collect();
+        let keys = self.items.keys();
+        let lacking = keys.filter(|key| !present.contains(key.as_str()));
+        let removed = lacking.map(|key| StoreItem {
+            key: key.clone(),
+            value: None,
+            version,
+        });
+        let written = all.items.iter().filter(|item| self.is_new(item));
+        let items = removed.chain(written.cloned()).collect();
+        StoreItems { items, as_of: all.as_of }
+    }
+
     fn apply_changes(&mut self, changes: StoreItems) -> AppliedItems {
         let mut applied = AppliedItems::default();
         for item in changes.items {
