Order what the store says by its era

After the platform's store had come back from an older copy of itself, a configuration was in force 2.0 s and more after its acknowledgement, or never, and requests reached upstreams that were leaving: its versions had gone back, so that VMs ignored what they read as older, took their copies for current all the same, and dropped what was written until the versions had passed the old ones.

A position of the store is its era, stated in all answers, and a version within it. What the copy contradicts stays in force until it is written again or should have been: upstreams that leave, configurations, orders, evacuations, records of VMs. The VMs write their own values again: records and leases, outcomes of rollouts and their evidence.

--- a/src/event.rs
+++ b/src/event.rs
@@ -268,7 +268,10 @@
         "This VM accepts all connections again.";
     /// The store is at an earlier version than this VM's copy.
     StoreBehind = 110, Warn,
-        "The store was read at an earlier version than that of this VM's copy; states both.";
+        "The store was read at an earlier position (`era/version`) than that of this VM's copy, and the read was ignored; states both.";
+    /// The store has come back from an older copy.
+    StoreEraBegan = 111, Warn,
+        "The store has come back from an older copy of itself. This VM has read it, writes again what it wrote since, and goes by what it knew until operators and upstreams have written again; states the era, the store's version and the number of updates that are held.";
 }
 
 impl Event {
--- a/src/gateway/evidence_store.rs
+++ b/src/gateway/evidence_store.rs
@@ -21,6 +21,7 @@
         store::{ConditionalWrite, WriteOutcome},
     },
     rollouts::stored_evidence::StoredEvidence,
+    store_sync::store_position::StoreEra,
     task,
 };
 
@@ -61,8 +62,16 @@
 /// Writes evidence under a lease.
 struct Writer {
     gateway: Arc<Gateway>,
-    /// The lease, and when it was taken.
-    lease: Option<(u64, BootInstant)>,
+    lease: Option<EvidenceLease>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct EvidenceLease {
+    id: u64,
+    /// The era in which it was taken. Later ones do not know it, and may give
+    /// its id to another VM.
+    era: StoreEra,
+    taken_at: BootInstant,
 }
 
 impl Writer {
@@ -118,13 +127,15 @@
     /// Returns the lease for the next write, a new one if it is old.
     async fn lease(&mut self) -> Result<u64, StoreError> {
         let now = self.gateway.clock.now();
-        if let Some((lease, taken_at)) = self.lease
-            && now.saturating_duration_since(taken_at) < MAX_LEASE_AGE
+        let era = self.gateway.knowledge.as_of().era;
+        if let Some(lease) = self.lease
+            && lease.era == era
+            && now.saturating_duration_since(lease.taken_at) < MAX_LEASE_AGE
         {
-            return Ok(lease);
+            return Ok(lease.id);
         }
-        let lease = self.gateway.store.take_lease(EVIDENCE_TTL).await?;
-        self.lease = Some((lease, now));
-        Ok(lease)
+        let id = self.gateway.store.take_lease(EVIDENCE_TTL).await?;
+        self.lease = Some(EvidenceLease { id, era, taken_at: now });
+        Ok(id)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -159,6 +159,8 @@
     /// The open connections of callers.
     pub(crate) connections: InFlightCount,
     pub(crate) intake: IntakeControl,
+    /// The snapshots that are being fetched from other VMs.
+    pub(crate) snapshot_fetches: InFlightCount,
     /// Wakes the heartbeat loop, so that the next heartbeat is sent early.
     pub(crate) early_heartbeat: Wake,
     pub(crate) incarnation: Incarnation,
@@ -211,6 +213,7 @@
             metrics,
             in_flight: InFlightCount::default(),
             connections: InFlightCount::default(),
+            snapshot_fetches: InFlightCount::default(),
             intake: IntakeControl::new(ConnectionCapacity::new(
                 settings.memory,
                 settings.max_open_files,
@@ -394,11 +397,34 @@
     /// Updates the state of this VM by items of the store.
     pub(crate) fn apply_items(&self, applied: AppliedItems, by: LearnedBy) {
         self.record_unreadable(&applied.unreadable);
+        if applied.begins_era {
+            self.begin_store_era(applied.held);
+        }
         for update in applied.updates {
             self.apply_update(update, by);
         }
     }
 
+    /// Applies the updates of an older copy of the store that are due.
+    pub(crate) fn apply_due_updates(&self) {
+        let applied = self.knowledge.take_due(self.clock.now());
+        self.apply_items(applied, LearnedBy::Read);
+    }
+
+    /// Handles that the store has come back from an older copy: what this VM
+    /// wrote since is to be written again.
+    fn begin_store_era(&self, held: usize) {
+        // Records that the copy lacks may return.
+        self.record_store_failure();
+        self.rollouts.forget_stored();
+        let as_of = self.knowledge.as_of();
+        Event::StoreEraBegan.record(fields(json!({
+            "era": as_of.era,
+            "as_of": as_of.version.0,
+            "held": held,
+        })));
+    }
+
     /// Counts values that cannot be read, and logs the first few of them.
     fn record_unreadable(&self, unreadable: &[Unreadable]) {
         let count = u64::try_from(unreadable.len()).unwrap_or(u64::MAX);
@@ -509,6 +535,7 @@
                 self.pool.add_vm(&vm, &record.data_hall);
                 self.peers.set_record(&vm, &record);
             }
+            StoreUpdate::PeerUnrecorded(vm) => self.peers.remove_record(&vm),
             StoreUpdate::PeerGone(vm) => {
                 self.pool.remove_vm(&vm);
                 self.peers.remove_record(&vm);
--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -39,6 +39,7 @@
     loop {
         task::sleep(CHECK_INTERVAL).await;
         gateway.log_freshness();
+        gateway.apply_due_updates();
         gateway.peers.sweep(gateway.clock.now());
         for id in gateway.pool.sweep(gateway.clock.now()) {
             Event::UpstreamGone.record(fields(json!({
@@ -46,7 +47,7 @@
                 "sure": true,
             })));
         }
-        if !gateway.rollouts.any_running() {
+        if !gateway.rollouts.any_unrecorded() {
             continue;
         }
         let now = gateway.clock.now();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::{
-    chains::store::{Backoff, StoreError, StoreVersion},
+    chains::store::{Backoff, StoreError},
     clock::BootInstant,
     event::Event,
     gateway::{Gateway, fields},
@@ -204,17 +204,6 @@
     }
 }
 
-/// Logs that the store is at an earlier version than this VM's copy.
-fn log_if_behind(gateway: &Gateway, as_of: StoreVersion) {
-    let own = gateway.knowledge.as_of();
-    if as_of < own {
-        Event::StoreBehind.record(fields(json!({
-            "store_as_of": as_of.0,
-            "own_as_of": own.0,
-        })));
-    }
-}
-
 /// Returns the pause before the next watch.
 fn watch_pause(gateway: &Gateway) -> Duration {
     match gateway.peers.is_first_watcher(gateway.clock.now()) {
@@ -310,19 +299,33 @@
     asked_at: BootInstant,
 ) -> Result<(), StoreError> {
     let all = gateway.store.read_all(ALL_KEYS, consistency).await?;
-    log_if_behind(gateway, all.as_of);
+    let as_of = all.as_of;
     let digest = gateway.knowledge.digest();
-    // Other VMs do not wait for what a starting one reads first.
-    if gateway.knowledge.is_read() {
-        let changes = gateway.knowledge.changes_in(&all);
-        gossip::push_changes(gateway, digest, &changes);
+    let changes = gateway.knowledge.changes_in(&all);
+    let now = gateway.clock.now();
+    let own_as_of = gateway.knowledge.as_of();
+    let is_first = !gateway.knowledge.is_read();
+    let applied = gateway.knowledge.apply_snapshot(all, now);
+    if applied.is_outdated {
+        Event::StoreBehind.record(fields(json!({
+            "store_as_of": as_of.to_string(),
+            "own_as_of": own_as_of.to_string(),
+        })));
+        let why = "the store is behind this VM's copy".to_owned();
+        return Err(StoreError::NotApplied(why));
     }
-    let applied = gateway.knowledge.apply_snapshot(all);
+    let begins_era = applied.begins_era;
     gateway.apply_items(applied, LearnedBy::Read);
     if consistency == Consistency::Linearizable {
         gateway.knowledge.prove(asked_at);
         gateway.peers.record_poll(asked_at);
     }
+    match begins_era {
+        true => gossip::push_snapshot(gateway),
+        // Other VMs do not wait for what a starting one reads first.
+        false if is_first => {}
+        false => gossip::push_changes(gateway, digest, &changes),
+    }
     Ok(())
 }
 
@@ -340,8 +343,11 @@
         gossip::push_changes(gateway, digest, &changes);
     }
     let applied = gateway.knowledge.apply_changes(changes);
-    gateway.apply_items(applied, by);
-    gateway.knowledge.prove(asked_at);
+    // Another call has brought this VM into a new era meanwhile.
+    if !applied.is_outdated {
+        gateway.apply_items(applied, by);
+        gateway.knowledge.prove(asked_at);
+    }
 }
 
 #[cfg(test)]
--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -1,4 +1,5 @@
-//! What a VM learns from a store that has lost its history.
+//! What a VM learns from a store that has lost its history, or came back from
+//! an older copy.
 
 use std::{
     io::{BufRead, BufReader, Write},
@@ -11,9 +12,11 @@
 
 use super::*;
 use crate::{
+    chains::store::StoreVersion,
     clock::SystemClock,
     gateway::{settings::GatewaySettings, tests::MINIMAL_SETTINGS},
     id::UpstreamId,
+    store_sync::store_position::{StoreEra, StorePosition},
 };
 
 /// An upstream's record.
@@ -30,10 +33,10 @@
     json!({"key_file": key, "value": value, "revision": version})
 }
 
-/// Starts a store that answers each call by its path; returns the settings of
-/// a VM that uses it.
+/// Starts a store that answers each call by its path, and states its era if it
+/// has one; returns the settings of a VM that uses it.
 fn start_store(
-    answer: impl Fn(&str) -> (u16, Value) + Send + 'static,
+    answer: impl Fn(&str) -> (u16, Option<u64>, Value) + Send + 'static,
 ) -> GatewaySettings {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
@@ -47,12 +50,14 @@
             {
             }
             let path = request.split(' ').nth(1).unwrap_or("").to_owned();
-            let (status, body) = answer(&path);
+            let (status, era, body) = answer(&path);
             let body = body.to_string();
+            let era = era
+                .map_or(String::new(), |era| format!("Store-Era: {era}\r\n"));
             // Fails only if the VM has given up.
             let _ = write!(
                 &stream,
-                "HTTP/1.1 {status} x\r\ncontent-length: {}\r\n\
+                "HTTP/1.1 {status} x\r\ncontent-length: {}\r\n{era}\
                  connection: close\r\n\r\n{body}",
                 body.len()
             );
@@ -73,11 +78,11 @@
         let configuration = item("op/config", &configuration, 1);
         let upstream = item("servers/i-1", &upstream("draining"), 7);
         match path.split('?').next() {
-            Some("/lupinseam/kv-watch") => (410, json!({})),
-            Some("/lupinseam/kv-key") => (200, configuration),
+            Some("/lupinseam/kv-watch") => (410, None, json!({})),
+            Some("/lupinseam/kv-key") => (200, None, configuration),
             _ => {
                 let entries = [configuration, upstream];
-                (200, json!({"entries": entries, "timestamp": 9}))
+                (200, None, json!({"entries": entries, "timestamp": 9}))
             }
         }
     });
@@ -89,3 +94,61 @@
     let member = gateway.pool.member(&id).expect("the upstream is known");
     assert!(!member.takes_requests(now));
 }
+
+/// A store in a new era may answer a watch from a version of the old one as if
+/// nothing had been lost, once its versions have passed that one.
+#[test]
+fn a_watch_across_two_eras_of_the_store_reads_everything() {
+    let settings = start_store(|path| {
+        let era = Some(3);
+        match path.split('?').next() {
+            Some("/lupinseam/kv-watch") => {
+                (200, era, json!({"events": [], "timestamp": 40}))
+            }
+            _ => {
+                let entries = [item("servers/i-1", &upstream("ready"), 7)];
+                let page = json!({"entries": entries, "timestamp": 40});
+                (200, era, page)
+            }
+        }
+    });
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    let as_of = StorePosition { era: StoreEra(2), version: StoreVersion(30) };
+    let known = StoreItems { items: Vec::new(), as_of };
+    gateway.knowledge.apply_snapshot(known, gateway.clock.now());
+    task::block_on(revalidate(&gateway)).unwrap();
+    assert_eq!(gateway.knowledge.as_of().era, StoreEra(3));
+    assert!(gateway.knowledge.version_of("servers/i-1").is_some());
+}
+
+/// A delayed answer must not take a VM back, nor prove anything.
+#[test]
+fn an_answer_of_an_earlier_era_of_the_store_is_ignored() {
+    let settings = start_store(|path| {
+        let era = Some(1);
+        match path.split('?').next() {
+            Some("/lupinseam/kv-watch") => {
+                (200, era, json!({"events": [], "timestamp": 90}))
+            }
+            _ => (200, era, json!({"entries": [], "timestamp": 90})),
+        }
+    });
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    let as_of = StorePosition { era: StoreEra(2), version: StoreVersion(30) };
+    let known = StoreItems { items: Vec::new(), as_of };
+    gateway.knowledge.apply_snapshot(known, gateway.clock.now());
+    assert!(task::block_on(revalidate(&gateway)).is_err());
+    let now = gateway.clock.now();
+    let read = read_everything(&gateway, Consistency::Linearizable, now);
+    assert!(task::block_on(read).is_err());
+    assert_eq!(gateway.knowledge.as_of(), as_of);
+    assert_eq!(gateway.knowledge.proof_age(now), None);
+}
+
+#[test]
+fn an_era_is_a_whole_number() {
+    assert!("".parse::<StoreEra>().is_err());
+    assert!("-1".parse::<StoreEra>().is_err());
+    assert!("1.5".parse::<StoreEra>().is_err());
+    assert_eq!(" 7 ".parse::<StoreEra>().ok(), Some(StoreEra(7)));
+}
--- a/src/gateway/vm_registration.rs
+++ b/src/gateway/vm_registration.rs
@@ -19,7 +19,7 @@
         document,
         store::{ConditionalWrite, MAX_WRITES, WriteOutcome},
     },
-    store_sync::knowledge::PeerRecord,
+    store_sync::{knowledge::PeerRecord, store_position::StoreEra},
     task,
 };
 
@@ -83,6 +83,9 @@
 #[derive(Clone, Copy, Debug)]
 struct RecordLease {
     id: u64,
+    /// The era in which it was taken. Later ones do not know it, and may give
+    /// its id to another VM.
+    era: StoreEra,
     renewed_at: BootInstant,
 }
 
@@ -112,6 +115,8 @@
         &mut self,
         now: BootInstant,
     ) -> Result<(), StoreError> {
+        let era = self.gateway.knowledge.as_of().era;
+        self.lease = self.lease.filter(|lease| lease.era == era);
         let Some(lease) = self.lease else { return Ok(()) };
         if now.saturating_duration_since(lease.renewed_at)
             < LEASE_RENEWAL_INTERVAL
@@ -159,8 +164,9 @@
         let lease = match self.lease {
             Some(lease) => lease.id,
             None => {
+                let era = self.gateway.knowledge.as_of().era;
                 let id = store.take_lease(LEASE_TTL).await?;
-                self.lease = Some(RecordLease { id, renewed_at: now });
+                self.lease = Some(RecordLease { id, era, renewed_at: now });
                 id
             }
         };
--- a/src/message.rs
+++ b/src/message.rs
@@ -30,7 +30,7 @@
         slot_decision::RefusalReason,
         slot_request::{SlotRequest, Ticket},
     },
-    store_sync::knowledge::ChangedItem,
+    store_sync::{knowledge::ChangedItem, store_position::StorePosition},
     unit::{Mbps, MilliCores, RequestRate, Slowdown},
 };
 
@@ -282,8 +282,8 @@
     pub echo: Option<HeartbeatEcho>,
     /// Whether it is shutting down gracefully.
     pub leaving: bool,
-    /// The version of the platform's store that it has read completely.
-    pub as_of: u64,
+    /// The position of the platform's store that it has read completely.
+    pub as_of: StorePosition,
     /// A digest of everything that it has read from the store.
     pub digest: u64,
     /// The version of the configuration that it has in force.
@@ -374,8 +374,8 @@
     KnowledgeDelta {
         /// The digest of the sender's knowledge before the changes.
         digest_before: u64,
-        /// The version of the store that the changes lead up to.
-        as_of: u64,
+        /// The position of the store that the changes lead up to.
+        as_of: StorePosition,
         /// The changed entries.
         items: Vec<ChangedItem>,
     },
@@ -431,8 +431,8 @@
     Decision(Option<Box<Decision>>),
     /// Everything that the VM has read from the platform's store.
     Knowledge {
-        /// The version of the store that was read completely.
-        as_of: u64,
+        /// The position of the store that was read completely.
+        as_of: StorePosition,
         /// The entries, as [`crate::store_sync::knowledge_pack`] packs them.
         packed: Vec<u8>,
         /// The age of the proof that they are current, in milliseconds.
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -95,10 +95,20 @@
             return;
         };
         if rollout.order.target == status.target {
-            rollout.progress = Some(status.progress);
+            rollout.apply_status(status.progress);
         }
     }
 
+    /// Forgets what the store holds of the rollouts, so that all of it is
+    /// written again.
+    pub fn forget_stored(&self) {
+        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
+        for rollout in rollouts.values_mut() {
+            rollout.forget_recorded();
+        }
+        self.stored.lock().expect("stored evidence lock").clear();
+    }
+
     /// Removes a rollout whose order was deleted.
     pub fn remove(&self, service: &ServiceId) {
         let mut rollouts = self.rollouts.lock().expect("rollouts lock");
@@ -406,6 +416,13 @@
         Some((rollout.answers_by_version(), rollout.canary_ended))
     }
 
+    /// Whether any rollout is running, or has ended without the store holding
+    /// its outcome.
+    pub fn any_unrecorded(&self) -> bool {
+        let rollouts = self.rollouts.lock().expect("rollouts lock");
+        rollouts.values().any(|rollout| !rollout.is_recorded())
+    }
+
     /// Whether any rollout is running.
     pub fn any_running(&self) -> bool {
         let rollouts = self.rollouts.lock().expect("rollouts lock");
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -163,8 +163,12 @@
     learned_at: BootInstant,
     /// When the order was given: the earliest time that any VM has reported.
     started_at: BootInstant,
-    /// The progress written to the store; `None` if there is none yet.
+    /// The latest progress that any VM has written to the store; `None` if
+    /// there is none yet.
     pub(super) progress: Option<RolloutProgress>,
+    /// The progress that the store holds. It is behind `progress` if the store
+    /// came back from an older copy.
+    recorded: Option<RolloutProgress>,
     /// When this VM stopped the new version, by itself or because another VM
     /// did.
     stopped_at: Option<BootInstant>,
@@ -206,6 +210,7 @@
             learned_at: now,
             started_at: now,
             progress: None,
+            recorded: None,
             stopped_at: None,
             canary_ended: None,
             is_ramped_up: false,
@@ -227,6 +232,25 @@
         }
     }
 
+    /// Applies the status that the store holds. A rollout that has ended stays
+    /// ended.
+    pub(super) fn apply_status(&mut self, progress: RolloutProgress) {
+        self.recorded = Some(progress);
+        if self.is_running() || progress != RolloutProgress::Running {
+            self.progress = Some(progress);
+        }
+    }
+
+    /// Forgets what the store holds.
+    pub(super) fn forget_recorded(&mut self) {
+        self.recorded = None;
+    }
+
+    /// Whether the store holds the outcome.
+    pub(super) fn is_recorded(&self) -> bool {
+        !self.is_running() && self.recorded == self.progress
+    }
+
     pub(super) fn is_running(&self) -> bool {
         matches!(self.progress, None | Some(RolloutProgress::Running))
     }
@@ -647,7 +671,8 @@
         now: BootInstant,
     ) -> Option<RolloutProgress> {
         if !self.is_running() {
-            return None;
+            let is_due = is_steward && !self.is_recorded();
+            return self.progress.filter(|_| is_due);
         }
         if let Some(stopped_at) = self.stopped_at {
             let elapsed = now.saturating_duration_since(stopped_at);
@@ -660,6 +685,9 @@
             }
             _ if !is_steward => return None,
             None => return Some(RolloutProgress::Running),
+            Some(RolloutProgress::Running) if self.recorded.is_none() => {
+                return Some(RolloutProgress::Running);
+            }
             Some(RolloutProgress::Running) => {}
         }
         let elapsed = self.elapsed_part(now);
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -27,11 +27,16 @@
     metrics::Metrics,
     peer::{PeerService, RelayedUpstream},
     placing::cascade::calibration::ReportId,
-    platform::store::{StoreItem, StoreItems},
+    platform::{
+        document,
+        store::{StoreItem, StoreItems},
+    },
     rollouts::{evidence::HallEvidence, peer_evidence::Delivery},
     scheduling::slot_decision::SlotDecision,
     store_sync::{
-        knowledge::ChangedItem, knowledge_pack, learned_by::LearnedBy,
+        knowledge::{ChangedItem, MirroredItem},
+        knowledge_pack,
+        learned_by::LearnedBy,
         peers::Receiver,
     },
     task,
@@ -201,7 +206,7 @@
         number,
         echo: None,
         leaving: gateway.is_stopping(),
-        as_of: gateway.knowledge.as_of().0,
+        as_of: gateway.knowledge.as_of(),
         digest: gateway.knowledge.digest(),
         configuration_version: gateway
             .knowledge
@@ -308,13 +313,18 @@
         return;
     }
     gateway.peers.record_behind(now);
+    // No push brings this VM into a new era of the store.
+    let is_new_era = heartbeat.as_of.era > gateway.knowledge.as_of().era;
     let age = gateway.knowledge.proof_age(now);
-    if age.is_none_or(|age| age > FETCH_MIN_PROOF_AGE) {
+    let is_due = is_new_era || age.is_none_or(|age| age > FETCH_MIN_PROOF_AGE);
+    if is_due && gateway.snapshot_fetches.count() == 0 {
+        let fetching = gateway.snapshot_fetches.enter();
         let (gateway, from) = (gateway.clone(), heartbeat.peer_address);
         let work = async move {
             // If this fails, the next heartbeat shows again that this VM is
             // behind.
             let _ = fetch(&gateway, from).await;
+            drop(fetching);
         };
         task::spawn(work).detach();
     }
@@ -356,6 +366,17 @@
     }
     let own = gateway.settings.peer_address;
     let request = push_request(digest_before, changes, own);
+    send_to_receivers(gateway, &request);
+}
+
+/// Tells the other VMs to fetch this VM's snapshot, if this VM is a watcher.
+pub(crate) fn push_snapshot(gateway: &Arc<Gateway>) {
+    let from = gateway.settings.peer_address;
+    send_to_receivers(gateway, &PeerRequest::PullKnowledge { from });
+}
+
+/// Sends a request to the VMs to which this one pushes changes.
+fn send_to_receivers(gateway: &Arc<Gateway>, request: &PeerRequest) {
     for address in gateway.peers.change_receivers(gateway.clock.now()) {
         let request = request.clone();
         let gateway = gateway.clone();
@@ -386,7 +407,7 @@
     });
     PeerRequest::KnowledgeDelta {
         digest_before,
-        as_of: changes.as_of.0,
+        as_of: changes.as_of,
         items: items.collect(),
     }
 }
@@ -450,20 +471,29 @@
         return false;
     };
     gateway.merge_observations(&observations, Source::Snapshot);
-    if StoreVersion(as_of) <= gateway.knowledge.as_of() {
-        return true;
-    }
     let Some(items) = knowledge_pack::unpack(&packed) else {
         return false;
     };
+    if as_of <= gateway.knowledge.as_of() {
+        let is_configuration =
+            |item: &MirroredItem| item.key == document::CONFIGURATION_KEY;
+        if let Some(item) = items.into_iter().find(is_configuration) {
+            let applied = gateway.knowledge.apply_configuration(item.value);
+            gateway.apply_items(applied, LearnedBy::Snapshot);
+        }
+        return true;
+    }
     let items = items.into_iter().map(|item| StoreItem {
         key: item.key,
         value: Some(item.value),
         version: StoreVersion(item.version),
     });
-    let all =
-        StoreItems { items: items.collect(), as_of: StoreVersion(as_of) };
-    let applied = gateway.knowledge.apply_snapshot(all);
+    let all = StoreItems { items: items.collect(), as_of };
+    let now = gateway.clock.now();
+    let applied = gateway.knowledge.apply_snapshot(all, now);
+    if applied.is_outdated {
+        return true;
+    }
     gateway.apply_items(applied, LearnedBy::Snapshot);
     let age = Duration::from_millis(proof_age_ms.into());
     if let Some(proven_at) = asked_at.checked_sub(age) {
@@ -472,7 +502,7 @@
     }
     Event::KnowledgeFromPeer.record(fields(json!({
         "from": from.to_string(),
-        "as_of": as_of,
+        "as_of": as_of.to_string(),
         "proof_age_ms": proof_age_ms,
     })));
     true
@@ -491,7 +521,7 @@
                 };
                 let (as_of, packed) = self.knowledge.packed();
                 PeerReply::Knowledge {
-                    as_of: as_of.0,
+                    as_of,
                     packed: packed.to_vec(),
                     proof_age_ms: age.as_millis() as u32 + 1,
                     observations: self
@@ -505,7 +535,6 @@
                     value: item.value,
                     version: StoreVersion(item.version),
                 });
-                let as_of = StoreVersion(as_of);
                 let changes = StoreItems { items: items.collect(), as_of };
                 // If changes are missing, the next heartbeat shows it.
                 let applied =
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -1,15 +1,14 @@
 //! A VM's copy of the platform's store, and how recent it is.
 //!
-//! Every value has a version that only grows. Whether it arrived by a watch,
-//! by a full read after the store lost its history, or from another VM, an
-//! older version never replaces a newer one.
+//! Every value has a version that only grows within an era of the store.
+//! Whether it arrived by a watch, by a full read after the store lost its
+//! history, or from another VM, an older version never replaces a newer one.
 //!
 //! Keys may be revoked, so a VM accepts a key only while its copy is *proven*
 //! recent: by its own call to the store, counted from before the call was
 //! sent, or by another VM's proof, counted from before that VM was asked.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, RwLock},
     time::Duration,
@@ -23,18 +22,16 @@
     crashes::{observation::Crash, subject::Subject},
     id::{DataHallId, ServiceId, UpstreamId},
     placing::member::UpstreamEntry,
-    platform::{
-        document,
-        store::{StoreItem, StoreItems},
-    },
-    rendezvous,
+    platform::store::{StoreItem, StoreItems},
     rollouts::{
         rollout::{RolloutOrder, RolloutStatus},
         stored_evidence::StoredEvidence,
     },
     store_sync::{
         knowledge_pack,
+        mirror::Mirror,
         route::{RouteTable, TableVersion},
+        store_position::StorePosition,
     },
     unit::{Mbps, MilliCores},
 };
@@ -81,6 +78,9 @@
     Quarantined(Subject, Vec<Crash>),
     /// A router VM was added, or its record changed.
     Peer(String, PeerRecord),
+    /// The store came back without the record of a router VM, which is to be
+    /// written again.
+    PeerUnrecorded(String),
     /// The record of a router VM was removed.
     PeerGone(String),
 }
@@ -107,16 +107,6 @@
     pub version: u64,
 }
 
-/// The keys of the store with their values and versions.
-#[derive(Debug, Default)]
-struct Mirror {
-    /// Version of the store up to which every change is known.
-    as_of: StoreVersion,
-    /// Combined hash of all keys and their versions.
-    digest: u64,
-    items: BTreeMap<String, (Vec<u8>, StoreVersion)>,
-}
-
 /// A value that could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unreadable {
@@ -133,6 +123,13 @@
     pub updates: Vec<StoreUpdate>,
     /// Values that could not be decoded.
     pub unreadable: Vec<Unreadable>,
+    /// Whether the items were ignored since they belong to another era of the
+    /// store, or are older than this VM's copy.
+    pub is_outdated: bool,
+    /// Whether they are the first that this VM has of a new era.
+    pub begins_era: bool,
+    /// Updates that are held until their keys are written again.
+    pub held: usize,
 }
 
 /// This VM's copy of the platform's store.
@@ -185,15 +182,16 @@
         proven_at.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Returns the version of the store up to which every change is known.
-    pub fn as_of(&self) -> StoreVersion {
-        self.mirror.lock().expect("mirror lock").as_of
+    /// Returns the position of the store up to which every change is known.
+    pub fn as_of(&self) -> StorePosition {
+        self.mirror.lock().expect("mirror lock").as_of()
     }
 
-    /// Returns a digest of all keys and their versions. Two VMs with the same
-    /// digest have the same copy.
+    /// Returns a digest of the era and of all keys and their versions. Two VMs
+    /// with the same digest have the same copy, but for a configuration that
+    /// is newer than the store's.
     pub fn digest(&self) -> u64 {
-        self.mirror.lock().expect("mirror lock").digest
+        self.mirror.lock().expect("mirror lock").digest()
     }
 
     /// Returns whether no configuration is known yet.
@@ -204,30 +202,30 @@
     /// Returns whether the whole store has been read once, even if it was
     /// empty.
     pub fn is_read(&self) -> bool {
-        self.as_of() > StoreVersion::default()
+        self.as_of() > StorePosition::default()
     }
 
     /// Returns the version of a key, if it exists.
     pub fn version_of(&self, key: &str) -> Option<StoreVersion> {
         let mirror = self.mirror.lock().expect("mirror lock");
-        mirror.items.get(key).map(|(_, version)| *version)
+        mirror.get(key).map(|(_, version)| *version)
     }
 
     /// Returns whether a key exists with this value.
     pub fn contains(&self, key: &str, value: &[u8]) -> bool {
         let mirror = self.mirror.lock().expect("mirror lock");
-        mirror.items.get(key).is_some_and(|(current, _)| current == value)
+        mirror.get(key).is_some_and(|(current, _)| current == value)
     }
 
-    /// Returns a packed snapshot of all values for another VM, and the version
+    /// Returns a packed snapshot of all values for another VM, and the position
     /// of the store that it is complete up to.
     ///
     /// The snapshot is cached for all VMs that ask: deflating 300 KB takes a
     /// VM with half a core about 15 ms.
-    pub fn packed(&self) -> (StoreVersion, Arc<[u8]>) {
+    pub fn packed(&self) -> (StorePosition, Arc<[u8]>) {
         let mut packed = self.packed.lock().expect("packed lock");
         let mirror = self.mirror.lock().expect("mirror lock");
-        let (as_of, digest) = (mirror.as_of, mirror.digest);
+        let (as_of, digest) = (mirror.as_of(), mirror.digest());
         if let Some((current, bytes)) = &*packed
             && *current == digest
         {
@@ -240,7 +238,7 @@
         (as_of, bytes)
     }
 
-    /// Applies one item that was read from the store.
+    /// Applies one item that was read from the store before everything was.
     pub fn apply_item(&self, item: StoreItem) -> AppliedItems {
         let mut mirror = self.mirror.lock().expect("mirror lock");
         let mut applied = AppliedItems::default();
@@ -248,13 +246,29 @@
         applied
     }
 
+    /// Applies the configuration of another VM's copy if it is newer.
+    pub fn apply_configuration(&self, value: Vec<u8>) -> AppliedItems {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        let applied = mirror.apply_configuration(value);
+        // The snapshot for other VMs lacks it.
+        *self.packed.lock().expect("packed lock") = None;
+        applied
+    }
+
+    /// Returns the updates of an older copy of the store that were held and
+    /// are due.
+    pub fn take_due(&self, now: BootInstant) -> AppliedItems {
+        self.mirror.lock().expect("mirror lock").take_due(now)
+    }
+
     /// Returns whether any of these changes is new to this VM.
     pub fn has_new(&self, changes: &StoreItems) -> bool {
         let mirror = self.mirror.lock().expect("mirror lock");
-        changes.items.iter().any(|item| mirror.is_new(item))
+        changes.as_of.era == mirror.as_of().era
+            && changes.items.iter().any(|item| mirror.is_new(item))
     }
 
-    /// Returns what a snapshot would change.
+    /// Returns what a snapshot of the present era would change.
     pub fn changes_in(&self, all: &StoreItems) -> StoreItems {
         self.mirror.lock().expect("mirror lock").changes_in(all)
     }
@@ -276,9 +290,11 @@
         changes: StoreItems,
     ) -> AppliedItems {
         let mut mirror = self.mirror.lock().expect("mirror lock");
-        let as_of = match mirror.digest == digest_before {
-            true => changes.as_of,
-            false => mirror.as_of,
+        let is_complete = mirror.digest() == digest_before;
+        let is_same_era = changes.as_of.era == mirror.as_of().era;
+        let as_of = match is_same_era && !is_complete {
+            true => mirror.as_of(),
+            false => changes.as_of,
         };
         mirror.apply_changes(StoreItems { items: changes.items, as_of })
     }
@@ -286,107 +302,17 @@
     /// Applies a snapshot of the whole store, and removes the keys that it
     /// does not contain.
     ///
-    /// A snapshot that is older than this copy is ignored.
-    pub fn apply_snapshot(&self, all: StoreItems) -> AppliedItems {
+    /// A snapshot that is older than this copy is ignored. The first one of a
+    /// new era replaces this copy, but what this VM goes by remains in force
+    /// where the snapshot may be the older one.
+    pub fn apply_snapshot(
+        &self,
+        all: StoreItems,
+        now: BootInstant,
+    ) -> AppliedItems {
         let mut mirror = self.mirror.lock().expect("mirror lock");
-        let mut applied = AppliedItems::default();
-        if all.as_of < mirror.as_of {
-            return applied;
-        }
-        for item in mirror.changes_in(&all).items {
-            mirror.apply(item, &mut applied);
-        }
-        mirror.as_of = all.as_of;
-        applied
-    }
-}
-
-impl Mirror {
-    fn all(&self) -> Vec<MirroredItem> {
-        let items = self.items.iter();
-        let items = items.map(|(key, (value, version))| MirroredItem {
-            key: key.clone(),
-            value: value.clone(),
-            version: version.0,
-        });
-        items.collect()
+        mirror.apply_snapshot(all, now)
     }
-
-    /// Returns what a snapshot changes: the keys that it lacks, and the items
-    /// that are new.
-    fn changes_in(&self, all: &StoreItems) -> StoreItems {
-        let version = all.as_of;
-        let present: BTreeSet<&str> =
-            all.items.iter().map(|item| item.key.as_str()).collect();
-        let keys = self.items.keys();
-        let lacking = keys.filter(|key| !present.contains(key.as_str()));
-        let removed = lacking.map(|key| StoreItem {
-            key: key.clone(),
-            value: None,
-            version,
-        });
-        let written = all.items.iter().filter(|item| self.is_new(item));
-        let items = removed.chain(written.cloned()).collect();
-        StoreItems { items, as_of: all.as_of }
-    }
-
-    fn apply_changes(&mut self, changes: StoreItems) -> AppliedItems {
-        let mut applied = AppliedItems::default();
-        for item in changes.items {
-            self.apply(item, &mut applied);
-        }
-        self.as_of = self.as_of.max(changes.as_of);
-        applied
-    }
-
-    /// Returns whether an item changes this copy.
-    fn is_new(&self, item: &StoreItem) -> bool {
-        let current = self.items.get(&item.key);
-        match (&item.value, current) {
-            (_, Some((_, version))) => item.version > *version,
-            // Every change up to `as_of` is known, so an unknown key at or
-            // below that version has been removed since. A delayed message
-            // must not restore it.
-            (Some(_), None) => item.version > self.as_of,
-            (None, None) => false,
-        }
-    }
-
-    fn apply(&mut self, item: StoreItem, applied: &mut AppliedItems) {
-        if !self.is_new(&item) {
-            return;
-        }
-        if let Some((_, current)) = self.items.get(&item.key) {
-            self.digest ^= digest(&item.key, *current);
-        }
-        let Some(value) = item.value else {
-            if self.items.remove(&item.key).is_some() {
-                applied.updates.extend(document::removal_update(&item.key));
-            }
-            return;
-        };
-        self.digest ^= digest(&item.key, item.version);
-        let current = match document::decode_update(&item.key, &value) {
-            Ok(update) => {
-                applied.updates.extend(update);
-                value
-            }
-            Err(error) => {
-                applied.updates.extend(document::unreadable_update(&item.key));
-                applied.unreadable.push(Unreadable {
-                    key: item.key.clone(),
-                    reason: error.to_string(),
-                });
-                // Other VMs cannot decode it either, and it may be large.
-                Vec::new()
-            }
-        };
-        self.items.insert(item.key, (current, item.version));
-    }
-}
-
-fn digest(key: &str, version: StoreVersion) -> u64 {
-    rendezvous::mix(rendezvous::short_hash(key.as_bytes()).into(), version.0)
 }
 
 #[cfg(test)]
--- a/src/store_sync/mod.rs
+++ b/src/store_sync/mod.rs
@@ -2,7 +2,10 @@
 //!
 //! A few VMs watch the store and push its changes to the others.
 //!
-//! * [`knowledge`]: this VM's copy of the store, and how recent it is.
+//! * [`knowledge`]: this VM's copy of the store, and how recent it is;
+//!   [`mirror`]: its keys and values.
+//! * [`store_position`]: how far the store has been read; [`older_copy`] and
+//!   [`held_updates`]: what a store that came back from an older copy says.
 //! * [`learned_by`]: how a change has reached this VM.
 //! * [`knowledge_pack`]: a packed snapshot of the copy, for VMs that start.
 //! * [`peers`]: the other VMs, and which of them watch the store.
@@ -14,8 +17,12 @@
 pub mod engine;
 pub(crate) mod freshness;
 pub(crate) mod gossip;
+mod held_updates;
 pub mod knowledge;
 pub(crate) mod knowledge_pack;
 pub(crate) mod learned_by;
+mod mirror;
+mod older_copy;
 pub(crate) mod peers;
 pub mod route;
+pub mod store_position;
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -741,16 +741,18 @@
             proven_at,
         });
         drop(known);
+        let own_as_of = knowledge.as_of();
         if let Some(proven_at) = proven_at
+            && heartbeat.as_of.era >= own_as_of.era
             && knowledge.table_version()
                 == Some(TableVersion(heartbeat.configuration_version))
         {
             knowledge.prove(proven_at);
         }
         let table = knowledge.table_version().unwrap_or_default();
-        heartbeat.digest != knowledge.digest()
-            && (heartbeat.as_of > knowledge.as_of().0
-                || heartbeat.configuration_version > table.0)
+        let is_ahead = heartbeat.digest != knowledge.digest()
+            && heartbeat.as_of > own_as_of;
+        is_ahead || heartbeat.configuration_version > table.0
     }
 
     /// Returns when the sender's configuration was proven current, by this
--- a/src/store_sync/peers/tests.rs
+++ b/src/store_sync/peers/tests.rs
@@ -8,6 +8,7 @@
     clock::SystemClock,
     gateway::{Gateway, tests::MINIMAL_SETTINGS},
     message::InFlightWork,
+    store_sync::store_position::StorePosition,
 };
 
 fn gateway() -> Arc<Gateway> {
@@ -32,7 +33,7 @@
         number,
         echo: None,
         leaving: false,
-        as_of: 0,
+        as_of: StorePosition::default(),
         digest: 0,
         configuration_version: 0,
         proof_age_ms: None,
--- a/tests/wire_names.rs
+++ b/tests/wire_names.rs
@@ -21,6 +21,7 @@
     "lupinseam-not-executed",
     "server-leaving",
     "server-limit",
+    "store-era",
     "lupinseam-model\"",
     "lupinseam-token-count",
     "lupinseam-request-priority",
