--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -16,6 +16,7 @@
     clock::SystemClock,
     gateway::{settings::GatewaySettings, tests::MINIMAL_SETTINGS},
     id::UpstreamId,
+    platform::store::StoreItem,
     store_sync::store_position::{StoreEra, StorePosition},
 };
 
@@ -145,6 +146,36 @@
     assert_eq!(gateway.knowledge.proof_age(now), None);
 }
 
+/// A watcher whose long poll hangs must give way to one that the store
+/// answers, before the proofs of the others expire.
+#[test]
+fn a_watcher_whose_proof_is_not_renewed_gives_way() {
+    let settings = start_store(|_| (503, None, json!({})));
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    let configuration = json!({
+        "version": 1, "routes": [], "services": [], "limits": {},
+    });
+    let known = StoreItems {
+        items: vec![StoreItem {
+            key: "op/config".to_owned(),
+            value: Some(configuration.to_string().into_bytes()),
+            version: StoreVersion(1),
+        }],
+        as_of: StorePosition { era: StoreEra(0), version: StoreVersion(1) },
+    };
+    let now = gateway.clock.now();
+    gateway.knowledge.apply_snapshot(known, now);
+    let limit = gateway.settings.key_revocation_limit;
+    gateway.knowledge.prove(now.checked_sub(limit).unwrap());
+    assert!(gateway.peers.can_watch(now));
+    task::spawn(revalidate_loop(gateway.clone())).detach();
+    let deadline = std::time::Instant::now() + Duration::from_secs(10);
+    while gateway.peers.can_watch(gateway.clock.now()) {
+        assert!(std::time::Instant::now() < deadline, "it still watches");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 #[test]
 fn an_era_is_a_whole_number() {
     assert!("".parse::<StoreEra>().is_err());
--- a/src/store_sync/peers/tests.rs
+++ b/src/store_sync/peers/tests.rs
@@ -134,6 +134,30 @@
     assert!(!after.contains(first));
 }
 
+/// Where the store is silent towards all watchers, the first VM of a hall is
+/// the next to learn of a change, since it polls more often than the rest.
+#[test]
+fn the_first_vm_of_a_hall_tells_others_what_it_learns() {
+    let gateway = gateway();
+    let now = gateway.clock.now() + STARTUP_TIME;
+    for vm in 1..=9 {
+        let hall = ["hall-b", "hall-c", "hall-d"][vm % 3];
+        let mut heartbeat = heartbeat(vm, hall, 1, 1);
+        heartbeat.link_mbps = Mbps(1_000);
+        gateway.peers.merge_heartbeat(&heartbeat, &gateway.knowledge, now);
+    }
+    let peers = &gateway.peers;
+    assert!(!peers.find_watchers(now).iter().any(|vm| vm == peers.vm()));
+    assert!(peers.is_first_of_hall(now));
+    assert_eq!(peers.change_receivers(now).len(), 9);
+    // A VM that ranks before it in its hall leaves it nothing to do.
+    let mut before = heartbeat(10, "hall-a", 1, 1);
+    before.link_mbps = Mbps(1_000);
+    peers.merge_heartbeat(&before, &gateway.knowledge, now);
+    assert!(!peers.is_first_of_hall(now));
+    assert!(peers.change_receivers(now).is_empty());
+}
+
 /// In a fleet of hundreds, the heartbeats of another hall arrive only every
 /// two minutes, so no VM can choose watchers for the whole fleet.
 #[test]
