Replace watchers that the store no longer answers

A watcher that the store stopped answering found out only when its long poll timed out, although its renewals of the proof failed before: it counted as a watcher meanwhile, and no other VM watched. A failed renewal now ends its role too.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -238,6 +238,7 @@
 /// watch without a wait renews it in the meantime.
 pub(crate) async fn revalidate_loop(gateway: Arc<Gateway>) {
     let mut backoff = Backoff::new(MIN_REVALIDATE_WAIT, MAX_REVALIDATE_WAIT);
+    let mut failed_at = None;
     loop {
         let now = gateway.clock.now();
         let base = match gateway.peers.is_first_of_hall(now) {
@@ -252,13 +253,25 @@
             None => task::sleep(max_age).await,
             Some(age) if age < max_age => task::sleep(max_age - age).await,
             // The store follower already checks whether the store is back.
-            Some(_) if !gateway.peers.can_watch(now) => {
+            Some(_)
+                if !gateway.peers.can_watch(now)
+                    && gateway.peers.store_failed_at() != failed_at =>
+            {
                 task::sleep(ROLE_CHECK_INTERVAL).await;
             }
-            Some(_) if revalidate(&gateway).await.is_ok() => backoff.reset(),
+            Some(_) if revalidate(&gateway).await.is_ok() => {
+                backoff.reset();
+                if failed_at.take().is_some() {
+                    gateway.peers.set_store_failure(None);
+                }
+            }
             Some(_) => {
                 // The watch logs that the store is lost.
                 gateway.record_store_failure();
+                // A watch that hangs fails only when it times out. Until then
+                // another VM must watch in place of this one.
+                failed_at = Some(gateway.clock.now());
+                gateway.peers.set_store_failure(failed_at);
                 wait_to_retry(&gateway, &mut backoff).await;
             }
         }
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -489,10 +489,15 @@
         *self.store_failed_at.lock().expect("watch lock") = store_failed_at;
     }
 
+    /// Returns when the store last failed to answer this VM, unless it has
+    /// answered since.
+    pub(crate) fn store_failed_at(&self) -> Option<BootInstant> {
+        *self.store_failed_at.lock().expect("watch lock")
+    }
+
     /// Returns whether the store answers this VM, as far as this VM knows.
     pub(crate) fn can_watch(&self, now: BootInstant) -> bool {
-        let at = *self.store_failed_at.lock().expect("watch lock");
-        at.is_none_or(|at| {
+        self.store_failed_at().is_none_or(|at| {
             now.saturating_duration_since(at) > WATCH_RETRY_PAUSE
         })
     }
