Let the first VM of a hall tell others what it finds by polling

Only watchers pushed. Where the store is silent towards all of them, the first VM of a hall learns of a change first, as it polls most often, and kept it to itself: the others waited for their own polls.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -304,8 +304,8 @@
     }
 }
 
-/// Reads the whole store and applies it; tells the other VMs what is new if
-/// this VM is a watcher.
+/// Reads the whole store and applies it; tells the receivers of this VM's
+/// changes what is new.
 async fn read_everything(
     gateway: &Arc<Gateway>,
     consistency: Consistency,
@@ -343,7 +343,7 @@
 }
 
 /// Applies all changes since the last ones; the state is then current as of
-/// `asked_at`. Tells the other VMs of them if this VM is a watcher, unless the
+/// `asked_at`. Tells the receivers of this VM's changes of them, unless the
 /// first watcher has done so already.
 fn apply_changes(
     gateway: &Arc<Gateway>,
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -353,7 +353,7 @@
     }
 }
 
-/// Pushes changes to the other VMs, if this VM is a watcher.
+/// Pushes changes to the VMs that receive them from this one.
 ///
 /// `digest_before` is the digest of this VM's copy before the changes.
 pub(crate) fn push_changes(
@@ -369,7 +369,7 @@
     send_to_receivers(gateway, &request);
 }
 
-/// Tells the other VMs to fetch this VM's snapshot, if this VM is a watcher.
+/// Tells the VMs that receive this one's changes to fetch its snapshot.
 pub(crate) fn push_snapshot(gateway: &Arc<Gateway>) {
     let from = gateway.settings.peer_address;
     send_to_receivers(gateway, &PeerRequest::PullKnowledge { from });
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -690,13 +690,16 @@
     }
 
     /// Returns the addresses to which this VM pushes changes; empty unless it
-    /// is a watcher. They include the other watchers, which take over if it is
-    /// lost and until then poll less often.
+    /// is a watcher or the first of its data hall, which polls most often and
+    /// so learns first where the watchers are cut off. They include the other
+    /// watchers, which take over if it is lost and until then poll less often.
     pub(crate) fn change_receivers(
         &self,
         now: BootInstant,
     ) -> Vec<SocketAddr> {
-        if !self.watchers(now).contains(&self.vm) {
+        let pushes = self.watchers(now).contains(&self.vm)
+            || self.is_first_of_hall(now);
+        if !pushes {
             return Vec::new();
         }
         let known = self.known.lock().expect("peers lock");
