--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -62,6 +62,9 @@
 #[derive(Default)]
 struct Content {
     items: BTreeMap<String, Item>,
+    /// What operators and upstreams have written last under each key; `None`
+    /// if they removed it.
+    written: BTreeMap<String, Option<String>>,
     /// Key, document (`None` when deleted) and version of each change.
     events: Vec<(String, Option<String>, u64)>,
     version: u64,
@@ -120,14 +123,14 @@
     /// Writes a document, as an operator or an upstream would.
     pub fn put(&self, key: &str, document: &Value) {
         let mut content = self.content.0.lock().unwrap();
-        content.write(key, Some(document.to_string()), false);
+        content.write_outside(key, Some(document.to_string()));
         self.content.1.notify_all();
     }
 
     /// Removes a document.
     pub fn remove(&self, key: &str) {
         let mut content = self.content.0.lock().unwrap();
-        content.write(key, None, false);
+        content.write_outside(key, None);
         self.content.1.notify_all();
     }
 
@@ -163,6 +166,24 @@
         self.content.1.notify_all();
     }
 
+    /// Has operators and upstreams write again what the store has lost.
+    pub fn write_again(&self) {
+        let mut content = self.content.0.lock().unwrap();
+        let lost: Vec<(String, Option<String>)> = content
+            .written
+            .iter()
+            .filter(|(key, text)| {
+                let kept = content.items.get(*key).map(|item| &item.text);
+                kept != text.as_ref()
+            })
+            .map(|(key, text)| (key.clone(), text.clone()))
+            .collect();
+        for (key, text) in lost {
+            content.write(&key, text, false);
+        }
+        self.content.1.notify_all();
+    }
+
     /// Sets how the store responds to calls, at all its addresses.
     pub fn set_mode(&self, mode: StoreMode) {
         self.content.0.lock().unwrap().mode = mode;
@@ -340,6 +361,12 @@
 }
 
 impl Content {
+    /// Writes on behalf of an operator or an upstream.
+    fn write_outside(&mut self, key: &str, text: Option<String>) {
+        self.written.insert(key.to_owned(), text.clone());
+        self.write(key, text, false);
+    }
+
     /// Stores a document, or deletes it when `text` is `None`, under a new
     /// version.
     fn write(&mut self, key: &str, text: Option<String>, is_leased: bool) {
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -20,6 +20,7 @@
     crashing::crashing_segment,
     evidence::{Call, Kind},
     load::{self, Load},
+    preferences::PREFERRED_SHARE,
     upstreams::{EVENTS, event, plain_body},
 };
 use crate::gateway_site::{HttpReply, KEY};
@@ -62,6 +63,8 @@
     pub last_route: AtomicU64,
     /// Calls, in the order in which they ended.
     pub calls: Mutex<Vec<Call>>,
+    /// The VM that gets most new connections, if the load balancer prefers one.
+    pub preferred: Mutex<Option<usize>>,
     load: Load,
     started_at: Instant,
     next_id: AtomicU64,
@@ -80,6 +83,7 @@
             keys: Mutex::default(),
             last_route: AtomicU64::new(0),
             calls: Mutex::default(),
+            preferred: Mutex::default(),
             load,
             started_at,
             next_id: AtomicU64::new(1),
@@ -138,7 +142,8 @@
             };
             // Most requests reuse an open connection, even if the load
             // balancer sends no new connections to its VM.
-            let reuses = rng.random::<f64>() < 0.7;
+            let is_preferring = self.preferred.lock().unwrap().is_some();
+            let reuses = !is_preferring && rng.random::<f64>() < 0.7;
             let used: Vec<usize> = connections.keys().copied().collect();
             let vm = match used.choose(&mut rng).filter(|_| reuses) {
                 Some(vm) => *vm,
@@ -191,6 +196,12 @@
             let endpoint = &self.endpoints[*vm];
             endpoint.is_ready.load(Ordering::Relaxed)
         };
+        let preferred = *self.preferred.lock().unwrap();
+        if let Some(vm) = preferred.filter(is_ready)
+            && rng.random::<f64>() < PREFERRED_SHARE
+        {
+            return vm;
+        }
         let open: Vec<usize> =
             (0..self.endpoints.len()).filter(is_ready).collect();
         let any = rng.random_range(0..self.endpoints.len());
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -9,7 +9,7 @@
 use super::{
     crashing,
     evidence::{Call, Change, Evidence, Kind, Order, Run, Scope},
-    load, rate_limits, signals,
+    load, preferences, rate_limits, signals,
     upstreams::UNREADABLE,
 };
 use crate::gateway_site::KEY;
@@ -109,6 +109,8 @@
     /// While one or two VMs coordinate, no upstream gets more than both may
     /// grant.
     Overfill,
+    /// A VM that the load balancer prefers serves its callers like the others.
+    Preferred,
     /// A graceful shutdown cuts off no request.
     PlannedStop,
     /// Requests are served again once all faults have ended.
@@ -154,6 +156,7 @@
         load::rejections_come_early,
         load::no_organisation_is_starved,
         load::upstreams_are_not_overfilled,
+        preferences::preferred_vms_serve_their_callers,
         shutdowns_cut_off_no_request,
         site_recovers,
     ];
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -9,6 +9,7 @@
 use super::{
     crashing,
     load::Overfill,
+    preferences::Preference,
     rate_limits::{RateLimitPeriod, RateLimitSignal},
     signals::UpstreamSignal,
 };
@@ -198,6 +199,8 @@
     pub changes: Vec<(Duration, Change)>,
     /// Periods of trouble.
     pub troubles: Vec<Trouble>,
+    /// Periods in which the load balancer preferred a VM.
+    pub preferences: Vec<Preference>,
     /// The number of calls made after all faults had ended, and of those the
     /// number that got status 200.
     pub recovery: (usize, usize),
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -30,6 +30,9 @@
     StoreRefuses(usize),
     /// The store is put into this mode for all VMs.
     Store(StoreMode),
+    /// The store is away, and comes back from an older copy of itself. Not
+    /// drawn with the other faults.
+    OlderCopy,
     /// The proxy before an upstream is put into this mode.
     UpstreamWay(usize, Mode),
     /// An upstream treats requests as this behaviour says.
@@ -96,7 +99,7 @@
             Fault::StoreWay(vm, _) | Fault::StoreRefuses(vm) => {
                 Target::StoreWay(vm)
             }
-            Fault::Store(_) => Target::Store,
+            Fault::Store(_) | Fault::OlderCopy => Target::Store,
             Fault::UpstreamWay(at, _) => Target::UpstreamWay(at),
             Fault::Upstream(at, _) => Target::Upstream(at),
             Fault::RollOut { .. } => Target::Operator,
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -258,6 +258,10 @@
             }
             Fault::StoreRefuses(vm) => self.site.vms[vm].store.reject(false),
             Fault::Store(_) => self.site.store.set_mode(StoreMode::Normal),
+            Fault::OlderCopy => {
+                self.restore_older_copy();
+                self.site.store.set_mode(StoreMode::Normal);
+            }
             Fault::UpstreamWay(..) | Fault::Upstream(..) => {
                 self.reset_upstreams();
             }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -8,6 +8,8 @@
 //! * [`crashing`]: requests that crash upstreams, and their quarantine.
 //! * [`signals`]: backoff and leaving signals, and whether VMs respect them.
 //! * [`rate_limits`]: rate limits, and whether VMs respect them.
+//! * [`older_copies`]: returns of the store from an older copy of itself.
+//! * [`preferences`]: a load balancer that prefers one VM.
 //! * [`load`]: load that exceeds the slots, and how it is shared.
 //! * [`evidence`]: what a run records.
 //! * [`check`]: the promises, checked against the evidence.
@@ -28,6 +30,8 @@
 pub mod evidence;
 pub mod faults;
 pub mod load;
+pub mod older_copies;
+pub mod preferences;
 pub mod rate_limits;
 pub mod signals;
 pub mod upstreams;
@@ -125,6 +129,10 @@
     pub limits_named: usize,
     /// The most requests beyond a rate limit that arrived at one upstream.
     pub sent_past_limit: usize,
+    /// Number of times that the store came back from an older copy.
+    pub older_copies: usize,
+    /// Number of periods in which the load balancer preferred a VM.
+    pub preferences: usize,
     /// The load of the plain upstreams.
     pub load: Load,
     /// Number of calls with status 429 or 503.
@@ -154,6 +162,8 @@
             "sent_after_leaving": self.ignored_signals.sent_after_leaving,
             "limits_named": self.limits_named,
             "sent_past_limit": self.sent_past_limit,
+            "older_copies": self.older_copies,
+            "preferences": self.preferences,
             "slots": self.load.slots,
             "uneven": self.load.is_uneven,
             "overloading": self.load.has_overload,
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -19,6 +19,8 @@
     evidence::{Change, Evidence, Kind, Scope},
     faults::{Fault, Target},
     load::{self, CoordinationChange, Load},
+    older_copies::OlderCopies,
+    preferences::Preferences,
     rate_limits::{self, RateLimitPeriod, Schedule},
     signals,
     upstreams::{Runs, SERVICES, UNREADABLE, Worker},
@@ -81,6 +83,10 @@
     RecordLeaving(String),
     /// Ends the rate limit of an upstream.
     EndRateLimit(String),
+    /// Has the operator and the upstreams write again what the store has lost.
+    WriteAgain,
+    /// Ends the preference of the load balancer for a VM.
+    EndPreference,
     /// Removes the rollout order of this version unless a later order replaced
     /// it.
     RemoveRolloutOrder(String),
@@ -115,6 +121,8 @@
     pub(super) evidence: Evidence,
     pub(super) faults: Vec<(Duration, Fault)>,
     limits: Schedule,
+    pub(super) older_copies: OlderCopies,
+    pub(super) preferences: Preferences,
     pub(super) load: Load,
     pub(super) next_worker: usize,
     /// The version of the configuration in the store.
@@ -184,6 +192,8 @@
             evidence: Evidence::default(),
             faults: Vec::new(),
             limits: Schedule::new(seed),
+            older_copies: OlderCopies::new(seed),
+            preferences: Preferences::new(seed),
             load,
             next_worker: 1,
             configuration_version: 1,
@@ -268,6 +278,8 @@
                 self.inject(now);
             }
             self.start_rate_limits(now);
+            self.run_older_copies(now);
+            self.run_preferences(now);
         }
         self.end_all_faults();
     }
@@ -347,6 +359,8 @@
                 }
             }
             Action::EndRateLimit(id) => self.end_rate_limit(&id),
+            Action::WriteAgain => self.site.store.write_again(),
+            Action::EndPreference => self.end_preference(),
             Action::RemoveRolloutOrder(software) => {
                 let key = format!("op/rollout/{MODELS}");
                 let order = self.site.store.get(&key).unwrap_or_default();
@@ -454,6 +468,7 @@
         for fault in &active {
             self.end(fault);
         }
+        self.end_preference();
         for worker in self.workers.iter().chain(&self.leaving) {
             worker.set_mode(Mode::Pass);
         }
@@ -516,6 +531,12 @@
             most_ended_by_one,
             limits_named: self.evidence.rate_limits.len(),
             sent_past_limit: rate_limits::sent_past_limit(&self.evidence),
+            older_copies: self
+                .faults
+                .iter()
+                .filter(|(_, fault)| *fault == Fault::OlderCopy)
+                .count(),
+            preferences: self.evidence.preferences.len(),
             load: self.load,
             rejected: calls
                 .iter()
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -11,6 +11,8 @@
         crashing,
         evidence::{Call, Change, Evidence, Kind, Order, Run, Scope, Trouble},
         load::{self, Load, Overfill},
+        older_copies::has_returns,
+        preferences::{Preference, has_preferences},
         rate_limits::{RateLimitPeriod, RateLimitSignal, sent_past_limit},
         signals::{UpstreamSignal, summary},
         upstreams::UNREADABLE,
@@ -20,9 +22,11 @@
 /// Seeds that are always run. Each seed that ever failed is added, with its
 /// cause.
 ///
+/// * 33: the store comes back from older copies, and the load balancer prefers
+///   one VM.
 /// * 30201: an upstream leaves in the first second of a site, while each VM
 ///   expects the others to follow the store.
-const SEEDS: [u64; 3] = [1, 2, 30201];
+const SEEDS: [u64; 4] = [1, 2, 33, 30201];
 
 /// Time for which faults are injected with each seed, in seconds.
 const SECONDS: u64 = 8;
@@ -694,6 +698,39 @@
     assert!(load.is_uneven);
 }
 
+/// Guards against seeds that no longer find what they found.
+#[test]
+fn only_some_seeds_have_older_copies_and_preferences() {
+    for seed in [1, 2, 4, 6320, 30201, 97019] {
+        assert!(!has_returns(seed) && !has_preferences(seed), "{seed}");
+    }
+    assert!(has_returns(33) && has_preferences(33));
+}
+
+#[test]
+fn a_preferred_vm_that_serves_few_of_its_callers_is_found() {
+    let with = |served: usize, is_disturbed: bool| {
+        broken_by(|e| {
+            let (from, to) = (seconds(20.0), seconds(26.0));
+            e.preferences.push(Preference { vm: 1, from, to });
+            if is_disturbed {
+                e.troubles.push(trouble(Scope::Vm(1), 24.0, 25.0));
+            }
+            for number in 0..40 {
+                let id = format!("own-{number}");
+                let status = if number < served { 200 } else { 502 };
+                let own = call(&id, Kind::Read, 24.0);
+                e.calls.push(Call { vm: 1, status, ..own });
+                let id = format!("other-{number}");
+                e.calls.push(call(&id, Kind::Read, 24.0));
+            }
+        })
+    };
+    assert_eq!(with(29, false), [Promise::Preferred]);
+    assert_eq!(with(30, false), []);
+    assert_eq!(with(0, true), []);
+}
+
 /// Guards against a restarted VM that sends a request which the other VMs have
 /// quarantined.
 #[test]
