--- a/src/gateway/limit_replay.rs
+++ b/src/gateway/limit_replay.rs
@@ -2,8 +2,8 @@
 //! one upstream, those of a data hall, or all of a service. The VMs gossip as
 //! real ones do.
 //!
-//! Requests of 40 ms arrive evenly at all VMs. Each response carries the rate
-//! limit of the upstream at that moment.
+//! Requests of 40 ms arrive evenly at all VMs, or most of them at one. Each
+//! response carries the rate limit of the upstream at that moment.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -57,6 +57,9 @@
 const SAMPLE_MS: u64 = 250;
 const MIN_RECOVERED_FRACTION: f64 = 0.6;
 
+/// The VM that a load balancer prefers.
+const PREFERRED_VM: usize = 1;
+
 /// Fraction of a limit that has to be used.
 const MIN_USED_FRACTION: f64 = 0.8;
 
@@ -76,6 +79,9 @@
     limited: Limited,
     per_s: f64,
     disruption: Option<Disruption>,
+    /// The part of the requests that arrives at one VM, beside its part of the
+    /// others.
+    preferred_share: f64,
 }
 
 /// A disruption while the limits are in force.
@@ -249,10 +255,13 @@
         }
     }
 
-    /// Sends one request through a random VM.
+    /// Sends one request through a random VM, or the preferred one.
     fn send_request(&mut self) {
         self.requests += 1;
-        let at = self.rng.random_range(0..self.fleet.vms.len());
+        let at = match self.rng.random_bool(self.case.preferred_share) {
+            true => PREFERRED_VM,
+            false => self.rng.random_range(0..self.fleet.vms.len()),
+        };
         let vm = self.fleet.vms[at].clone();
         let service = "writers".parse().unwrap();
         let now = self.fleet.clock.now();
@@ -384,6 +393,7 @@
     limited: Limited::One,
     per_s: 1.1,
     disruption: None,
+    preferred_share: 0.0,
 };
 
 const MEDIUM: Case = Case { vms_per_hall: 21, upstreams: 40, ..SMALL };
@@ -421,6 +431,19 @@
     }
 }
 
+/// A VM that gets most of the requests must not be left with its own share of
+/// the limits.
+#[test]
+fn limits_are_used_where_most_requests_arrive_at_one_vm() {
+    for fleet in [SMALL, MEDIUM, LARGE] {
+        for per_s in [5.0, 20.0] {
+            let limited = Limited::All;
+            let preferred_share = 0.9;
+            check_limits(Case { limited, per_s, preferred_share, ..fleet });
+        }
+    }
+}
+
 #[test]
 #[ignore = "takes minutes; prints the table of the design page"]
 fn every_fleet_keeps_to_every_limit() {
