--- a/src/api/vm.rs
+++ b/src/api/vm.rs
@@ -461,6 +461,9 @@
             | PeerRequest::CancelSlot { .. } => {
                 refusal("this VM does not coordinate slots")
             }
+            PeerRequest::BorrowPermit { .. } => {
+                refusal("this VM lends no permits")
+            }
             PeerRequest::ConnectUpstream { .. } => {
                 refusal("not the first request of a connection")
             }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -176,6 +176,20 @@
     _session: Option<SessionGuard>,
 }
 
+/// Why no attempt begins.
+pub(crate) enum NoAttempt {
+    /// The request may not be sent.
+    Rejected(Error),
+    /// No upstream may take it from this VM.
+    NoUpstream(PickError),
+}
+
+impl From<Error> for NoAttempt {
+    fn from(error: Error) -> NoAttempt {
+        NoAttempt::Rejected(error)
+    }
+}
+
 /// Marks a session as in use until its attempt ends.
 struct SessionGuard {
     gateway: Arc<Gateway>,
@@ -257,10 +271,7 @@
             }
             let began = match granted {
                 Some(granted) => self.begin_granted(granted, &mut trace),
-                None => {
-                    let now = self.gateway.clock.now();
-                    self.begin_attempt(&mut trace, now)
-                }
+                None => self.begin_own_or_permitted(&mut trace).await,
             };
             let attempt = match began {
                 Ok(attempt) => attempt,
@@ -368,19 +379,34 @@
         self.gateway.pool.service_load(&self.service, &criteria, now)
     }
 
-    /// Chooses an upstream and begins an attempt at it.
+    /// Chooses an upstream that this VM may send a request to, and begins an
+    /// attempt at it.
     pub(crate) fn begin_attempt(
         &mut self,
         trace: &mut Trace,
         now: BootInstant,
     ) -> Result<Attempt, Error> {
+        let began = self.try_begin_attempt(trace, now);
+        began.map_err(|reason| match reason {
+            NoAttempt::Rejected(error) => error,
+            NoAttempt::NoUpstream(error) => self.pick_error(error),
+        })
+    }
+
+    /// Does the same, but tells a rejected request from one that no upstream
+    /// may take.
+    pub(crate) fn try_begin_attempt(
+        &mut self,
+        trace: &mut Trace,
+        now: BootInstant,
+    ) -> Result<Attempt, NoAttempt> {
         self.check_not_quarantined()?;
         self.check_fits_engine()?;
         let version = self.version_choice(now);
         let criteria = self.pick_criteria(&version, &self.tried);
         self.check_share(&criteria, trace, now)?;
         let picked = self.gateway.pool.pick(&self.service, &criteria, now);
-        let member = picked.map_err(|error| self.pick_error(error))?;
+        let member = picked.map_err(NoAttempt::NoUpstream)?;
         Ok(self.begin_attempt_at(member, &version, None, trace, now))
     }
 
@@ -474,7 +500,7 @@
             .with_retry_after(wait)
     }
 
-    fn begin_attempt_at(
+    pub(crate) fn begin_attempt_at(
         &mut self,
         member: Arc<Member>,
         version: &VersionChoice,
@@ -553,7 +579,7 @@
     /// Rejects a request that is known to crash upstreams: an upstream that
     /// crashes takes all its requests along, and without this check every VM
     /// and every retry would crash another one.
-    fn check_not_quarantined(&self) -> Result<(), Error> {
+    pub(crate) fn check_not_quarantined(&self) -> Result<(), Error> {
         let crashes = &self.gateway.crashes;
         match crashes.has_quarantined() {
             true => self.check_admitted(self.subjects()),
--- a/src/gateway/limit_replay.rs
+++ b/src/gateway/limit_replay.rs
@@ -15,9 +15,13 @@
 
 use crate::{
     clock::{BootInstant, Clock},
-    gateway::test_fleet::{Fleet, STEP_MS},
+    gateway::{
+        Gateway,
+        test_fleet::{Fleet, STEP_MS},
+    },
     placing::{
         member::{Member, UpstreamEntry, UpstreamState},
+        permit_lenders::MAX_ASKED,
         pool::PickCriteria,
         signals::{RateLimit, UpstreamSignals},
         upstream::InFlightGuard,
@@ -266,7 +270,8 @@
         let service = "writers".parse().unwrap();
         let now = self.fleet.clock.now();
         let picked = vm.pool.pick(&service, &PickCriteria::default(), now);
-        let Ok(member) = picked else {
+        let picked = picked.ok().or_else(|| self.borrow_permit(&vm, now));
+        let Some(member) = picked else {
             self.rejected += 1;
             return;
         };
@@ -284,6 +289,35 @@
         });
     }
 
+    /// Picks an upstream with a permit of another VM.
+    fn borrow_permit(
+        &self,
+        vm: &Gateway,
+        now: BootInstant,
+    ) -> Option<Arc<Member>> {
+        let service = "writers".parse().unwrap();
+        let criteria = PickCriteria::default();
+        let upstreams = vm.pool.permit_candidates(&service, &criteria, now);
+        let owners = vm.pool.permit_owners(&upstreams, now);
+        for _ in 0..MAX_ASKED {
+            let lender = vm.permit_lenders.choose(&service, &owners, now)?;
+            let number: usize = lender["vm-".len()..].parse().unwrap();
+            let pool = &self.fleet.vms[number].pool;
+            match pool.lend_permit(&upstreams, now) {
+                Ok(upstream) => {
+                    let pool = &vm.pool;
+                    return pool
+                        .pick_permitted(&service, upstream, &criteria, now);
+                }
+                Err(wait) => {
+                    let lenders = &vm.permit_lenders;
+                    lenders.record_wait(&service, lender, wait, now);
+                }
+            }
+        }
+        None
+    }
+
     fn into_results(self) -> Results {
         let limited: Vec<&Vec<(u64, bool)>> = (0..self.case.upstreams)
             .filter(|upstream| self.is_limited(*upstream))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
         health::{AttemptOutcome, HealthChange},
         member::{Member, UpstreamState},
         paths::{PathTarget, Paths, RelayVm},
+        permit_lenders::PermitLenders,
         pool::Pool,
         retry_reason::RetryReason,
         retry_window::RetryWindow,
@@ -73,6 +74,7 @@
 pub(crate) mod forward;
 pub(crate) mod ingress;
 pub(crate) mod limit_log;
+mod limit_permits;
 pub(crate) mod model_choice;
 pub(crate) mod relay_events;
 pub mod request_head;
@@ -166,6 +168,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) organisation_requests: Arc<OrganisationRequests>,
     pub(crate) slot_client: SlotClient,
+    pub(crate) permit_lenders: PermitLenders,
     pub(crate) slot_coordinator: SlotCoordinator,
     started_at: BootInstant,
     retry_budgets: Mutex<HashMap<ServiceId, Arc<RetryWindow>>>,
@@ -222,6 +225,7 @@
             incarnation,
             organisation_requests: Arc::default(),
             slot_client: SlotClient::default(),
+            permit_lenders: PermitLenders::default(),
             slot_coordinator: SlotCoordinator::default(),
             started_at: clock.now(),
             retry_budgets: Mutex::default(),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -54,6 +54,8 @@
     rate_limit: Option<RateLimit>,
     /// The VM through which the response came.
     relay: Option<SocketAddr>,
+    /// The VM that has lent the permit for the attempt.
+    lender: Option<SocketAddr>,
     confidence: Option<u8>,
     no_escalation: Option<NoEscalation>,
     /// The larger model that was the best offer.
@@ -250,6 +252,7 @@
             retry_after: None,
             rate_limit: None,
             relay: None,
+            lender: None,
             confidence: None,
             no_escalation: None,
             best_offer: None,
@@ -275,6 +278,13 @@
         }
     }
 
+    /// Records the VM that has lent the permit for the last attempt.
+    pub(crate) fn record_lender(&mut self, lender: SocketAddr) {
+        if let Some(last) = self.attempts.last_mut() {
+            last.lender = Some(lender);
+        }
+    }
+
     /// Records what the upstream reported about itself in its response.
     pub(crate) fn record_signals(&mut self, signals: &UpstreamSignals) {
         if let Some(last) = self.attempts.last_mut() {
@@ -482,6 +492,9 @@
         if let Some(relay) = self.relay {
             fields.insert("through".into(), relay.to_string().into());
         }
+        if let Some(lender) = self.lender {
+            fields.insert("permit_of".into(), lender.to_string().into());
+        }
         if let Some(confidence) = self.confidence {
             fields.insert("confidence".into(), confidence.into());
         }
--- a/src/message.rs
+++ b/src/message.rs
@@ -409,6 +409,12 @@
         /// The ticket of the request.
         ticket: Ticket,
     },
+    /// Asks an owner of limited upstreams to let the sender send one request
+    /// in its place.
+    BorrowPermit {
+        /// The incarnations of the upstreams, the preferred one first.
+        upstreams: Vec<ShortHash>,
+    },
 }
 
 /// The reply to a [`PeerRequest`].
@@ -456,4 +462,11 @@
         /// Why it was refused.
         reason: RefusalReason,
     },
+    /// One request may be sent to this incarnation of an upstream, at once.
+    PermitLent(ShortHash),
+    /// No request may be sent to any of the upstreams.
+    NoPermit {
+        /// When to ask again, in milliseconds.
+        wait_ms: u32,
+    },
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -111,6 +111,8 @@
     pub orders: IntCounterVec,
     /// Attempts at services whose slots are coordinated, by decision.
     pub slot_decisions: IntCounterVec,
+    /// Permits for limited upstreams asked of other VMs, by outcome.
+    pub permits: IntCounterVec,
     /// Requests rejected because their organisation was over its share.
     pub organisation_rejections: IntCounter,
     /// Requests of all VMs that wait for a slot at this VM.
@@ -321,6 +323,12 @@
                  by decision: granted, refused, direct, cancelled, failed.",
                 &["decision"],
             ),
+            permits: r.counters(
+                "lupinseam_permits_total",
+                "Permits for requests to limited upstreams that this VM asked \
+                 of their owners, by outcome: lent, none, no_reply.",
+                &["outcome"],
+            ),
             organisation_rejections: r.counter(
                 "lupinseam_organisation_rejections_total",
                 "Requests that this VM rejected since their organisation was \
@@ -389,6 +397,7 @@
             &self.orders,
             &self.upstreams_said,
             &self.slot_decisions,
+            &self.permits,
         ] {
             family.with_label_values(&[""]);
         }
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -18,7 +18,8 @@
 //!   larger one.
 //! * [`retry_window`]: the retry budget; [`retry_reason`]: what takes from it.
 //! * [`warm_up`]: limits for cold upstreams; [`rate_limit`]: limits that
-//!   upstreams announce; [`owners`]: which VMs share such a limit.
+//!   upstreams announce; [`owners`]: which VMs share such a limit;
+//!   [`permit_lenders`]: which of them lend their share to others.
 
 pub(crate) mod admission;
 pub(crate) mod cascade;
@@ -30,6 +31,7 @@
 pub(crate) mod memory;
 pub(crate) mod owners;
 pub(crate) mod paths;
+pub(crate) mod permit_lenders;
 pub mod pool;
 pub(crate) mod rate_limit;
 pub mod reported_state;
--- a/src/placing/owners.rs
+++ b/src/placing/owners.rs
@@ -66,6 +66,23 @@
         is_owner.then(|| self.0.len().min(max))
     }
 
+    /// Returns the names of the owners of an upstream, at most `max`.
+    pub(crate) fn owner_names(
+        &self,
+        upstream: ShortHash,
+        hall: &DataHallId,
+        max: usize,
+    ) -> Vec<&str> {
+        let rank = |vm: &RecordedVm| vm.rank(upstream, hall);
+        let mut ranked: Vec<_> =
+            self.0.iter().map(|(name, vm)| (rank(vm), name)).collect();
+        if max < ranked.len() {
+            ranked.select_nth_unstable(max);
+            ranked.truncate(max);
+        }
+        ranked.into_iter().map(|(_, name)| name.as_str()).collect()
+    }
+
     /// Returns the number of owners that are in the upstream's data hall, if
     /// `vm` is one of them; `None` also if it is in another hall.
     pub(crate) fn owners_in_hall(
--- a/src/placing/owners/tests.rs
+++ b/src/placing/owners/tests.rs
@@ -58,3 +58,16 @@
     roster.remove("vm-0");
     assert_eq!(roster.owners("vm-0", upstream, &hall, 99), None);
 }
+
+#[test]
+fn the_named_owners_are_those_that_own_the_upstream() {
+    let roster = roster(4);
+    for upstream in 0..50 {
+        for max in [0, 1, 3, 5, 12, 40] {
+            let mut named =
+                roster.owner_names(ShortHash(upstream), &hall("a"), max);
+            named.sort_unstable();
+            assert_eq!(named, owners(&roster, upstream, max));
+        }
+    }
+}
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -216,6 +216,15 @@
     }
 }
 
+/// Which VM's share of a limit over all VMs a request counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LimitShare {
+    /// This VM's.
+    Own,
+    /// That of another VM, which lends a permit.
+    Lender,
+}
+
 /// Why no upstream could be picked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PickError {
@@ -600,7 +609,8 @@
         let members = self.members();
         let all = members.by_service.get(service);
         let all = all.map_or(&[][..], Vec::as_slice);
-        let eligible = self.eligible(all, service, criteria, now)?;
+        let eligible =
+            self.eligible(all, service, criteria, LimitShare::Own, now)?;
         let upstreams = eligible.iter().map(|member| EligibleUpstream {
             upstream: member.upstream.short_hash,
             slots: member.entry.slots,
@@ -620,8 +630,10 @@
     ) -> Option<Arc<Member>> {
         let members = self.members();
         let all = members.by_service.get(service)?;
-        let eligible = self.eligible(all, service, criteria, now).ok()?;
+        let eligible =
+            self.eligible(all, service, criteria, LimitShare::Own, now);
         let chosen = eligible
+            .ok()?
             .into_iter()
             .find(|member| member.upstream.short_hash == upstream)?;
         count_request(chosen, now);
@@ -655,7 +667,9 @@
     ) -> Option<Fullness> {
         let members = self.members();
         let all = members.by_service.get(service)?;
-        let eligible = self.eligible(all, service, criteria, now).ok()?;
+        let eligible = self
+            .eligible(all, service, criteria, LimitShare::Own, now)
+            .ok()?;
         let used = eligible.iter().map(|member| {
             let used = member.last_reported_utilization(now);
             (used / criteria.max_utilization).min(1.0)
@@ -735,7 +749,8 @@
     ) -> Result<Vec<&'a Arc<Member>>, PickError> {
         let all = members.by_service.get(service);
         let all = all.map_or(&[][..], Vec::as_slice);
-        let eligible = self.eligible(all, service, criteria, now)?;
+        let eligible =
+            self.eligible(all, service, criteria, LimitShare::Own, now)?;
         if eligible
             .iter()
             .all(|member| member.utilization(now) >= criteria.max_utilization)
@@ -771,6 +786,7 @@
         all: &'a [Arc<Member>],
         service: &ServiceId,
         criteria: &PickCriteria<'_>,
+        share: LimitShare,
         now: BootInstant,
     ) -> Result<Vec<&'a Arc<Member>>, PickError> {
         let may_answer =
@@ -797,7 +813,7 @@
             return Err(PickError::NoCandidate);
         }
         let eligible = self
-            .without_backoff(eligible, now)
+            .without_backoff(eligible, share, now)
             .map_err(PickError::BackingOff)?;
         let eligible = self.without_cold(eligible, service, now);
         if eligible.is_empty() {
@@ -843,7 +859,8 @@
         let members = self.members();
         let all = members.by_service.get(service)?.iter();
         let taking = all.filter(|m| m.takes_requests(now)).collect();
-        self.without_backoff(self.without_evacuated(taking), now).err()
+        let taking = self.without_evacuated(taking);
+        self.without_backoff(taking, LimitShare::Own, now).err()
     }
 
     /// Excludes the upstreams that must not be sent a request now.
@@ -853,12 +870,16 @@
     fn without_backoff<'a>(
         &self,
         eligible: Vec<&'a Arc<Member>>,
+        share: LimitShare,
         now: BootInstant,
     ) -> Result<Vec<&'a Arc<Member>>, Duration> {
         let mut free = Vec::with_capacity(eligible.len());
         let mut soonest: Option<Duration> = None;
         for member in eligible {
-            let left = self.backoff(member, now);
+            let left = match share {
+                LimitShare::Own => self.backoff(member, now),
+                LimitShare::Lender => member.backoff_left(now),
+            };
             if left.is_zero() {
                 free.push(member);
             } else {
@@ -1298,6 +1319,7 @@
 }
 
 mod gossip;
+mod permits;
 
 #[cfg(test)]
 mod backoff_simulation_tests;
--- a/src/placing/rate_limit.rs
+++ b/src/placing/rate_limit.rs
@@ -151,15 +151,34 @@
         owners: Option<usize>,
         now: BootInstant,
     ) -> Duration {
-        let state = self.state.lock().expect("limit lock");
-        let Some(limit) = state.limit else { return Duration::ZERO };
-        let interval_of_all = Duration::from_secs_f64(1.0 / limit.per_s());
+        let Some(interval_of_all) = self.interval_of_all() else {
+            return Duration::ZERO;
+        };
         owners.map_or(interval_of_all, |owners| {
-            let own = limit.next_at(owners);
-            own.saturating_duration_since(now).min(interval_of_all)
+            self.owner_wait(owners, now).min(interval_of_all)
+        })
+    }
+
+    /// How long this VM, one of `owners` owners, must not send a request; zero
+    /// if it may send one.
+    pub(crate) fn owner_wait(
+        &self,
+        owners: usize,
+        now: BootInstant,
+    ) -> Duration {
+        let state = self.state.lock().expect("limit lock");
+        state.limit.map_or(Duration::ZERO, |limit| {
+            limit.next_at(owners).saturating_duration_since(now)
         })
     }
 
+    /// The interval at which all owners together send; `None` if there is no
+    /// limit.
+    fn interval_of_all(&self) -> Option<Duration> {
+        let state = self.state.lock().expect("limit lock");
+        state.limit.map(|limit| Duration::from_secs_f64(1.0 / limit.per_s()))
+    }
+
     /// Records that this VM sends a request.
     pub(crate) fn record_sent(&self, now: BootInstant) {
         if !self.may_be_limited.load(Ordering::Relaxed) {
--- a/src/placing/reported_state.rs
+++ b/src/placing/reported_state.rs
@@ -166,13 +166,30 @@
         hall: &DataHallId,
         now: BootInstant,
     ) -> Duration {
-        let Some(per_s) = self.limit.per_s(now) else { return Duration::ZERO };
-        let max_owners = rate_limit::max_owners(per_s);
+        let Some(max_owners) = self.max_owners(now) else {
+            return Duration::ZERO;
+        };
         let roster = roster.read().expect("roster lock");
         let owners = roster.owners(vm, upstream, hall, max_owners);
         self.limit.wait(owners, now)
     }
 
+    /// How long an owner of its rate limit must not send a request to it, given
+    /// the number of owners; zero if it may send one.
+    pub(crate) fn owner_wait(
+        &self,
+        owners: usize,
+        now: BootInstant,
+    ) -> Duration {
+        self.limit.owner_wait(owners, now)
+    }
+
+    /// The maximum number of VMs that own its rate limit; `None` if it has no
+    /// limit.
+    pub(crate) fn max_owners(&self, now: BootInstant) -> Option<usize> {
+        self.limit.per_s(now).map(rate_limit::max_owners)
+    }
+
     /// The rate that it takes from all VMs together, in requests per second;
     /// `None` if it has no limit.
     pub fn rate_limit_per_s(&self, now: BootInstant) -> Option<f64> {
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -563,6 +563,17 @@
                 self.slot_coordinator.cancel(&service, ticket, now);
                 PeerReply::Done
             }
+            PeerRequest::BorrowPermit { upstreams } => {
+                let now = self.clock.now();
+                match self.pool.lend_permit(&upstreams, now) {
+                    Ok(upstream) => PeerReply::PermitLent(upstream),
+                    Err(wait) => {
+                        let wait_ms = u32::try_from(wait.as_millis());
+                        let wait_ms = wait_ms.unwrap_or(u32::MAX);
+                        PeerReply::NoPermit { wait_ms }
+                    }
+                }
+            }
             _ => PeerReply::Rejected("not a request for this VM".into()),
         }
     }
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -417,13 +417,9 @@
     pub(crate) fn slot_vms(&self, now: BootInstant) -> Vec<SlotVm> {
         let known = self.known.lock().expect("peers lock");
         let remote_timeout = self.remote_timeout(&known);
-        let may_coordinate = |peer: &Peer| match &peer.last_heartbeat {
-            Some(last) if last.is_leaving => false,
-            Some(_) if peer.data_hall == self.data_hall => peer.is_alive(now),
-            Some(_) => peer.has_heartbeat_within(remote_timeout, now),
-            None => peer.is_recorded && peer.data_hall != self.data_hall,
-        };
-        let others = known.iter().filter(|(_, peer)| may_coordinate(peer));
+        let others = known
+            .iter()
+            .filter(|(_, peer)| self.may_be_live(peer, remote_timeout, now));
         let others = others.map(|(vm, peer)| SlotVm {
             vm: vm.clone(),
             cores: peer.cores,
@@ -439,8 +435,38 @@
         others.chain([own]).collect()
     }
 
+    /// Returns the address at which a VM listens for other VMs, unless it is
+    /// leaving or seems to be lost.
+    pub(crate) fn live_address(
+        &self,
+        vm: &str,
+        now: BootInstant,
+    ) -> Option<SocketAddr> {
+        let known = self.known.lock().expect("peers lock");
+        let peer = known.get(vm)?;
+        let remote_timeout = self.remote_timeout(&known);
+        let is_live = self.may_be_live(peer, remote_timeout, now);
+        is_live.then_some(peer.address)
+    }
+
+    /// Returns whether a VM is not leaving and may be live, if a VM of another
+    /// data hall counts as lost after `remote_timeout`.
+    fn may_be_live(
+        &self,
+        peer: &Peer,
+        remote_timeout: Duration,
+        now: BootInstant,
+    ) -> bool {
+        match &peer.last_heartbeat {
+            Some(last) if last.is_leaving => false,
+            Some(_) if peer.data_hall == self.data_hall => peer.is_alive(now),
+            Some(_) => peer.has_heartbeat_within(remote_timeout, now),
+            None => peer.is_recorded && peer.data_hall != self.data_hall,
+        }
+    }
+
     /// Returns the age of the last heartbeat from which a VM of another data
-    /// hall may not coordinate.
+    /// hall counts as lost.
     fn remote_timeout(&self, known: &BTreeMap<String, Peer>) -> Duration {
         let is_local = |peer: &&Peer| peer.data_hall == self.data_hall;
         let local = known.values().filter(is_local).count();
--- a/standins/tests/limited_upstreams.rs
+++ b/standins/tests/limited_upstreams.rs
@@ -12,7 +12,7 @@
 };
 
 use standins::{
-    gateway_site::{HttpReply, PLAIN, Site, request, wait_until},
+    gateway_site::{HttpReply, PLAIN, Site, SiteVm, request, wait_until},
     http_raw::answer,
     scripted::{Script, Step, Upstream, always_responds, response_headers},
 };
@@ -87,19 +87,24 @@
     })
 }
 
-/// One caller for each VM, which sends requests in a loop.
+/// One caller for each of some VMs, which sends requests in a loop.
 struct Callers<'a> {
-    site: &'a Site,
+    vms: &'a [SiteVm],
     /// Number of requests sent, for their ids.
     asked: AtomicUsize,
 }
 
 impl<'a> Callers<'a> {
     fn of(site: &'a Site) -> Callers<'a> {
-        Callers { site, asked: AtomicUsize::new(0) }
+        Callers { vms: &site.vms, asked: AtomicUsize::new(0) }
     }
 
-    /// Sends requests to all VMs for some time, and passes each response and
+    /// The callers where all requests arrive at one VM.
+    fn of_one_vm(site: &'a Site) -> Callers<'a> {
+        Callers { vms: &site.vms[1..2], asked: AtomicUsize::new(0) }
+    }
+
+    /// Sends requests to the VMs for some time, and passes each response and
     /// its latency to `check`.
     fn ask_for(
         &self,
@@ -108,7 +113,7 @@
     ) {
         let until = Instant::now() + time;
         thread::scope(|scope| {
-            for vm in &self.site.vms {
+            for vm in self.vms {
                 let check = &check;
                 scope.spawn(move || {
                     while Instant::now() < until {
@@ -267,6 +272,33 @@
     assert!(rejected.into_inner() > 0, "no request was rejected");
 }
 
+/// Guards against a VM that uses its own share of a limit only, where all
+/// requests arrive at it.
+#[test]
+fn a_vm_that_gets_all_requests_uses_the_shares_of_the_others() {
+    let _guard = lock_site();
+    let per_s = 4.0;
+    let one = Upstream::start("i-1", limited(per_s));
+    let two = Upstream::start("i-2", limited(per_s));
+    let site = site_with(&[&one, &two]);
+    let callers = Callers::of_one_vm(&site);
+    callers.ask_for(PROPAGATION_TIME, ignore);
+    let arrivals =
+        callers.observe(&[&one, &two], OBSERVATION_TIME, |got, took| {
+            assert!(took < REJECTION_TIME, "{got:?} after {took:?}");
+        });
+    for one in &arrivals {
+        let max_in_window = one.max_in_window();
+        assert!(
+            max_in_window <= allowed_in_window(per_s),
+            "{max_in_window} requests in four seconds"
+        );
+    }
+    let used: usize = arrivals.iter().map(Arrivals::total).sum();
+    let least = 2.0 * per_s * OBSERVATION_TIME.as_secs_f64() * MIN_UTILIZATION;
+    assert!(used as f64 >= least, "only {used} requests came");
+}
+
 /// Guards against VMs that learn of a limit only from responses to their own
 /// requests.
 #[test]
