--- a/src/placing/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -1,13 +1,14 @@
 //! Tests of the warm-up limit with many VMs: their shares alone, and whole
 //! pools before cold upstreams.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::*;
 use crate::placing::{
-    member::{UpstreamEntry, UpstreamState},
+    member::{Member, UpstreamEntry, UpstreamState},
+    permit_lenders::{MAX_ASKED, PermitLenders},
     pool::{PickCriteria, Pool},
 };
 
@@ -141,21 +142,56 @@
     vms.iter().map(pool).collect()
 }
 
+/// Picks an upstream with a permit of another VM, as a VM that has not asked
+/// for one before.
+fn pick_with_permit(
+    pool: &Pool,
+    pools: &[Pool],
+    now: BootInstant,
+) -> Option<Arc<Member>> {
+    let service = "writers".parse().unwrap();
+    let criteria = PickCriteria::default();
+    let upstreams = pool.permit_candidates(&service, &criteria, now);
+    let owners = pool.permit_owners(&upstreams, now);
+    let lenders = PermitLenders::default();
+    for _ in 0..MAX_ASKED {
+        let lender = lenders.choose(&service, &owners, now)?;
+        let number: usize = lender["vm-".len()..].parse().unwrap();
+        match pools[number].lend_permit(&upstreams, now) {
+            Ok(upstream) => {
+                return pool
+                    .pick_permitted(&service, upstream, &criteria, now);
+            }
+            Err(wait) => lenders.record_wait(&service, lender, wait, now),
+        }
+    }
+    None
+}
+
 /// The load after the evacuation of a data hall ends: all of its upstreams are
 /// idle and cold, and its VMs send three times what they can take, for three
-/// seconds.
+/// seconds. `preferred_share` of the requests arrives at one VM, beside its
+/// part of the others.
 ///
 /// Returns how many requests found an upstream, and the most that one upstream
 /// received within a second.
-fn simulate(pools: &[Pool], start: BootInstant) -> (usize, usize) {
+fn simulate(
+    pools: &[Pool],
+    preferred_share: f64,
+    start: BootInstant,
+) -> (usize, usize) {
     let service = "writers".parse().unwrap();
     let mut random = StdRng::seed_from_u64(7);
     let mut sent: HashMap<String, Vec<u64>> = HashMap::new();
     for ms in (0..3000).step_by(5) {
         let now = start + Duration::from_millis(ms);
-        let pool = &pools[random.random_range(0..pools.len())];
-        if let Ok(member) = pool.pick(&service, &PickCriteria::default(), now)
-        {
+        let pool = match random.random_bool(preferred_share) {
+            true => &pools[0],
+            false => &pools[random.random_range(0..pools.len())],
+        };
+        let picked = pool.pick(&service, &PickCriteria::default(), now).ok();
+        let picked = picked.or_else(|| pick_with_permit(pool, pools, now));
+        if let Some(member) = picked {
             let id = member.entry.id.to_string();
             sent.entry(id).or_default().push(ms);
         }
@@ -175,7 +211,7 @@
 fn no_cold_upstream_exceeds_its_limit_in_any_second() {
     let start = BootInstant::now();
     let pools = hall(&names(21), 8, start);
-    let (served, max) = simulate(&pools, start);
+    let (served, max) = simulate(&pools, 0.0, start);
     assert!(max <= 18, "{max}");
     // The rate that they can take is used: 8.8 per second for each of eight.
     assert!(served >= 200, "{served}");
@@ -188,7 +224,21 @@
     for pool in &unbounded {
         pool.set_warm_ups(HashMap::new());
     }
-    assert!(simulate(&unbounded, start).1 > 18);
+    assert!(simulate(&unbounded, 0.0, start).1 > 18);
+}
+
+/// A VM that gets most of the requests must not be left with its own share.
+#[test]
+fn cold_upstreams_are_used_where_most_requests_arrive_at_one_vm() {
+    let start = BootInstant::now();
+    let results = [3, 21, 50].map(|vms| {
+        let (served, max) = simulate(&hall(&names(vms), 8, start), 0.9, start);
+        (vms, served, max)
+    });
+    let is_kept = |(_, served, max): &(usize, usize, usize)| {
+        *served >= 200 && *max <= 18
+    };
+    assert!(results.iter().all(is_kept), "{results:?}");
 }
 
 #[test]
