Lend permits for cold upstreams as well

Cause: the limit of a cold upstream was shared equally by three owners of its hall, wherever the requests arrived, and VMs of other halls had no share at all. Owners now lend permits as they do for rate limits. A permit counts until a second after the latest time at which its reply is used, so no second has more requests than before.

--- a/src/gateway/limit_permits.rs
+++ b/src/gateway/limit_permits.rs
@@ -1,5 +1,5 @@
-//! Asks the owners of limited upstreams for permits, for requests that find
-//! this VM's own share of the limits used up.
+//! Asks the owners of limited and cold upstreams for permits, for requests
+//! that find this VM's own share of the limits used up.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -13,14 +13,11 @@
     message::{PeerReply, PeerRequest, ShortHash},
     placing::{
         member::Member,
-        permit_lenders::{MAX_ASKED, NO_REPLY_WAIT},
+        permit_lenders::{MAX_ASKED, NO_REPLY_WAIT, REPLY_TIMEOUT},
     },
     rollouts::choice::VersionChoice,
 };
 
-/// How long the reply of an owner is awaited.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// An upstream for which another VM has lent a permit.
 struct PermittedUpstream {
     member: Arc<Member>,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -325,8 +325,8 @@
             ),
             permits: r.counters(
                 "lupinseam_permits_total",
-                "Permits for requests to limited upstreams that this VM asked \
-                 of their owners, by outcome: lent, none, no_reply.",
+                "Permits for requests to limited and cold upstreams that this \
+                 VM asked of their owners, by outcome: lent, none, no_reply.",
                 &["outcome"],
             ),
             organisation_rejections: r.counter(
--- a/src/placing/owners.rs
+++ b/src/placing/owners.rs
@@ -83,6 +83,18 @@
         ranked.into_iter().map(|(_, name)| name.as_str()).collect()
     }
 
+    /// Returns the names of the owners of an upstream, at most `max`, that are
+    /// in its data hall.
+    pub(crate) fn owner_names_in_hall(
+        &self,
+        upstream: ShortHash,
+        hall: &DataHallId,
+        max: usize,
+    ) -> Vec<&str> {
+        let names = self.owner_names(upstream, hall, max).into_iter();
+        names.filter(|name| self.0[*name].data_hall == *hall).collect()
+    }
+
     /// Returns the number of owners that are in the upstream's data hall, if
     /// `vm` is one of them; `None` also if it is in another hall.
     pub(crate) fn owners_in_hall(
--- a/src/placing/permit_lenders.rs
+++ b/src/placing/permit_lenders.rs
@@ -1,4 +1,5 @@
-//! Which owner of limited upstreams a VM asks for a permit.
+//! Which owner of upstreams that are cold or have a rate limit a VM asks for a
+//! permit.
 //!
 //! Owners share a limit equally. Where a load balancer sends most requests to
 //! one VM, the shares of the others would stay unused, so a VM whose own share
@@ -14,6 +15,10 @@
 /// Maximum number of VMs that are asked for one attempt.
 pub(crate) const MAX_ASKED: usize = 2;
 
+/// How long the reply of an owner is awaited; a permit that arrives later is
+/// not used.
+pub(crate) const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time for which a VM that did not reply is not asked.
 pub(crate) const NO_REPLY_WAIT: Duration = Duration::from_secs(1);
 
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -477,17 +477,19 @@
         warm_up: WarmUp,
         now: BootInstant,
     ) -> bool {
+        let share = self.cold_share(member, warm_up);
+        let mut sends = member.cold_sends.lock().expect("cold sends lock");
+        sends.has_capacity(share, now)
+    }
+
+    /// Requests within a second that this VM may send to a cold upstream, or
+    /// lend permits for; zero if it is not an owner.
+    fn cold_share(&self, member: &Member, warm_up: WarmUp) -> usize {
         let roster = self.roster.read().expect("roster lock");
         let (short_hash, hall) =
             (member.upstream.short_hash, &member.entry.data_hall);
         let most = warm_up.max_requests(self.slack);
-        let share =
-            warm_up::vm_share(&roster, &self.vm, short_hash, hall, most);
-        member
-            .cold_sends
-            .lock()
-            .expect("cold sends lock")
-            .has_capacity(share, now)
+        warm_up::vm_share(&roster, &self.vm, short_hash, hall, most)
     }
 
     /// How long this VM must not send requests to an upstream, because of its
@@ -815,7 +817,10 @@
         let eligible = self
             .without_backoff(eligible, share, now)
             .map_err(PickError::BackingOff)?;
-        let eligible = self.without_cold(eligible, service, now);
+        let eligible = match share {
+            LimitShare::Own => self.without_cold(eligible, service, now),
+            LimitShare::Lender => eligible,
+        };
         if eligible.is_empty() {
             return Err(PickError::Cold);
         }
--- a/src/placing/pool/permits.rs
+++ b/src/placing/pool/permits.rs
@@ -1,5 +1,5 @@
-//! Permits for limited upstreams, which their owners lend to VMs whose own
-//! share of the limit is used up.
+//! Permits for upstreams with a rate limit and for cold ones, which their
+//! owners lend to VMs whose own share of the limit is used up.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,8 +7,14 @@
 
 use super::{LimitShare, PickCriteria, Pool};
 use crate::{
-    clock::BootInstant, id::ServiceId, message::ShortHash,
-    placing::member::Member,
+    clock::BootInstant,
+    id::ServiceId,
+    message::ShortHash,
+    placing::{
+        member::Member,
+        permit_lenders::REPLY_TIMEOUT,
+        warm_up::{self, WarmUp},
+    },
 };
 
 /// Maximum number of upstreams for which one permit is asked.
@@ -40,7 +46,7 @@
         };
         let mut candidates: Vec<(f64, ShortHash)> = eligible
             .into_iter()
-            .filter(|member| is_limited(member, now))
+            .filter(|member| self.is_limited(member, now))
             .map(|member| (member.utilization(now), member))
             .filter(|(used, _)| *used < criteria.max_utilization)
             .map(|(used, member)| (used, member.upstream.short_hash))
@@ -67,9 +73,15 @@
                 continue;
             };
             let state = &member.upstream.reported_state;
-            let Some(max) = state.max_owners(now) else { continue };
             let hall = &member.entry.data_hall;
-            let names = roster.owner_names(*upstream, hall, max);
+            // The owners of a cold upstream are among those of its rate limit.
+            let names = match self.cold_warm_up(member, now) {
+                Some(_) => warm_up::owner_names(&roster, *upstream, hall),
+                None => {
+                    let Some(max) = state.max_owners(now) else { continue };
+                    roster.owner_names(*upstream, hall, max)
+                }
+            };
             let others = names.into_iter().filter(|vm| *vm != self.vm);
             owners.extend(others.map(str::to_owned));
         }
@@ -98,7 +110,7 @@
             };
             let Some(wait) = self.lender_wait(member, now) else { continue };
             if wait.is_zero() {
-                super::count_request(member, now);
+                count_lent(member, now);
                 return Ok(*upstream);
             }
             soonest = soonest.min(wait);
@@ -116,14 +128,43 @@
         if !member.takes_requests(now) {
             return None;
         }
+        if !self.is_limited(member, now) {
+            return None;
+        }
+        let mut wait = member.backoff_left(now);
+        if let Some(warm_up) = self.cold_warm_up(member, now) {
+            let share = self.cold_share(member, warm_up);
+            let mut sends = member.cold_sends.lock().expect("cold sends lock");
+            wait = wait.max(sends.wait(share, now)?);
+        }
         let state = &member.upstream.reported_state;
-        let max_owners = state.max_owners(now)?;
-        let (upstream, hall) =
-            (member.upstream.short_hash, &member.entry.data_hall);
-        let roster = self.roster.read().expect("roster lock");
-        let owners = roster.owners(&self.vm, upstream, hall, max_owners)?;
-        let wait = state.owner_wait(owners, now);
-        Some(wait.max(member.backoff_left(now)))
+        if let Some(max_owners) = state.max_owners(now) {
+            let (upstream, hall) =
+                (member.upstream.short_hash, &member.entry.data_hall);
+            let roster = self.roster.read().expect("roster lock");
+            let owners =
+                roster.owners(&self.vm, upstream, hall, max_owners)?;
+            wait = wait.max(state.owner_wait(owners, now));
+        }
+        Some(wait)
+    }
+
+    /// Whether an upstream takes requests by permits of its owners.
+    fn is_limited(&self, member: &Member, now: BootInstant) -> bool {
+        let state = &member.upstream.reported_state;
+        state.max_owners(now).is_some()
+            || self.cold_warm_up(member, now).is_some()
+    }
+
+    /// The warm-up that limits the requests to an upstream; `None` if it is
+    /// not cold.
+    fn cold_warm_up(
+        &self,
+        member: &Member,
+        now: BootInstant,
+    ) -> Option<WarmUp> {
+        let warm_up = self.warm_up(&member.entry.service)?;
+        member.is_cold(now).then_some(warm_up)
     }
 
     /// Picks the upstream for which another VM has lent a permit; returns
@@ -147,7 +188,12 @@
     }
 }
 
-/// Whether an upstream takes requests by permits of its owners.
-fn is_limited(member: &Member, now: BootInstant) -> bool {
-    member.upstream.reported_state.max_owners(now).is_some()
+/// Counts a request for which a permit is lent. It arrives at its upstream up
+/// to [`REPLY_TIMEOUT`] later than one that this VM sends itself.
+fn count_lent(member: &Member, now: BootInstant) {
+    if member.is_cold(now) {
+        let mut sends = member.cold_sends.lock().expect("cold sends lock");
+        sends.record(now + REPLY_TIMEOUT);
+    }
+    member.upstream.reported_state.record_sent(now);
 }
--- a/src/placing/reported_state.rs
+++ b/src/placing/reported_state.rs
@@ -174,8 +174,8 @@
         self.limit.wait(owners, now)
     }
 
-    /// How long an owner of its rate limit must not send a request to it, given
-    /// the number of owners; zero if it may send one.
+    /// How long an owner of its rate limit must not send a request to it,
+    /// given the number of owners; zero if it may send one.
     pub(crate) fn owner_wait(
         &self,
         owners: usize,
--- a/src/placing/warm_up.rs
+++ b/src/placing/warm_up.rs
@@ -15,14 +15,15 @@
 //! A few VMs of its data hall [own](super::owners) a cold upstream. Each has
 //! an equal share of the limit, as if there were one more owner than there
 //! are: a VM that has not yet seen a new VM record may consider itself an
-//! owner.
+//! owner. The other VMs, and owners whose share is used up, [borrow
+//! permits](super::permit_lenders) of an owner.
 //!
 //! # Rejected alternatives
 //!
 //! An equal share for every VM of the fleet is a fraction of one request per
 //! second: rounded down, nothing is sent, and rounded up, 84 VMs may send 84
-//! requests at once. Permits that one VM lends to the others cost a message
-//! and a wait for each request, and are lost with the lender.
+//! requests at once. One VM that lends permits for all requests costs a
+//! message and a wait for each, and all permits are lost with it.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -77,7 +78,17 @@
     owners.map_or(0, |owners| max / (owners + 1))
 }
 
-/// The requests that this VM has sent to one upstream within the last second.
+/// Returns the names of the VMs that own a cold upstream of `hall`.
+pub(crate) fn owner_names<'a>(
+    roster: &'a Roster,
+    upstream: ShortHash,
+    hall: &DataHallId,
+) -> Vec<&'a str> {
+    roster.owner_names_in_hall(upstream, hall, MAX_OWNERS)
+}
+
+/// The requests to one upstream within the last second that count against
+/// this VM's share.
 #[derive(Debug, Default)]
 pub(crate) struct SendWindow(VecDeque<BootInstant>);
 
@@ -88,6 +99,16 @@
         max: usize,
         now: BootInstant,
     ) -> bool {
+        self.wait(max, now).is_some_and(|wait| wait.is_zero())
+    }
+
+    /// How long no further request may be sent, given the most within the
+    /// window; `None` if that is zero.
+    pub(crate) fn wait(
+        &mut self,
+        max: usize,
+        now: BootInstant,
+    ) -> Option<Duration> {
         while self
             .0
             .front()
@@ -95,12 +116,16 @@
         {
             self.0.pop_front();
         }
-        self.0.len() < max
+        let blocking = match self.0.len().checked_sub(max) {
+            Some(excess) => self.0.get(excess)?,
+            None => return Some(Duration::ZERO),
+        };
+        Some((*blocking + WINDOW).saturating_duration_since(now))
     }
 
-    /// Counts a request.
-    pub(crate) fn record(&mut self, now: BootInstant) {
-        self.0.push_back(now);
+    /// Counts a request that is sent at a time, which may be ahead.
+    pub(crate) fn record(&mut self, at: BootInstant) {
+        self.0.push_back(at);
     }
 }
 
--- a/src/placing/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -9,7 +9,7 @@
 use crate::placing::{
     member::{Member, UpstreamEntry, UpstreamState},
     permit_lenders::{MAX_ASKED, PermitLenders},
-    pool::{PickCriteria, Pool},
+    pool::{PickCriteria, PickError, Pool},
 };
 
 const SLACK: WarmUpSlack = WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
@@ -111,6 +111,26 @@
     assert!(!sent.has_capacity(0, after(5000)));
 }
 
+#[test]
+fn a_full_window_states_when_the_next_request_may_be_sent() {
+    let start = BootInstant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    let ms = |ms| Some(Duration::from_millis(ms));
+    let mut sent = SendWindow::default();
+    assert_eq!(sent.wait(2, start), ms(0));
+    assert_eq!(sent.wait(0, start), None);
+    for at in [0, 100, 200] {
+        sent.record(after(at));
+    }
+    assert_eq!(sent.wait(4, after(200)), ms(0));
+    assert_eq!(sent.wait(3, after(200)), ms(800));
+    assert_eq!(sent.wait(2, after(200)), ms(900));
+    assert_eq!(sent.wait(0, after(200)), None);
+    // A request that will be sent later counts until a second after that.
+    sent.record(after(350));
+    assert_eq!(sent.wait(1, after(250)), ms(1100));
+}
+
 fn cold(id: usize) -> UpstreamEntry {
     UpstreamEntry {
         id: format!("i-{id}").parse().unwrap(),
@@ -241,6 +261,35 @@
     assert!(results.iter().all(is_kept), "{results:?}");
 }
 
+#[test]
+fn a_vm_of_another_hall_sends_to_cold_upstreams_with_permits() {
+    let start = BootInstant::now();
+    let mut pools = hall(&names(3), 8, start);
+    let elsewhere = Pool::new("vm-3", "b".parse().unwrap(), SLACK);
+    let service = "writers".parse().unwrap();
+    elsewhere.set_warm_ups(HashMap::from([(service, WARM_UP)]));
+    for known in names(3) {
+        elsewhere.add_vm(&known, &own_hall());
+    }
+    for pool in pools.iter().chain([&elsewhere]) {
+        pool.add_vm("vm-3", &"b".parse().unwrap());
+    }
+    for id in 0..8 {
+        elsewhere.set(cold(id), start);
+    }
+    pools.push(elsewhere);
+    let service = "writers".parse().unwrap();
+    let picked = pools[3].pick(&service, &PickCriteria::default(), start);
+    assert_eq!(picked.unwrap_err(), PickError::Cold);
+    let mut taken = 0;
+    while pick_with_permit(&pools[3], &pools, start).is_some() {
+        taken += 1;
+    }
+    // Each of three owners may send four requests to each of eight upstreams;
+    // when no permit is found, the two VMs that were asked have none left.
+    assert!((64..=96).contains(&taken), "{taken}");
+}
+
 #[test]
 fn a_hall_is_cold_after_its_evacuation_ends() {
     let start = BootInstant::now();
