--- a/src/api/view.rs
+++ b/src/api/view.rs
@@ -234,8 +234,8 @@
         self.upstreams().by_address.get(&address).cloned()
     }
 
-    /// Returns the VMs that may connect to upstreams for this one. Heartbeats of
-    /// other data halls may not reach this VM, so their VMs count as alive.
+    /// Returns the VMs that may connect to upstreams for this one. Heartbeats
+    /// of other data halls may not reach this VM, so their VMs count as alive.
     pub(crate) fn relay_candidates(&self) -> Vec<RelayVm> {
         let members = self.members.lock().expect("members lock");
         let peers = self.peers();
--- a/src/crashes/suspect.rs
+++ b/src/crashes/suspect.rs
@@ -1,4 +1,5 @@
-//! What is known of one subject: the crashes under it, and its last completion.
+//! What is known of one subject: the crashes under it, and its last
+//! completion.
 
 use std::time::Duration;
 
--- a/src/crashes/tracker.rs
+++ b/src/crashes/tracker.rs
@@ -464,8 +464,9 @@
         known
     }
 
-    /// Records a crash that some VM learned of at `at`, unless it is known, and
-    /// adds it to the subjects of this VM's attempts that are pending there.
+    /// Records a crash that some VM learned of at `at`, unless it is known,
+    /// and adds it to the subjects of this VM's attempts that are pending
+    /// there.
     fn record_crash(
         &mut self,
         id: CrashId,
--- a/src/gateway/evidence_store.rs
+++ b/src/gateway/evidence_store.rs
@@ -1,10 +1,10 @@
 //! Keeps the evidence on running rollouts in the platform's store.
 //!
 //! Heartbeats carry the evidence to the VMs that are running. A VM that starts
-//! later, even after all that have seen answers of a version are gone, reads it
-//! from the store. The first VM of each data hall writes that of its hall; two
-//! VMs that both do so do no harm, since every write is conditional and counts
-//! only grow.
+//! later, even after all that have seen answers of a version are gone, reads
+//! it from the store. The first VM of each data hall writes that of its hall;
+//! two VMs that both do so do no harm, since every write is conditional and
+//! counts only grow.
 
 use std::{sync::Arc, time::Duration};
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -636,8 +636,8 @@
         event.record(fields(json!({ "upstream": member.entry.id })));
     }
 
-    /// Whether an attempt failed because this VM is partitioned from upstreams,
-    /// so that its outcome is no evidence for other VMs.
+    /// Whether an attempt failed because this VM is partitioned from
+    /// upstreams, so that its outcome is no evidence for other VMs.
     pub(crate) fn is_own_failure(
         &self,
         member: &Member,
--- a/src/gateway/slot_client/tests.rs
+++ b/src/gateway/slot_client/tests.rs
@@ -575,8 +575,8 @@
     assert_eq!(coordinators(&fleet), before);
 }
 
-/// Guards against a request that asks two VMs of a hall that is cut off, before
-/// the missing heartbeats show that.
+/// Guards against a request that asks two VMs of a hall that is cut off,
+/// before the missing heartbeats show that.
 #[test]
 fn no_vm_of_a_hall_is_asked_after_one_was_silent() {
     let vm = entry_vm("vm-0", system_clock());
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -117,7 +117,8 @@
     assert_eq!(load(&hashes).utilization, 1.0, "none may answer");
 }
 
-/// Two VMs of a data hall reach none of four upstreams, which answer the third.
+/// Two VMs of a data hall reach none of four upstreams, which answer the
+/// third.
 #[test]
 fn partitioned_vms_report_no_failures_of_sound_upstreams() {
     let mut fleet = test_fleet::Fleet::new(1, 3);
--- a/src/intake/connection_limiter.rs
+++ b/src/intake/connection_limiter.rs
@@ -6,8 +6,8 @@
 //! were is what it bears. From then on the rate grows until the VM is
 //! overloaded again, or until no more connections come.
 //!
-//! Requests on connections that are open already count as well. New connections
-//! get what is left.
+//! Requests on connections that are open already count as well. New
+//! connections get what is left.
 
 use std::time::Duration;
 
@@ -16,8 +16,8 @@
     token_bucket::TokenBucket,
 };
 
-/// Connections a second that are accepted at least. A VM that is ready must not
-/// look to the load balancer as if it were gone.
+/// Connections a second that are accepted at least. A VM that is ready must
+/// not look to the load balancer as if it were gone.
 const MIN_RATE_PER_S: f64 = 2.0;
 
 /// Time before everything was late in which the VM has already taken on more
@@ -31,8 +31,8 @@
 /// then the rate is nearly right.
 const MIN_DECREASE_FACTOR: f64 = 0.7;
 
-/// Factor on the rate in each [`GROWTH_INTERVAL`] in which it was too small for
-/// the connections that came.
+/// Factor on the rate in each [`GROWTH_INTERVAL`] in which it was too small
+/// for the connections that came.
 const GROWTH_FACTOR: f64 = 1.02;
 
 /// Interval between two increases of the rate.
@@ -41,9 +41,9 @@
 /// Time for which the rate must have been large enough before the limit ends.
 const RELEASE_TIME: Duration = Duration::from_secs(2);
 
-/// Time whose connections are accepted at once. Whatever is on its way when the
-/// listener closes is refused after its caller has sent the request, so the
-/// listener should close rarely.
+/// Time whose connections are accepted at once. Whatever is on its way when
+/// the listener closes is refused after its caller has sent the request, so
+/// the listener should close rarely.
 const BURST_TIME: Duration = Duration::from_millis(100);
 
 /// Part of the burst that must be available before connections are accepted
--- a/src/intake/control.rs
+++ b/src/intake/control.rs
@@ -79,15 +79,15 @@
         self.capacity.has_room(open)
     }
 
-    /// Counts a request that is taken on; an accepted connection stands for its
-    /// first one.
+    /// Counts a request that is taken on; an accepted connection stands for
+    /// its first one.
     pub(crate) fn record_request(&self, now: BootInstant) {
         let mut state = self.state.lock().expect("intake lock");
         state.limiter.record_request(now);
     }
 
-    /// Returns the requests a second that this VM takes on and the resource that
-    /// limits them; `None` if there is no limit.
+    /// Returns the requests a second that this VM takes on and the resource
+    /// that limits them; `None` if there is no limit.
     pub(crate) fn limit(&self) -> Option<(f64, Resource)> {
         let state = self.state.lock().expect("intake lock");
         Some((state.limiter.rate_per_s()?, state.exhausted?))
--- a/src/intake/recent_requests.rs
+++ b/src/intake/recent_requests.rs
@@ -7,8 +7,8 @@
 /// Time for which requests are counted together.
 const BUCKET_TIME: Duration = Duration::from_millis(50);
 
-/// Time for which counts are kept; an overload that lasts longer is measured by
-/// its end.
+/// Time for which counts are kept; an overload that lasts longer is measured
+/// by its end.
 const KEPT_TIME: Duration = Duration::from_secs(5);
 
 /// Counts requests by the time at which they were taken on.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,8 +16,8 @@
 //!   and writes the one log line that explains it (`trace`). [`placing`],
 //!   which does no I/O, decides which upstream gets it, how it queues and when
 //!   it is rejected. [`scheduling`] shares the slots of a service that has far
-//!   fewer of them than there are VMs. [`crashes`] limits the damage that one request can do to
-//!   the fleet by crashing the upstreams that run it.
+//!   fewer of them than there are VMs. [`crashes`] limits the damage that one
+//!   request can do to the fleet by crashing the upstreams that run it.
 //!   A VM that cannot reach an upstream connects through another one
 //!   (`upstream_dialer`, `tunnel`).
 //! * **Changes of the platform's store**: [`store_sync`] follows the store and
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -278,8 +278,8 @@
     }
 }
 
-/// Returns the connection, or the error of an attempt to open it; `None` stands
-/// for a timeout.
+/// Returns the connection, or the error of an attempt to open it; `None`
+/// stands for a timeout.
 fn connected(
     connection: Option<io::Result<Arc<ClientConnection>>>,
 ) -> Result<Arc<ClientConnection>, PeerError> {
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -45,7 +45,8 @@
 /// second, and a neighbour that causes one stays for about 600 ms.
 const SLOWDOWN_TTL: Duration = Duration::from_millis(300);
 
-/// [`Member::learned_slowness`] of an upstream like the others, in thousandths.
+/// [`Member::learned_slowness`] of an upstream like the others, in
+/// thousandths.
 const USUAL_PERMILLE: u32 = 1000;
 
 /// Whether an upstream takes new requests.
--- a/src/placing/paths.rs
+++ b/src/placing/paths.rs
@@ -1,11 +1,11 @@
 //! The paths from this VM to upstreams: directly, or through another VM.
 //!
 //! A connection that cannot be opened has two explanations: the upstream is
-//! down, or this VM cannot reach it. Another VM tells them apart, by connecting
-//! to the upstream itself. While this VM has such proof, it connects through
-//! other VMs first, and tries the direct path again now and then. A partition
-//! may concern the upstreams of one service only, so each service has its own
-//! evidence.
+//! down, or this VM cannot reach it. Another VM tells them apart, by
+//! connecting to the upstream itself. While this VM has such proof, it
+//! connects through other VMs first, and tries the direct path again now and
+//! then. A partition may concern the upstreams of one service only, so each
+//! service has its own evidence.
 
 use std::{
     collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration,
--- a/src/placing/pool/permits.rs
+++ b/src/placing/pool/permits.rs
@@ -27,8 +27,8 @@
 const NOT_OWNER_WAIT: Duration = Duration::from_secs(1);
 
 impl Pool {
-    /// Returns the upstreams that could take an attempt with a permit of one of
-    /// their owners, those with the least work first; at most
+    /// Returns the upstreams that could take an attempt with a permit of one
+    /// of their owners, those with the least work first; at most
     /// [`MAX_CANDIDATES`].
     pub(crate) fn permit_candidates(
         &self,
--- a/src/placing/retry_window.rs
+++ b/src/placing/retry_window.rs
@@ -1,16 +1,17 @@
 //! The retry budget of a service on one VM, over sliding windows.
 //!
 //! Within any window, all VMs together may send a service no more retries than
-//! a share of its requests plus a fixed number. No VM knows the others' counts,
-//! so each keeps to a part of the bound, and the parts have to add up: whatever
-//! moves requests from one VM to another, and however often VMs restart.
+//! a share of its requests plus a fixed number. No VM knows the others'
+//! counts, so each keeps to a part of the bound, and the parts have to add up:
+//! whatever moves requests from one VM to another, and however often VMs
+//! restart.
 //!
 //! A VM therefore looks at *every* window that contains the retry, not only at
-//! the one that ends with it. For each, it goes by its own requests within that
-//! window and within the window before, in fixed proportions. The platform
-//! goes by the larger of the two sums over all VMs, which is at least any mean
-//! of them. If each VM went by the larger of its own two numbers instead,
-//! demand that moves from one VM to another would be counted twice.
+//! the one that ends with it. For each, it goes by its own requests within
+//! that window and within the window before, in fixed proportions. The
+//! platform goes by the larger of the two sums over all VMs, which is at least
+//! any mean of them. If each VM went by the larger of its own two numbers
+//! instead, demand that moves from one VM to another would be counted twice.
 //!
 //! Of its part of the fixed number, a VM uses a fifth until it has run for a
 //! whole window, since the retries of its previous incarnations count until
@@ -36,8 +37,8 @@
 /// demand is steady, those of a second and a half of a window of ten.
 const CURRENT_WEIGHT: f64 = 0.85;
 
-/// Fraction of the allowed share that is used; the rest covers the time between
-/// the decision for a retry and its arrival.
+/// Fraction of the allowed share that is used; the rest covers the time
+/// between the decision for a retry and its arrival.
 const SHARE_FACTOR: f64 = 0.98;
 
 /// Fraction of its part of the fixed number that a VM uses once it has run for
@@ -185,8 +186,8 @@
         allows_retry
     }
 
-    /// The number of the bucket that contains `now`. The first is so large that
-    /// the buckets of the windows before it have numbers as well.
+    /// The number of the bucket that contains `now`. The first is so large
+    /// that the buckets of the windows before it have numbers as well.
     fn bucket_number(&self, now: BootInstant) -> u64 {
         let passed = now.saturating_duration_since(self.since);
         let bucket = self.bound.window.as_secs_f64() / BUCKETS as f64;
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -89,7 +89,8 @@
 /// version that is slow under load shows it here first.
 const MIN_RAMP_ANSWERS: u32 = 36;
 
-/// Part of the allowed time at which the ramp-up phase ends with fewer answers.
+/// Part of the allowed time at which the ramp-up phase ends with fewer
+/// answers.
 const MAX_RAMP_PART: f64 = 0.9;
 
 /// Share of the requests that the new version gets in the ramp-up phase.
@@ -305,7 +306,8 @@
     /// Whether the new version has given `min_answers` complete answers.
     ///
     /// Once `max_part` of the allowed time has passed, half of them suffice if
-    /// their times could be compared, and any number if there are few requests.
+    /// their times could be compared, and any number if there are few
+    /// requests.
     fn is_proven(
         &self,
         min_answers: u32,
--- a/src/scheduling/coordination.rs
+++ b/src/scheduling/coordination.rs
@@ -1,8 +1,8 @@
 //! Whether the slots of a service are coordinated by one VM.
 //!
 //! Coordination costs each request a round trip to the coordinator. It is
-//! worth that where the slots are so few that a VM's view of them is older than
-//! most requests, and possible where one VM keeps up with the requests.
+//! worth that where the slots are so few that a VM's view of them is older
+//! than most requests, and possible where one VM keeps up with the requests.
 
 use std::time::Duration;
 
--- a/src/scheduling/replay_tests/load.rs
+++ b/src/scheduling/replay_tests/load.rs
@@ -66,8 +66,8 @@
         Load::with_overloading(service, vms, factor, 1.0)
     }
 
-    /// As [`Load::new`], with the large organisation at `rate_factor` times its
-    /// rate.
+    /// As [`Load::new`], with the large organisation at `rate_factor` times
+    /// its rate.
     pub(super) fn with_overloading(
         service: Service,
         vms: usize,
--- a/src/store_sync/held_updates.rs
+++ b/src/store_sync/held_updates.rs
@@ -1,9 +1,10 @@
 //! Updates that an older copy of the store implies, held until they are known
 //! to be true.
 //!
-//! An older copy lists what has left since, and lacks what was added. Operators
-//! and upstreams write again what they wrote; until then this VM goes by what
-//! it knew. What has not been written again in time is taken as the copy says.
+//! An older copy lists what has left since, and lacks what was added.
+//! Operators and upstreams write again what they wrote; until then this VM
+//! goes by what it knew. What has not been written again in time is taken as
+//! the copy says.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -13,8 +14,8 @@
 /// seconds after the store is back.
 pub(super) const HELD_TIME: Duration = Duration::from_millis(2500);
 
-/// The same time for an upstream that this VM knows as leaving or does not know.
-/// By then, the entry of one that has ended has lapsed.
+/// The same time for an upstream that this VM knows as leaving or does not
+/// know. By then, the entry of one that has ended has lapsed.
 pub(super) const HELD_RETURN_TIME: Duration = Duration::from_secs(5);
 
 /// The same time for records of VMs, which the VMs write again themselves.
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -217,8 +217,8 @@
         mirror.get(key).is_some_and(|(current, _)| current == value)
     }
 
-    /// Returns a packed snapshot of all values for another VM, and the position
-    /// of the store that it is complete up to.
+    /// Returns a packed snapshot of all values for another VM, and the
+    /// position of the store that it is complete up to.
     ///
     /// The snapshot is cached for all VMs that ask: deflating 300 KB takes a
     /// VM with half a core about 15 ms.
--- a/src/store_sync/older_copy.rs
+++ b/src/store_sync/older_copy.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// Returns what is done with the record of an upstream. It may have left since,
-/// whereas one that the copy says is leaving does not come back.
+/// Returns what is done with the record of an upstream. It may have left
+/// since, whereas one that the copy says is leaving does not come back.
 fn upstream_adoption(key: &str, own: Option<&[u8]>, value: &[u8]) -> Adoption {
     let decode = |value| match document::decode_update(key, value) {
         Ok(Some(StoreUpdate::Upstream(entry))) => Some(entry),
--- a/src/task.rs
+++ b/src/task.rs
@@ -32,9 +32,9 @@
 /// Runs a future like [`within`], but counts a time in which this process did
 /// not run as one [`RUNNING_STEP`] at most.
 ///
-/// A VM with a tenth of a core is stopped for up to 90 ms in every 100 ms while
-/// it is busy. When it runs again, its timers are due before it has read what
-/// has arrived meanwhile.
+/// A VM with a tenth of a core is stopped for up to 90 ms in every 100 ms
+/// while it is busy. When it runs again, its timers are due before it has read
+/// what has arrived meanwhile.
 pub(crate) async fn within_running<T>(
     limit: Duration,
     future: impl Future<Output = T>,
--- a/src/tunnel.rs
+++ b/src/tunnel.rs
@@ -1,11 +1,11 @@
 //! Byte streams to an upstream that run through another VM.
 //!
-//! The VM that cannot reach an upstream opens a connection to one that can, and
-//! asks it to connect. From then on the connection carries the bytes of an
-//! ordinary HTTP connection: requests as they are, and responses in chunks that
-//! are each preceded by their length. A chunk without bytes marks the end: a
-//! response that ends when its connection closes is complete only if the
-//! upstream closed it, and not if the other VM was lost.
+//! The VM that cannot reach an upstream opens a connection to one that can,
+//! and asks it to connect. From then on the connection carries the bytes of an
+//! ordinary HTTP connection: requests as they are, and responses in chunks
+//! that are each preceded by their length. A chunk without bytes marks the
+//! end: a response that ends when its connection closes is complete only if
+//! the upstream closed it, and not if the other VM was lost.
 //!
 //! The other VM decides nothing: attempts, deadlines, retries and the
 //! cancellation of a request stay with the VM that received it. When either
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -192,8 +192,8 @@
 }
 
 /// Leaves new connections without a reply until the mode is no longer
-/// [`Mode::Silent`]: the kernel drops their packets while the queue of accepted
-/// connections is full.
+/// [`Mode::Silent`]: the kernel drops their packets while the queue of
+/// accepted connections is full.
 async fn hang(open: &TcpListener, address: SocketAddr, mode: &SharedMode) {
     if rustix::net::listen(open, 0).is_err() {
         return;
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -63,7 +63,8 @@
     pub last_route: AtomicU64,
     /// Calls, in the order in which they ended.
     pub calls: Mutex<Vec<Call>>,
-    /// The VM that gets most new connections, if the load balancer prefers one.
+    /// The VM that gets most new connections, if the load balancer prefers
+    /// one.
     pub preferred: Mutex<Option<usize>>,
     load: Load,
     started_at: Instant,
--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -1,6 +1,6 @@
 //! Checks that non-idempotent requests run at most once and that every run is
-//! billed once, while VMs are killed or paused, data halls are partitioned, and
-//! the store is down, slow or loses responses, each alone and combined.
+//! billed once, while VMs are killed or paused, data halls are partitioned,
+//! and the store is down, slow or loses responses, each alone and combined.
 
 mod common;
 
--- a/standins/tests/crashing_requests.rs
+++ b/standins/tests/crashing_requests.rs
@@ -286,7 +286,8 @@
 }
 
 /// Guards against a quarantine that knows whole requests only: requests that
-/// share one crashing segment, and nothing else, crash upstream after upstream.
+/// share one crashing segment, and nothing else, crash upstream after
+/// upstream.
 #[test]
 fn requests_that_share_a_crashing_segment_are_no_longer_sent() {
     let _guard = lock_site();
--- a/standins/tests/lost_history.rs
+++ b/standins/tests/lost_history.rs
@@ -37,8 +37,8 @@
     ways.iter().filter(|way| *way == "push").count()
 }
 
-/// While a watcher learns by reading alone, the other VMs must not have to find
-/// out by themselves that they are behind.
+/// While a watcher learns by reading alone, the other VMs must not have to
+/// find out by themselves that they are behind.
 #[test]
 fn vms_are_told_what_a_watcher_learns_by_reading() {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
--- a/standins/tests/older_store.rs
+++ b/standins/tests/older_store.rs
@@ -1,5 +1,6 @@
-//! Runs gateway VMs whose store comes back from an older copy: what was written
-//! since is gone, versions are given out again, and the era of the store rises.
+//! Runs gateway VMs whose store comes back from an older copy: what was
+//! written since is gone, versions are given out again, and the era of the
+//! store rises.
 
 use std::{
     path::PathBuf,
@@ -119,8 +120,8 @@
     }
 }
 
-/// Until the operator and the upstreams have written again, the older copy says
-/// nothing of what a VM knows better.
+/// Until the operator and the upstreams have written again, the older copy
+/// says nothing of what a VM knows better.
 #[test]
 fn an_older_copy_of_the_store_takes_nothing_back() {
     let _guard = lock_site();
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -607,9 +607,9 @@
     }
 }
 
-/// Guards against key freshness proofs that carry the whole configuration: they
-/// would occupy the link of a small VM for as long as reading all of it, over
-/// and over.
+/// Guards against key freshness proofs that carry the whole configuration:
+/// they would occupy the link of a small VM for as long as reading all of it,
+/// over and over.
 #[test]
 fn a_key_freshness_proof_does_not_read_the_configuration() {
     let _guard = lock_site();
@@ -828,8 +828,8 @@
     site.store.put(&format!("op/rollout/{MODELS}"), &order);
 }
 
-/// Orders the rollout of `v2`, requests streams until it has ended, and returns
-/// its final state.
+/// Orders the rollout of `v2`, requests streams until it has ended, and
+/// returns its final state.
 fn roll_out(site: &Site) -> String {
     order_version(site, "v2", Duration::from_secs(4));
     let key = format!("status/rollout/{MODELS}");
@@ -924,9 +924,10 @@
 }
 
 /// Guards against counting the session timeout from the start of an attempt: a
-/// session lasts until it has had no running request for the timeout. A VM that
-/// forgot sessions six seconds after their last attempt had *started* assigned
-/// a session with a longer stream to another version, even within one request:
+/// session lasts until it has had no running request for the timeout. A VM
+/// that forgot sessions six seconds after their last attempt had *started*
+/// assigned a session with a longer stream to another version, even within one
+/// request:
 ///
 /// ```text
 /// 1.369-8.014 v1 parcelles-19 silent
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// Returns evidence that breaks no promise: one successful call of each of four
-/// kinds.
+/// Returns evidence that breaks no promise: one successful call of each of
+/// four kinds.
 fn good() -> Evidence {
     let kinds = [Kind::Read, Kind::Once, Kind::Write, Kind::Probe(1)];
     let calls: Vec<Call> = kinds
@@ -510,8 +510,8 @@
 }
 
 /// Adds an upstream that states a rate limit of one request per second from
-/// second 9 on, in its response to the first good call, and `calls` later calls
-/// of each of two VMs within two seconds. Only VM 0 got the signal.
+/// second 9 on, in its response to the first good call, and `calls` later
+/// calls of each of two VMs within two seconds. Only VM 0 got the signal.
 fn rate_limit_and_calls(calls: usize) -> impl Fn(&mut Evidence) {
     move |evidence| {
         let signalled = evidence.runs[0].clone();
--- a/standins/tests/upstreams.rs
+++ b/standins/tests/upstreams.rs
@@ -273,8 +273,8 @@
     });
 }
 
-/// Guards against VMs that learn that an upstream is leaving only from its load
-/// report, which one VM polls a few times a second, or from the list of
+/// Guards against VMs that learn that an upstream is leaving only from its
+/// load report, which one VM polls a few times a second, or from the list of
 /// upstreams, which is updated later still.
 #[test]
 fn an_upstream_that_signals_leaving_in_a_response_gets_no_new_requests() {
