--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -629,16 +629,29 @@
         upstream: ShortHash,
         criteria: &PickCriteria<'_>,
         now: BootInstant,
+    ) -> Option<Arc<Member>> {
+        let share = LimitShare::Own;
+        let chosen =
+            self.find_eligible(service, upstream, criteria, share, now)?;
+        count_request(&chosen, now);
+        Some(chosen)
+    }
+
+    /// Returns a given upstream if it may take a request.
+    fn find_eligible(
+        &self,
+        service: &ServiceId,
+        upstream: ShortHash,
+        criteria: &PickCriteria<'_>,
+        share: LimitShare,
+        now: BootInstant,
     ) -> Option<Arc<Member>> {
         let members = self.members();
         let all = members.by_service.get(service)?;
-        let eligible =
-            self.eligible(all, service, criteria, LimitShare::Own, now);
-        let chosen = eligible
-            .ok()?
-            .into_iter()
-            .find(|member| member.upstream.short_hash == upstream)?;
-        count_request(chosen, now);
+        let eligible = self.eligible(all, service, criteria, share, now);
+        let mut eligible = eligible.ok()?.into_iter();
+        let chosen =
+            eligible.find(|member| member.upstream.short_hash == upstream)?;
         Some(chosen.clone())
     }
 
--- a/src/placing/pool/permits.rs
+++ b/src/placing/pool/permits.rs
@@ -176,15 +176,8 @@
         criteria: &PickCriteria<'_>,
         now: BootInstant,
     ) -> Option<Arc<Member>> {
-        let members = self.members();
-        let all = members.by_service.get(service)?;
         let share = LimitShare::Lender;
-        let eligible = self.eligible(all, service, criteria, share, now);
-        let chosen = eligible
-            .ok()?
-            .into_iter()
-            .find(|member| member.upstream.short_hash == upstream)?;
-        Some(chosen.clone())
+        self.find_eligible(service, upstream, criteria, share, now)
     }
 }
 
