--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -150,7 +150,24 @@
 /// answers, before the proofs of the others expire.
 #[test]
 fn a_watcher_whose_proof_is_not_renewed_gives_way() {
-    let settings = start_store(|_| (503, None, json!({})));
+    let gateway = start_renewing(start_store(|_| (503, None, json!({}))));
+    wait_until_giving_way(&gateway);
+}
+
+/// The other VMs must not wait for the time limit of its call.
+#[test]
+fn a_watcher_gives_way_while_the_store_is_silent() {
+    let silent = start_store(|_| {
+        thread::sleep(Duration::from_secs(60));
+        (503, None, json!({}))
+    });
+    let gateway = start_renewing(silent);
+    wait_until_giving_way(&gateway);
+    assert!(!gateway.has_store_failed(), "the call has ended");
+}
+
+/// Starts the renewals of a VM that watches and whose proof is old.
+fn start_renewing(settings: GatewaySettings) -> Arc<Gateway> {
     let gateway = Gateway::new(settings, Arc::new(SystemClock));
     let configuration = json!({
         "version": 1, "routes": [], "services": [], "limits": {},
@@ -169,6 +186,10 @@
     gateway.knowledge.prove(now.checked_sub(limit).unwrap());
     assert!(gateway.peers.can_watch(now));
     task::spawn(revalidate_loop(gateway.clone())).detach();
+    gateway
+}
+
+fn wait_until_giving_way(gateway: &Gateway) {
     let deadline = gateway.clock.now() + Duration::from_secs(10);
     while gateway.peers.can_watch(gateway.clock.now()) {
         assert!(gateway.clock.now() < deadline, "it still watches");
