Let a watcher give way as soon as its answer is late

Cause: a VM towards which the store is silent kept the role of a watcher until its call timed out after 1.2 s, so the other VMs learned of changes later than the 2 s allowed. Its heartbeats now say so once an answer is 0.4 s late, while it waits on, and the next VM of its hall watches.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,7 +6,7 @@
 //! the store was asked; the age of this proof decides whether keys may be
 //! accepted.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use serde_json::json;
 
@@ -65,6 +65,10 @@
 const MIN_REVALIDATE_WAIT: Duration = Duration::from_millis(300);
 const MAX_REVALIDATE_WAIT: Duration = Duration::from_millis(900);
 
+/// Time after which an answer is late. A slow store answers within a quarter
+/// of a second.
+const LATE_AFTER: Duration = Duration::from_millis(400);
+
 /// Follows the store for as long as it is polled.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut follower = StoreFollower::new(gateway);
@@ -165,7 +169,10 @@
             let asked_at = gateway.clock.now();
             let since = gateway.knowledge.as_of();
             let wait = gateway.settings.watch_timeout;
-            match gateway.store.watch(ALL_KEYS, since, wait).await {
+            let watch = gateway.store.watch(ALL_KEYS, since, wait);
+            let limit = wait + LATE_AFTER;
+            let (watched, _) = give_way_if_late(gateway, limit, watch).await;
+            match watched {
                 Ok(WatchOutcome::Changes(changes)) => {
                     apply_changes(
                         gateway,
@@ -195,7 +202,7 @@
 
     async fn record_failure(&mut self, error: &StoreError) {
         self.gateway.record_store_failure();
-        self.gateway.peers.set_store_failure(Some(self.gateway.clock.now()));
+        give_way(&self.gateway);
         if !std::mem::replace(&mut self.is_store_lost, true) {
             let reason = error.to_string();
             Event::StoreLost.record(fields(json!({ "reason": reason })));
@@ -259,25 +266,57 @@
             {
                 task::sleep(ROLE_CHECK_INTERVAL).await;
             }
-            Some(_) if revalidate(&gateway).await.is_ok() => {
-                backoff.reset();
-                if failed_at.take().is_some() {
-                    gateway.peers.set_store_failure(None);
-                }
-            }
             Some(_) => {
+                let renewal = revalidate(&gateway);
+                let (renewed, late_at) =
+                    give_way_if_late(&gateway, LATE_AFTER, renewal).await;
+                failed_at = late_at.or(failed_at);
+                if renewed.is_ok() {
+                    backoff.reset();
+                    if failed_at.take().is_some() {
+                        gateway.peers.set_store_failure(None);
+                    }
+                    continue;
+                }
                 // The watch logs that the store is lost.
                 gateway.record_store_failure();
                 // A watch that hangs fails only when it times out. Until then
                 // another VM must watch in place of this one.
-                failed_at = Some(gateway.clock.now());
-                gateway.peers.set_store_failure(failed_at);
+                failed_at = Some(give_way(&gateway));
                 wait_to_retry(&gateway, &mut backoff).await;
             }
         }
     }
 }
 
+/// Waits for a call. If it lasts longer than `limit`, another VM watches in
+/// place of this one meanwhile; returns since when.
+async fn give_way_if_late<T>(
+    gateway: &Gateway,
+    limit: Duration,
+    call: impl Future<Output = T>,
+) -> (T, Option<BootInstant>) {
+    let mut call = pin!(call);
+    match task::within(limit, call.as_mut()).await {
+        Some(result) => (result, None),
+        None => {
+            let late_at = give_way(gateway);
+            (call.await, Some(late_at))
+        }
+    }
+}
+
+/// Tells the other VMs that the store does not answer this one, so that one of
+/// them watches in its place; returns the time.
+fn give_way(gateway: &Gateway) -> BootInstant {
+    let now = gateway.clock.now();
+    if gateway.peers.can_watch(now) {
+        gateway.early_heartbeat.wake();
+    }
+    gateway.peers.set_store_failure(Some(now));
+    now
+}
+
 /// Applies all changes since the last ones, so that the state is current as of
 /// the call.
 ///
