Test that a copy can be packed while a configuration is applied, failing

In trials with 300 VMs whose store comes back from an older copy, one or two VMs log that the new era has begun, then nothing more, and are no longer ready (four of four returns; none of six with 9 and 84 VMs). Two threads wait for each other's lock.

--- a/src/store_sync/knowledge/tests.rs
+++ b/src/store_sync/knowledge/tests.rs
@@ -1,3 +1,5 @@
+use std::{sync::mpsc, thread, time::Duration};
+
 use serde_json::json;
 
 use super::*;
@@ -406,3 +408,30 @@
     let applied = knowledge.apply_configuration(configuration(7));
     assert_eq!(install(&knowledge, applied), 0);
 }
+
+/// While the VMs of a hall fetch a new era from each other, each packs its
+/// copy for some and takes the configurations of others.
+#[test]
+fn a_copy_can_be_packed_while_a_configuration_is_applied() {
+    const ROUNDS: u64 = 20_000;
+    let knowledge = Arc::new(Knowledge::default());
+    let (done, all_done) = mpsc::channel();
+    let packing = (knowledge.clone(), done.clone());
+    thread::spawn(move || {
+        let (knowledge, done) = packing;
+        for _ in 0..ROUNDS {
+            knowledge.packed();
+        }
+        done.send(())
+    });
+    thread::spawn(move || {
+        for _ in 0..ROUNDS {
+            knowledge.apply_configuration(configuration(7));
+        }
+        done.send(())
+    });
+    for _ in 0..2 {
+        let ended = all_done.recv_timeout(Duration::from_secs(60));
+        ended.expect("the threads wait for each other");
+    }
+}
