Release the copy of the store before its packed form is cleared

Cause: `packed` locks the packed form and then the copy, `apply_configuration` did the reverse. A VM that packed its copy for one VM while it took the configuration of another stopped for good. VMs that begin a new era of the store do both at once. No other function of the copy takes both locks.

Before: four of four returns of the store with 300 VMs stopped one or two VMs; the test with two threads waited for 60 s. Now it passes.

--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -250,6 +250,8 @@
     pub fn apply_configuration(&self, value: Vec<u8>) -> AppliedItems {
         let mut mirror = self.mirror.lock().expect("mirror lock");
         let applied = mirror.apply_configuration(value);
+        // Packing locks the copy after the snapshot.
+        drop(mirror);
         // The snapshot for other VMs lacks it.
         *self.packed.lock().expect("packed lock") = None;
         applied
