Log how the times of a version on trial compare when a rollout is recorded

It now says how many times were compared, the mean share of the old version's times that they exceed, and the old version's bad answers.

--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -129,7 +129,10 @@
             "answers": new.complete,
             "answers_bad": new.bad,
             "answers_lost": new.lost,
+            "answers_compared": new.compared,
+            "slower_than_percent": new.mean_exceeded_percent(),
             "old_answers": old.complete,
+            "old_answers_bad": old.bad,
             "old_answers_lost": old.lost,
             "canary_ended_ms": canary_ended.map(|end| end.as_millis() as u64),
         })));
