Keep new versions to the operator's bound, and compare like with like

Seen: a version that is several times slower is completed and kept, or gets more than its share of the requests (EXPOSURE).

Cause: the verdict bounds the exposure, and it rests on unlike things. Times were compared as they came, so the old version's queues, long prompts and slow models hid that the new one is slow; a service with few requests gave eight answers in a trial; and no comparison can find a version that is bad under more load than it gets.

Change: the operator's bound (rollouts.canary_share and canary_tolerance, read from the platform's sheet) is kept by schedule and count. Requests move at the end of the allowed time, first those that would outlast the rollout. Times are compared by route and model, as multiples of a time in proportion to the prompt and the known backlog, only of answers that hardly waited, in histograms that VMs add up. A version is stopped by a count of bad or late answers only if it would be chance with a probability below 0.002. A deputy ends a rollout that the steward has not ended in time.

These parts share the evidence that VMs exchange and the phases of a rollout, so they come together.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -30,7 +30,7 @@
     message::ShortHash,
     placing::{
         admission,
-        cascade::calibration::RatedAnswer,
+        cascade::{calibration::RatedAnswer, prefill_times::PrefillTimes},
         event_gap,
         health::AttemptOutcome,
         member::{Member, MemoryGuard, PrefillGuard},
@@ -39,7 +39,7 @@
         upstream::InFlightGuard,
     },
     platform::headers::{self, ResponseHead},
-    rollouts::choice::VersionChoice,
+    rollouts::{answer_time::AnswerTime, choice::VersionChoice},
     scheduling::{
         organisation_requests::OrganisationGuard,
         organisation_shares::OrganisationShares,
@@ -99,6 +99,10 @@
 /// that died never ends.
 const MAX_PREFILL_PATIENCE: Duration = Duration::from_millis(2500);
 
+/// Prefill backlog that does not count as a wait for other requests, however
+/// short the prompt is.
+const MAX_UNCOUNTED_PREFILL: Duration = Duration::from_millis(20);
+
 /// Interval between two checks of a silent upstream.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -176,6 +180,38 @@
     _session: Option<SessionGuard>,
 }
 
+impl Attempt {
+    /// Returns a name for the requests whose answers take alike: of the same
+    /// route and model.
+    fn request_kind(&self, route: &Route) -> String {
+        match &self.model {
+            Some(model) => format!("{} {model}", route.name),
+            None => route.name.clone(),
+        }
+    }
+
+    /// Returns the time until the first part of the answer, beside the time to
+    /// expect.
+    fn answer_time(&self, waited: Duration) -> AnswerTime {
+        if self.prompt_tokens == 0 {
+            return AnswerTime {
+                waited,
+                expected: Duration::ZERO,
+                is_unqueued: self.utilization_before < 1.0,
+            };
+        }
+        let max_queued =
+            MAX_UNCOUNTED_PREFILL.max(self.expected_prefill.div_f64(2.0));
+        AnswerTime {
+            waited,
+            // The same at all VMs, which add up their comparisons by model.
+            expected: PrefillTimes::unlearned(self.prompt_tokens)
+                + self.prefill_before,
+            is_unqueued: self.prefill_before <= max_queued,
+        }
+    }
+}
+
 /// Why no attempt begins.
 pub(crate) enum NoAttempt {
     /// The request may not be sent.
@@ -333,7 +369,13 @@
     pub(crate) fn version_choice(&self, now: BootInstant) -> VersionChoice {
         let session = self.request.session.as_deref();
         let id = &self.request.id;
-        self.gateway.rollouts.choose_version(&self.service, session, id, now)
+        self.gateway.rollouts.choose_version(
+            &self.service,
+            &self.route.name,
+            session,
+            id,
+            now,
+        )
     }
 
     /// Builds the criteria for choosing an upstream that is not in `tried`.
@@ -812,7 +854,8 @@
     fn record_arrival(&mut self, attempt: &Attempt) {
         self.sent += 1;
         let software = &attempt.member.entry.software;
-        self.gateway.rollouts.record_sent(&self.service, software);
+        let rollouts = &self.gateway.rollouts;
+        rollouts.record_sent(&self.service, software, &self.route.name);
     }
 
     /// Waits until `limit` has passed since `since`, until the upstream has
@@ -901,6 +944,8 @@
     pub(crate) fn learn_service_time(&self, attempt: &Attempt) {
         let now = self.gateway.clock.now();
         let took = now.saturating_duration_since(attempt.began_at);
+        let rollouts = &self.gateway.rollouts;
+        rollouts.record_duration(&self.service, &self.route.name, took);
         if let Some(slot) = &attempt.slot {
             slot.record_service_time(took);
         }
@@ -1004,12 +1049,22 @@
         if is_isolated || is_superseded_failure || is_own {
             return;
         }
-        gateway.rollouts.record_answer(
+        self.record_version_answer(attempt, outcome, first_part);
+    }
+
+    /// Records the outcome of an attempt for rollouts.
+    pub(crate) fn record_version_answer(
+        &self,
+        attempt: &Attempt,
+        outcome: AttemptOutcome,
+        first_part: Option<Duration>,
+    ) {
+        self.gateway.rollouts.record_answer(
             &self.service,
             &attempt.member.entry.software,
-            &self.route.name,
+            &attempt.request_kind(&self.route),
             outcome,
-            first_part,
+            first_part.map(|waited| attempt.answer_time(waited)),
         );
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -202,7 +202,10 @@
                 settings.data_hall.clone(),
                 settings.warm_up_slack,
             ),
-            rollouts: Rollouts::new(settings.session_timeout),
+            rollouts: Rollouts::new(
+                settings.session_timeout,
+                settings.exposure_limit,
+            ),
             crashes: CrashTracker::new(ShortHash::of(settings.vm.as_str())),
             prefill_times: PrefillTimes::default(),
             calibration: Calibration::default(),
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -236,6 +236,13 @@
             }
             trace.record_confidence(confidence, &escalation);
             if let Ok(model) = escalation.decision {
+                // The model has read the prompt when the head arrives.
+                let waited = now.saturating_duration_since(attempt.began_at);
+                self.record_version_answer(
+                    &attempt,
+                    AttemptOutcome::Success,
+                    Some(waited),
+                );
                 return Err(AttemptError::LowConfidence(model, answer));
             }
         }
--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -20,6 +20,7 @@
         store::{ConditionalWrite, WriteOutcome},
     },
     rollouts::{
+        fleet_place::FleetPlace,
         registry::PendingStatus,
         rollout::{RolloutProgress, RolloutStatus},
     },
@@ -51,6 +52,10 @@
             continue;
         }
         let now = gateway.clock.now();
+        gateway.rollouts.set_fleet_place(FleetPlace {
+            vms: gateway.peers.vm_count(),
+            is_deputy: gateway.peers.is_first_of_hall(now),
+        });
         for (service, reason) in gateway.rollouts.evaluate(now) {
             Event::RolloutStopped.record(fields(json!({
                 "service": service,
@@ -117,6 +122,7 @@
     let store = &gateway.store;
     let known = gateway.rollouts.known_answers(&due.service);
     let ([old, new], canary_ended) = known.unwrap_or_default();
+    let comparison = gateway.rollouts.comparison(&due.service);
     if let WriteOutcome::Committed(version) =
         store.write_all(&[write], None).await?
     {
@@ -129,8 +135,8 @@
             "answers": new.complete,
             "answers_bad": new.bad,
             "answers_lost": new.lost,
-            "answers_compared": new.compared,
-            "slower_than_percent": new.mean_exceeded_percent(),
+            "answers_compared": comparison.compared(),
+            "slower_than_percent": comparison.exceeded_percent(),
             "old_answers": old.complete,
             "old_answers_bad": old.bad,
             "old_answers_lost": old.lost,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -14,6 +14,7 @@
         retry_window::RetryBound,
         warm_up::WarmUpSlack,
     },
+    rollouts::exposure::ExposureLimit,
     scheduling::organisation_reserve::OrganisationReserve,
     secret::ClusterKey,
     settings::{
@@ -156,6 +157,19 @@
         "Time after the end of a request within which the next one belongs \
          to the same session, which keeps its version.",
     ),
+    key(
+        "rollouts",
+        "canary_share",
+        Some("0.15"),
+        "Share of a service's requests that a new version may get until the \
+         time allowed for its rollout is over.",
+    ),
+    key(
+        "rollouts",
+        "canary_tolerance",
+        Some("0"),
+        "Requests that it may get in addition.",
+    ),
     key(
         "scheduling",
         "vms_per_slot",
@@ -247,6 +261,8 @@
     /// The time after the end of a request within which the next one belongs
     /// to the same session.
     pub session_timeout: Duration,
+    /// The bound for the requests that a new version gets.
+    pub exposure_limit: ExposureLimit,
     /// Live VMs per slot above which the slots of a service are coordinated;
     /// 0 to coordinate none.
     pub vms_per_slot: u32,
@@ -313,6 +329,7 @@
     let retry_bound = read_retries(r);
     let warm_up_slack = read_warm_up_slack(r);
     let session_s = r.number("rollouts", "session_s", 0.1, 3600.0);
+    let exposure_limit = read_exposure_limit(r);
     let vms_per_slot = r.number("scheduling", "vms_per_slot", 0, 1000);
     let slot_reply_margin = r.millis("scheduling", "reply_ms");
     let organisation_reserve = r.value("scheduling", "organisation_reserve");
@@ -341,6 +358,7 @@
         retry_bound: retry_bound?,
         warm_up_slack: warm_up_slack?,
         session_timeout: Duration::from_secs_f64(session_s?),
+        exposure_limit: exposure_limit?,
         vms_per_slot: vms_per_slot?,
         slot_reply_margin: slot_reply_margin?,
         organisation_reserve: organisation_reserve?,
@@ -351,6 +369,12 @@
     })
 }
 
+fn read_exposure_limit(r: &mut SettingsReader<'_>) -> Option<ExposureLimit> {
+    let share = r.number("rollouts", "canary_share", 0.001, 1.0);
+    let tolerance = r.number("rollouts", "canary_tolerance", 0.0, 100_000.0);
+    Some(ExposureLimit { share: share?, tolerance: tolerance? })
+}
+
 fn read_warm_up_slack(r: &mut SettingsReader<'_>) -> Option<WarmUpSlack> {
     let overshoot = r.number("warm_up", "overshoot", 0.0, 100.0);
     let tolerance = r.number("warm_up", "tolerance", 0.0, 100_000.0);
--- a/src/gateway/test_fleet.rs
+++ b/src/gateway/test_fleet.rs
@@ -60,6 +60,8 @@
     /// A data hall that exchanges no heartbeats with any other.
     pub(crate) partitioned_hall: Option<usize>,
     vms_per_hall: usize,
+    /// Settings of the VMs in addition to the minimal ones.
+    settings: &'static str,
 }
 
 fn address(vm: usize) -> SocketAddr {
@@ -69,6 +71,15 @@
 impl Fleet {
     /// Creates a fleet whose VMs all know of each other.
     pub(crate) fn new(halls: usize, vms_per_hall: usize) -> Fleet {
+        Fleet::with_settings(halls, vms_per_hall, "")
+    }
+
+    /// Creates such a fleet whose VMs have these settings as well.
+    pub(crate) fn with_settings(
+        halls: usize,
+        vms_per_hall: usize,
+        settings: &'static str,
+    ) -> Fleet {
         let clock = Arc::new(TestClock(Mutex::new(BootInstant::now())));
         let mut fleet = Fleet {
             clock,
@@ -79,6 +90,7 @@
             early: BTreeSet::new(),
             partitioned_hall: None,
             vms_per_hall,
+            settings,
         };
         let count = halls * vms_per_hall;
         fleet.vms = (0..count).map(|vm| fleet.start(vm, count)).collect();
@@ -93,6 +105,7 @@
             .replace("id = vm-0", &format!("id = vm-{number}"))
             .replace("hall-a", &self.hall_name(number))
             .replace("127.0.0.1:3", &address(number).to_string());
+        let settings = settings + self.settings;
         let settings = GatewaySettings::from_ini(&settings).unwrap();
         let vm = Gateway::new(settings, self.clock.clone());
         for other in (0..count).filter(|other| *other != number) {
--- a/src/placing/cascade/prefill_times.rs
+++ b/src/placing/cascade/prefill_times.rs
@@ -43,8 +43,17 @@
     ) -> Duration {
         let times = self.0.lock().expect("times lock");
         let known = model.and_then(|model| times.get(model));
-        let token_ms = known.map_or(DEFAULT_TOKEN_MS, |r| r.ms / r.tokens);
-        let ms = token_ms * tokens as f64;
+        let Some(known) = known else {
+            return PrefillTimes::unlearned(tokens);
+        };
+        let ms = known.ms / known.tokens * tokens as f64;
+        MIN_FIRST_EVENT + Duration::from_secs_f64(ms / 1000.0)
+    }
+
+    /// Returns the time to the first event that any VM expects of a model whose
+    /// speed is not known, for a prompt that does not have to wait.
+    pub(crate) fn unlearned(tokens: u64) -> Duration {
+        let ms = DEFAULT_TOKEN_MS * tokens as f64;
         MIN_FIRST_EVENT + Duration::from_secs_f64(ms / 1000.0)
     }
 
--- a/src/rollouts/choice.rs
+++ b/src/rollouts/choice.rs
@@ -24,8 +24,11 @@
     Completed,
     /// The request has no session or an unknown one, so a hash decided.
     Drawn,
-    /// A hash decided for the new version, but it has had its share of the
-    /// attempts that this VM sends.
+    /// The request would probably still run at the old version when the
+    /// rollout is completed.
+    Outlasting,
+    /// The new version would have got the request, but it has had its share of
+    /// the attempts that this VM sends.
     ShareSpent,
     /// This VM sent the session's last request, the given time ago.
     LocalSession(Duration),
@@ -40,6 +43,7 @@
             ChoiceReason::Stopped => "stopped",
             ChoiceReason::Completed => "completed",
             ChoiceReason::Drawn => "drawn",
+            ChoiceReason::Outlasting => "outlasting",
             ChoiceReason::ShareSpent => "share_spent",
             ChoiceReason::LocalSession(_) => "own_session",
             ChoiceReason::PeerSession(_) => "told_session",
--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -9,9 +9,12 @@
     message::ShortHash,
     placing::health::AttemptOutcome,
     rollouts::{
+        answer_time::AnswerTime,
         choice::VersionChoice,
-        comparison::AnswerCounts,
+        comparison::{AnswerCounts, Comparison},
         evidence::{Evidence, HallEvidence},
+        exposure::ExposureLimit,
+        fleet_place::FleetPlace,
         peer_evidence::Delivery,
         rollout::{Rollout, RolloutOrder, RolloutProgress, RolloutStatus},
         sessions::Sessions,
@@ -41,6 +44,8 @@
 pub struct Rollouts {
     /// Time after the end of its last request for which a session is kept.
     session_lifetime: Duration,
+    /// The bound for the requests that a new version gets.
+    limit: ExposureLimit,
     rollouts: Mutex<HashMap<ServiceId, Rollout>>,
     /// Withdrawn versions, the most recent one last. Their upstreams run on
     /// for a while after the order was deleted or replaced. Locked after
@@ -56,9 +61,10 @@
 impl Rollouts {
     /// Creates a registry without rollouts. A request belongs to the session
     /// of the previous one if it arrives within `session_timeout` of its end.
-    pub fn new(session_timeout: Duration) -> Rollouts {
+    pub fn new(session_timeout: Duration, limit: ExposureLimit) -> Rollouts {
         Rollouts {
             session_lifetime: session_timeout + SESSION_SLACK,
+            limit,
             rollouts: Mutex::default(),
             withdrawn: Mutex::default(),
             stored: Mutex::default(),
@@ -80,7 +86,8 @@
         }
         self.record_end(&service, previous);
         self.clear_withdrawn(&service, &order.target);
-        let rollout = Rollout::new(order, self.session_lifetime, now);
+        let rollout =
+            Rollout::new(order, self.session_lifetime, self.limit, now);
         rollouts.insert(service, rollout);
         true
     }
@@ -147,10 +154,11 @@
         withdrawn.get(service).cloned().unwrap_or_default()
     }
 
-    /// Chooses the version for a request.
+    /// Chooses the version for a request on a route.
     pub fn choose_version(
         &self,
         service: &ServiceId,
+        route: &str,
         session: Option<&str>,
         request_id: &str,
         now: BootInstant,
@@ -167,7 +175,7 @@
             of_service.version(session, self.session_lifetime, now)
         });
         let (rule, reason) =
-            rollout.choose_version(session, own, request_id, now);
+            rollout.choose_version(route, session, own, request_id, now);
         VersionChoice { rule, reason: Some(reason), withdrawn }
     }
 
@@ -200,10 +208,15 @@
     }
 
     /// Records that an attempt at a version of a service was sent.
-    pub fn record_sent(&self, service: &ServiceId, software: &VersionId) {
+    pub fn record_sent(
+        &self,
+        service: &ServiceId,
+        software: &VersionId,
+        route: &str,
+    ) {
         let mut rollouts = self.rollouts.lock().expect("rollouts lock");
         if let Some(rollout) = rollouts.get_mut(service) {
-            rollout.record_sent(software);
+            rollout.record_sent(software, route);
         }
     }
 
@@ -216,11 +229,32 @@
         software: &VersionId,
         route: &str,
         outcome: AttemptOutcome,
-        first_part: Option<Duration>,
+        time: Option<AnswerTime>,
     ) {
         let mut rollouts = self.rollouts.lock().expect("rollouts lock");
         if let Some(rollout) = rollouts.get_mut(service) {
-            rollout.record_answer(software, route, outcome, first_part);
+            rollout.record_answer(software, route, outcome, time);
+        }
+    }
+
+    /// Records how long a request took, to the end of its answer.
+    pub fn record_duration(
+        &self,
+        service: &ServiceId,
+        route: &str,
+        took: Duration,
+    ) {
+        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
+        if let Some(rollout) = rollouts.get_mut(service) {
+            rollout.record_duration(route, took);
+        }
+    }
+
+    /// Sets the place of this VM in its fleet.
+    pub fn set_fleet_place(&self, fleet: FleetPlace) {
+        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
+        for rollout in rollouts.values_mut() {
+            rollout.set_fleet_place(fleet);
         }
     }
 
@@ -379,7 +413,7 @@
     /// Returns the statuses that this VM has to write to the store.
     ///
     /// The steward writes all of them. Any other VM writes only that a version
-    /// was stopped, and a little later. A rollout is completed once no VM of
+    /// was stopped, and deputies that a rollout has ended, a little later. A rollout is completed once no VM of
     /// this hall and of `other_halls` has requests in flight at the old
     /// version, since its upstreams then shut down.
     pub fn pending_statuses(
@@ -405,6 +439,13 @@
         pending
     }
 
+    /// Returns how the versions of a service compare on all routes.
+    pub(crate) fn comparison(&self, service: &ServiceId) -> Comparison {
+        let rollouts = self.rollouts.lock().expect("rollouts lock");
+        let known = rollouts.get(service).map(Rollout::comparison);
+        known.unwrap_or_else(|| Comparison::new(&[]))
+    }
+
     /// Returns the answers of the old and the new version of a running
     /// rollout, and how long after its beginning the canary phase ended.
     pub(crate) fn known_answers(
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -5,10 +5,15 @@
 //! canary phase, a small share of the requests goes to the new version, but
 //! no session that began on the old one. The phase lasts until enough answers
 //! have arrived to compare the versions, or hardly any time is left. If the
-//! answers are as good as the old version's, all requests go to the new one,
-//! and the rollout is completed once the old version has nothing in flight.
-//! If they are worse, the new version gets no more requests and the rollout is
-//! reverted.
+//! answers are as good as the old version's, the requests move to the new one
+//! at the end of the allowed time: first those that would outlast it, then
+//! all. The rollout is completed once the old version has nothing in flight,
+//! at the latest shortly before the time is over. If the answers are worse,
+//! the new version gets no more requests and the rollout is reverted.
+//!
+//! Some versions are bad only under conditions that do not occur during the
+//! trial, so that no comparison can tell them from good ones. The requests
+//! move so late that any version keeps to the operator's bound.
 //!
 //! Every VM evaluates the evidence of all VMs and stops the version by itself.
 //! Each VM bounds the share of its own requests, so the bound holds however
@@ -24,10 +29,14 @@
     placing::{health::AttemptOutcome, pool::VersionRule},
     rendezvous,
     rollouts::{
+        answer_time::AnswerTime,
         baseline::Baseline,
         choice::ChoiceReason,
-        comparison::{AnswerCounts, is_doubtful, is_worse},
+        comparison::{AnswerCounts, Comparison},
+        durations::Durations,
         evidence::{Evidence, HallEvidence, OldVersionSession},
+        exposure::{ExposureLimit, SentRequests},
+        fleet_place::FleetPlace,
         peer_evidence::{
             AnswersByRoute, Delivery, PeerEvidence, from_list,
             old_version_session, to_list,
@@ -35,20 +44,9 @@
         sessions::Sessions,
         stored_evidence::{StoredEvidence, VmAnswers},
     },
+    unit::Share,
 };
 
-/// Share of the requests that a new version gets in the canary phase, below
-/// the platform's limit `canary_share` to leave room for retries.
-const CANARY_SHARE: f64 = 0.08;
-
-/// Largest share of the attempts that a VM sends to a service that may go to
-/// the new version in the canary phase, or while its answers are doubtful,
-/// below `canary_share` as well.
-const MAX_CANARY_SENT_SHARE: f64 = 0.12;
-
-/// Attempts that a VM may send to the new version in addition.
-const CANARY_SENT_ALLOWANCE: f64 = 1.0;
-
 /// Time after an order before the new version gets requests. By then all VMs
 /// have the order and have reported which sessions are on the old version:
 /// that takes a heartbeat within the data hall, one to another hall, and one
@@ -69,50 +67,43 @@
 
 /// Number of complete answers of the new version that end the canary phase. By
 /// then a version that fails a third of its requests has had the four bad
-/// answers for which it is stopped. If the phase ended by time alone, such a
-/// version would get a sixth of all requests of a service with few.
+/// answers for which it is stopped.
 const MIN_CANARY_ANSWERS: u32 = 12;
 
-/// Part of the allowed time at which the canary phase ends with fewer answers:
-/// a good version must be completed even if there are hardly any requests.
-const MAX_CANARY_PART: f64 = 0.8;
+/// Number of complete answers of the new version from which all requests may
+/// move to it.
+const MIN_MOVE_ANSWERS: u32 = 36;
+
+/// Part of the allowed time from which fewer answers suffice: a good version
+/// must be completed even if there are hardly any requests.
+const FEW_ANSWERS_PART: f64 = 0.8;
 
 /// Part of the allowed time for which a VM must have had the order to tell
 /// that there are few requests.
 const MIN_WATCHED_PART: f64 = 0.6;
 
-/// Part of the allowed time that the ramp-up phase lasts at least: after the
-/// canary phase, only a part of the requests goes to the new version at first.
-const RAMP_PART: f64 = 0.06;
-
-/// Number of complete answers of the new version that end the ramp-up phase. A
-/// version that is slow under load shows it here first.
-const MIN_RAMP_ANSWERS: u32 = 36;
-
-/// Part of the allowed time at which the ramp-up phase ends with fewer
-/// answers.
-const MAX_RAMP_PART: f64 = 0.9;
-
-/// Share of the requests that the new version gets in the ramp-up phase.
-const RAMP_SHARE: f64 = 0.4;
-
 /// Part of the allowed time, from when all requests go to the new version,
 /// for the last requests at the old version to end.
-const DRAIN_PART: f64 = 0.06;
+const DRAIN_PART: f64 = 0.02;
 
 /// Part of the allowed time after which a rollout is completed even if the old
 /// version still has requests in flight.
-const COMPLETE_AT_PART: f64 = 0.93;
+const COMPLETE_AT_PART: f64 = 0.965;
 
-/// Part of the allowed time after which a rollout is reverted if the ramp-up
-/// phase has not ended. Later than [`COMPLETE_AT_PART`], so that a VM that has
-/// not received the end of the phase does not revert a completed rollout.
-const REVERT_AT_PART: f64 = 0.97;
+/// Part of the allowed time after which a rollout is reverted if the new
+/// version is not proven. Later than [`COMPLETE_AT_PART`], so that a VM that
+/// has not received the end of the canary phase does not revert a completed
+/// rollout.
+const REVERT_AT_PART: f64 = 0.975;
 
 /// Time after which a VM that is not the steward writes to the store that a
 /// version was stopped, if no other VM has.
 const FALLBACK_RECORD_DELAY: Duration = Duration::from_millis(700);
 
+/// Time after which deputies end a rollout if the steward has not: it may be
+/// restarting, and the others still take it for alive.
+const DEPUTY_DELAY: Duration = Duration::from_millis(250);
+
 /// Maximum number of sessions in one heartbeat; a VM has a few at a time.
 const MAX_SESSIONS_PER_HEARTBEAT: usize = 64;
 
@@ -177,8 +168,15 @@
     /// earliest end, so that a session which one of them moved to the new
     /// version is not moved back by another.
     pub(super) canary_ended: Option<Duration>,
-    /// Whether the ramp-up phase has ended.
-    is_ramped_up: bool,
+    limit: ExposureLimit,
+    fleet: FleetPlace,
+    /// Share of the requests that the new version gets in the canary phase.
+    trial_share: Share,
+    /// Whether the new version has given enough answers for all requests to
+    /// move to it.
+    is_proven: bool,
+    /// How long after `started_at` all requests were moved to it.
+    all_moved: Option<Duration>,
     /// Whether the new version's answers gave reason to doubt it when they
     /// were last evaluated.
     is_doubtful: bool,
@@ -189,6 +187,8 @@
     own_answers: AnswersByRoute,
     /// The old version's times to the first part of an answer, by route.
     baselines: HashMap<ShortHash, Baseline>,
+    /// How long this VM's requests take.
+    durations: Durations,
     pub(super) peers: PeerEvidence,
 }
 
@@ -203,10 +203,16 @@
     pub(super) fn new(
         order: RolloutOrder,
         session_lifetime: Duration,
+        limit: ExposureLimit,
         now: BootInstant,
     ) -> Rollout {
         Rollout {
             order,
+            limit,
+            fleet: FleetPlace::default(),
+            trial_share: limit.trial_share(None),
+            is_proven: false,
+            all_moved: None,
             session_lifetime,
             learned_at: now,
             started_at: now,
@@ -214,11 +220,11 @@
             recorded: None,
             stopped_at: None,
             canary_ended: None,
-            is_ramped_up: false,
             is_doubtful: false,
             sent: [0; 2],
             own_answers: HashMap::new(),
             baselines: HashMap::new(),
+            durations: Durations::default(),
             peers: PeerEvidence::default(),
         }
     }
@@ -267,20 +273,32 @@
         time.as_secs_f64() / allowed
     }
 
-    /// Returns the share of the requests that the new version gets now.
+    /// Returns the share of the requests that the new version gets now, but
+    /// for those that would outlast the rollout at the old one.
     fn share(&self, now: BootInstant) -> f64 {
         let elapsed = |since| now.saturating_duration_since(since);
         let is_early = elapsed(self.started_at) < CANARY_DELAY
             || elapsed(self.learned_at) < SYNC_DELAY;
         match self.canary_ended {
             None if is_early => 0.0,
-            None => CANARY_SHARE,
-            Some(_) if self.is_ramped_up => 1.0,
-            Some(_) if self.is_doubtful => CANARY_SHARE,
-            Some(_) => RAMP_SHARE,
+            Some(_) if self.may_move() && self.all_moved.is_some() => 1.0,
+            _ => self.trial_share.value(),
         }
     }
 
+    /// Whether requests may move to the new version.
+    fn may_move(&self) -> bool {
+        self.canary_ended.is_some() && self.is_proven && !self.is_doubtful
+    }
+
+    /// Whether a request that begins now on a route would probably still run
+    /// at the old version when the rollout is completed.
+    fn outlasts_rollout(&self, route: ShortHash, now: BootInstant) -> bool {
+        let end = now.saturating_duration_since(self.started_at)
+            + self.durations.expected(route);
+        self.part(end) >= COMPLETE_AT_PART
+    }
+
     /// Ends the canary phase once it has lasted long enough and the new
     /// version has proven itself.
     fn end_canary(&mut self, now: BootInstant) {
@@ -288,38 +306,49 @@
         if self.canary_ended.is_some() || elapsed < MIN_CANARY_PART {
             return;
         }
-        if self.is_proven(MIN_CANARY_ANSWERS, MAX_CANARY_PART, now) {
+        if self.has_enough_answers(MIN_CANARY_ANSWERS, now) {
             let running = now.saturating_duration_since(self.started_at);
             self.canary_ended = Some(running);
         }
     }
 
-    /// Ends the ramp-up phase once it has lasted long enough and the new
-    /// version has proven itself.
-    fn end_ramp_up(&mut self, now: BootInstant) {
-        let Some(end) = self.canary_ended else { return };
-        let is_over = self.elapsed_part(now) >= self.part(end) + RAMP_PART;
-        self.is_ramped_up |=
-            is_over && self.is_proven(MIN_RAMP_ANSWERS, MAX_RAMP_PART, now);
+    /// Moves all requests once the rest of the allowed time is so short that
+    /// this keeps to the bound.
+    fn update_exposure(&mut self, now: BootInstant) {
+        let elapsed = self.elapsed_part(now);
+        let [old, new] = self.answers_by_version();
+        let sent = SentRequests {
+            old: f64::from(old.sent),
+            new: f64::from(new.sent),
+        };
+        let all = sent.old + sent.new;
+        let expected = (all > 0.0).then(|| all / elapsed.clamp(0.001, 1.0));
+        self.trial_share = self.limit.trial_share(expected);
+        if self.may_move()
+            && self.all_moved.is_none()
+            && all > 0.0
+            && self.limit.may_send_all(sent, elapsed)
+        {
+            let running = now.saturating_duration_since(self.started_at);
+            self.all_moved = Some(running);
+        }
     }
 
-    /// Whether the new version has given `min_answers` complete answers.
+    /// Whether the new version has given `wanted` complete answers that do not
+    /// make it doubtful, and their times could be compared.
     ///
-    /// Once `max_part` of the allowed time has passed, half of them suffice if
-    /// their times could be compared, and any number if there are few
-    /// requests.
-    fn is_proven(
-        &self,
-        min_answers: u32,
-        max_part: f64,
-        now: BootInstant,
-    ) -> bool {
+    /// Once [`FEW_ANSWERS_PART`] of the allowed time has passed, a third of them
+    /// suffices, and any number if there are few requests.
+    fn has_enough_answers(&self, wanted: u32, now: BootInstant) -> bool {
         let [old, new] = self.answers_by_version();
-        let is_late = self.elapsed_part(now) >= max_part;
-        let has_half = new.complete >= min_answers / 2
-            && new.mean_exceeded_percent().is_some();
-        let has_answers = new.complete >= min_answers
-            || is_late && (has_half || self.has_few_requests(old, now));
+        let is_late = self.elapsed_part(now) >= FEW_ANSWERS_PART;
+        let is_compared = self.comparison().exceeded_percent().is_some();
+        let is_comparable = old.times.count() > 0;
+        let has_third = new.complete >= wanted / 3 && is_compared;
+        let has_all =
+            new.complete >= wanted && (is_compared || !is_comparable);
+        let has_answers = has_all
+            || is_late && (has_third || self.has_few_requests(old, now));
         has_answers && !self.is_doubtful
     }
 
@@ -333,7 +362,8 @@
         let watched = now.saturating_duration_since(self.learned_at);
         let attempts = f64::from(old.complete + old.lost);
         self.part(watched) >= MIN_WATCHED_PART
-            && attempts * CANARY_SHARE < f64::from(MIN_CANARY_ANSWERS)
+            && attempts * self.trial_share.value()
+                < f64::from(MIN_CANARY_ANSWERS)
     }
 
     /// Returns the answer counts of the old and the new version on all routes.
@@ -341,6 +371,13 @@
         sum_routes(&self.all_answers())
     }
 
+    /// Returns the comparison of both versions on all routes.
+    pub(super) fn comparison(&self) -> Comparison {
+        let routes: Vec<[AnswerCounts; 2]> =
+            self.all_answers().into_values().collect();
+        Comparison::new(&routes)
+    }
+
     /// Returns the answer counts of all VMs, by route.
     fn all_answers(&self) -> AnswersByRoute {
         let mut all_answers = self.own_answers.clone();
@@ -398,10 +435,12 @@
         }
     }
 
-    /// Chooses the version for a request. `own` is the version that the
-    /// session is on according to this VM, and for how long it has been idle.
+    /// Chooses the version for a request on a route. `own` is the version that
+    /// the session is on according to this VM, and for how long it has been
+    /// idle.
     pub(super) fn choose_version(
         &mut self,
+        route: &str,
         session: Option<&str>,
         own: Option<(&VersionId, Duration)>,
         request_id: &str,
@@ -417,14 +456,15 @@
             return (VersionRule::Prefer(target), ChoiceReason::Completed);
         }
         let subject = ShortHash::of(session.unwrap_or(request_id));
-        let side = match self.draw(subject) < self.share(now) {
+        let is_moving = self.may_move()
+            && self.outlasts_rollout(ShortHash::of(route), now);
+        let side = match is_moving || self.draw(subject) < self.share(now) {
             true => VersionSide::New,
             false => VersionSide::Old,
         };
         let is_canary = self.canary_ended.is_none();
-        let is_share_bounded =
-            is_canary || self.is_doubtful && !self.is_ramped_up;
-        let is_share_spent = is_share_bounded && !self.may_send_new();
+        let is_all = self.may_move() && self.all_moved.is_some();
+        let is_share_spent = !is_all && !self.may_send_new();
         let known = session.and_then(|_| self.session(subject, own, now));
         let (side, reason) = match known {
             Some((VersionSide::New, reason)) => (VersionSide::New, reason),
@@ -434,6 +474,7 @@
             _ if side == VersionSide::New && is_share_spent => {
                 (VersionSide::Old, ChoiceReason::ShareSpent)
             }
+            _ if is_moving => (side, ChoiceReason::Outlasting),
             _ => (side, ChoiceReason::Drawn),
         };
         let rule = match side {
@@ -444,19 +485,28 @@
     }
 
     /// Records that this VM has sent an attempt to a version.
-    pub(super) fn record_sent(&mut self, software: &VersionId) {
-        self.sent[self.side(software) as usize] += 1;
+    pub(super) fn record_sent(&mut self, software: &VersionId, route: &str) {
+        let side = self.side(software) as usize;
+        self.sent[side] += 1;
+        let answers = self.own_answers.entry(ShortHash::of(route));
+        answers.or_default()[side].sent += 1;
     }
 
-    /// Whether another attempt at the new version keeps to its share of those
-    /// that this VM sends.
-    ///
-    /// The share of the requests that arrive here does not bound it: while the
-    /// old version's upstreams cannot be reached, few of them are sent.
+    /// Records how long a request took, to the end of its answer.
+    pub(super) fn record_duration(&mut self, route: &str, took: Duration) {
+        self.durations.record(ShortHash::of(route), took);
+    }
+
+    /// Sets the place of this VM in its fleet.
+    pub(super) fn set_fleet_place(&mut self, fleet: FleetPlace) {
+        self.fleet = fleet;
+    }
+
+    /// Whether another attempt at the new version keeps to this VM's part of
+    /// the bound.
     fn may_send_new(&self) -> bool {
         let [old, new] = self.sent.map(f64::from);
-        let most = MAX_CANARY_SENT_SHARE * (old + new + 1.0);
-        new + 1.0 <= most + CANARY_SENT_ALLOWANCE
+        self.limit.may_send(SentRequests { old, new }, self.fleet.vms)
     }
 
     /// Returns a hash of a session or request as a number in `0..=1`, the same
@@ -501,7 +551,8 @@
         }
         let target = &self.order.target;
         let old = own.on_other_versions(target, self.session_lifetime, now);
-        let drawn = old.filter(|(old, _)| self.draw(*old) < CANARY_SHARE);
+        let drawn =
+            old.filter(|(old, _)| self.draw(*old) < self.trial_share.value());
         let sessions = drawn.map(|(old, idle)| old_version_session(old, idle));
         sessions.take(MAX_SESSIONS_PER_HEARTBEAT).collect()
     }
@@ -516,19 +567,19 @@
     /// Records the outcome of an attempt, with the time to the first part of
     /// its answer, or the time for which that was waited for in vain.
     ///
-    /// Times of both versions count as bad alike: prompts differ in length, so
-    /// that some answers of any version take far longer than the mean.
+    /// Times of both versions count as bad alike: some answers of any version
+    /// take far longer than the mean.
     pub(super) fn record_answer(
         &mut self,
         software: &VersionId,
         route: &str,
         outcome: AttemptOutcome,
-        first_part: Option<Duration>,
+        time: Option<AnswerTime>,
     ) {
         let side = self.side(software);
         let route = ShortHash::of(route);
         let baseline = self.baselines.entry(route).or_default();
-        let is_slow = first_part.is_some_and(|time| baseline.is_slow(time));
+        let is_slow = time.is_some_and(|time| baseline.is_slow(time.ratio()));
         let is_bad = is_slow || outcome == AttemptOutcome::Failed;
         let answers =
             &mut self.own_answers.entry(route).or_default()[side as usize];
@@ -538,18 +589,15 @@
         }
         answers.complete += 1;
         answers.bad += u32::from(is_bad);
-        let Some(first_part) = first_part else { return };
-        match side {
-            VersionSide::Old if outcome != AttemptOutcome::Lost => {
-                baseline.record(first_part);
-            }
-            VersionSide::Old => {}
-            VersionSide::New => {
-                if let Some(percent) = baseline.exceeded_percent(first_part) {
-                    answers.compared += 1;
-                    answers.exceeded_percent += percent;
-                }
-            }
+        let Some(time) = time else { return };
+        if outcome == AttemptOutcome::Lost && side == VersionSide::Old {
+            return;
+        }
+        if side == VersionSide::Old {
+            baseline.record(time.ratio());
+        }
+        if time.is_unqueued {
+            answers.times.record(time.ratio());
         }
     }
 
@@ -646,21 +694,21 @@
             return None;
         }
         let all_answers = self.all_answers();
-        let sum = sum_routes(&all_answers);
-        self.is_doubtful = is_doubtful(sum[0], sum[1]);
+        let routes: Vec<[AnswerCounts; 2]> =
+            all_answers.into_values().collect();
+        let all = Comparison::new(&routes);
+        let by_route = routes.iter().map(std::slice::from_ref);
+        let by_route: Vec<Comparison> =
+            by_route.map(Comparison::new).collect();
+        self.is_doubtful = all.is_doubtful()
+            || by_route.iter().any(Comparison::is_doubtful_route);
         self.end_canary(now);
-        self.end_ramp_up(now);
-        let routes = all_answers.values().chain([&sum]);
-        let [old, new] =
-            *routes.clone().find(|[old, new]| is_worse(*old, *new))?;
+        self.is_proven |= self.canary_ended.is_some()
+            && self.has_enough_answers(MIN_MOVE_ANSWERS, now);
+        self.update_exposure(now);
+        let mut comparisons = by_route.iter().chain([&all]);
+        let reason = comparisons.find_map(Comparison::stop_reason)?;
         self.stopped_at = Some(now);
-        let mut reason = format!(
-            "{} of {} answers bad, {} of {} of the old version",
-            new.bad, new.complete, old.bad, old.complete
-        );
-        if let Some(percent) = new.mean_exceeded_percent() {
-            reason += &format!(", slower than {percent:.0} % of its answers");
-        }
         Some(reason)
     }
 
@@ -681,28 +729,36 @@
             let is_due = is_steward || elapsed >= FALLBACK_RECORD_DELAY;
             return is_due.then_some(RolloutProgress::Reverted);
         }
-        match self.progress {
-            Some(RolloutProgress::Completed | RolloutProgress::Reverted) => {
-                return None;
-            }
-            _ if !is_steward => return None,
-            None => return Some(RolloutProgress::Running),
-            Some(RolloutProgress::Running) if self.recorded.is_none() => {
-                return Some(RolloutProgress::Running);
-            }
-            Some(RolloutProgress::Running) => {}
+        if is_steward && self.recorded.is_none() {
+            return Some(RolloutProgress::Running);
+        }
+        if is_steward {
+            return self.due_end(old_in_flight, other_halls, now);
         }
+        let now = now.checked_sub(DEPUTY_DELAY)?;
+        let is_due =
+            self.fleet.is_deputy && self.elapsed_part(now) > COMPLETE_AT_PART;
+        is_due.then(|| self.due_end(old_in_flight, other_halls, now))?
+    }
+
+    /// Returns how the rollout has to end now, if at all.
+    fn due_end(
+        &self,
+        old_in_flight: u32,
+        other_halls: &[ShortHash],
+        now: BootInstant,
+    ) -> Option<RolloutProgress> {
         let elapsed = self.elapsed_part(now);
-        let canary_ended = self.canary_ended.filter(|_| self.is_ramped_up);
-        let Some(canary_ended) = canary_ended else {
+        if !self.may_move() {
             return (elapsed >= REVERT_AT_PART)
                 .then_some(RolloutProgress::Reverted);
-        };
+        }
         let left = old_in_flight + self.peers.own_hall_in_flight(now);
         // The reports of other VMs are half a second old, so the rollout is
         // completed only some time after all requests go to the new version.
-        let is_moved =
-            elapsed > self.part(canary_ended) + RAMP_PART + DRAIN_PART;
+        let is_moved = self
+            .all_moved
+            .is_some_and(|at| elapsed > self.part(at) + DRAIN_PART);
         let is_drained =
             is_moved && left == 0 && self.peers.all_idle(other_halls, now);
         (is_drained || elapsed > COMPLETE_AT_PART)
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -827,6 +827,11 @@
         sent.push((number, now));
     }
 
+    /// Returns the number of known VMs, with this one.
+    pub(crate) fn vm_count(&self) -> usize {
+        self.known.lock().expect("peers lock").len() + 1
+    }
+
     /// Returns the other data halls that have known VMs.
     pub(crate) fn other_halls(&self) -> BTreeSet<DataHallId> {
         let known = self.known.lock().expect("peers lock");
