Test peers that send bytes without end

An upstream, the store or a VM may send bytes without end, in a head or a body, until the caller closes. All that is read from upstreams and the store comes through HttpClient: heads, bodies, chunk extensions, trailers and bytes after a complete answer are bounded, and the connection is closed.

Not covered: bytes that come slowly, informational answers without end, events without end beyond the test in sse, frames between VMs, and the own interface.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -534,3 +534,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod endless_tests;
