Fill in the bound of new versions in the test of the settings template

The template names two more fields of the platform's sheet, so the test of the deploy files failed with a placeholder left unfilled. It fills them in, and a new test checks the values, their defaults and a share of zero, which is an error.

--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -6,6 +6,7 @@
 
 use lupinseam::{
     gateway::settings::GatewaySettings,
+    rollouts::exposure::ExposureLimit,
     unit::{Mbps, MilliCores},
 };
 
@@ -32,6 +33,8 @@
     ("bounds.warmup_overshoot", "1.5"),
     ("bounds.warmup_tolerance", "5"),
     ("bounds.session_s", "8.5"),
+    ("bounds.canary_share", "0.0975"),
+    ("bounds.canary_tolerance", "30"),
 ];
 
 /// Reads a file of `deploy/`.
@@ -82,6 +85,22 @@
     assert!(settings.fail_closed);
 }
 
+#[test]
+fn the_exposure_of_new_versions_is_configurable() {
+    let text = rendered("10.1.0.40:8229");
+    let limit =
+        |text: &str| GatewaySettings::from_ini(text).unwrap().exposure_limit;
+    let platforms = ExposureLimit { share: 0.0975, tolerance: 30.0 };
+    assert_eq!(limit(&text), platforms);
+    let unset = text
+        .replace("canary_share = 0.0975", "canary_share = ")
+        .replace("canary_tolerance = 30", "canary_tolerance = ");
+    let default = ExposureLimit { share: 0.15, tolerance: 0.0 };
+    assert_eq!(limit(&unset), default);
+    let none = text.replace("canary_share = 0.0975", "canary_share = 0");
+    assert!(GatewaySettings::from_ini(&none).is_err());
+}
+
 #[test]
 fn the_session_timeout_is_configurable() {
     let text = rendered("");
