Test what VMs are told of a rate limit by what they log

The test allowed one request of three VMs within some milliseconds after they were told of a limit. Their logs show that every VM was told within 50 ms and before its first request: owners of a limit send their first request at a random time within their interval (8 s here), so two of four may do so at once. The limit allows its rate and one request of each owner.

The test now checks that each VM without requests was told by another one, which the count could only suggest (one VM of three that was not told passed), and that the requests keep to what the limit allows.

--- a/standins/tests/limited_upstreams.rs
+++ b/standins/tests/limited_upstreams.rs
@@ -301,6 +301,9 @@
 
 /// Guards against VMs that learn of a limit only from responses to their own
 /// requests.
+///
+/// Owners of a limit send their first request at a random time within their
+/// interval, so several of them may send one shortly after they were told.
 #[test]
 fn a_vm_keeps_to_a_rate_limit_learned_from_another_vm() {
     let _guard = lock_site();
@@ -313,7 +316,13 @@
     wait_until("one VM has learned of the limit", || {
         ask(0, "first".into()).status == 200
     });
+    let learned_at = Instant::now();
     thread::sleep(REJECTION_TIME);
+    for vm in &site.vms[1..] {
+        let told = vm.lines("UpstreamLimited");
+        let by: Vec<_> = told.iter().map(|line| &line["by"]).collect();
+        assert_eq!(by, ["vm"], "a VM without requests: {told:?}");
+    }
     let before = limited_upstream.received().len();
     for number in 0..20 {
         for vm in 1..VMS {
@@ -321,5 +330,6 @@
         }
     }
     let more = limited_upstream.received().len() - before;
-    assert!(more <= 1, "{more} requests of VMs that got no such response");
+    let allowed = VMS as f64 + per_s * learned_at.elapsed().as_secs_f64();
+    assert!(more as f64 <= allowed, "{more} requests, {allowed} allowed");
 }
