Limit what a peer sends before the head of its response

An upstream or store that answers with interim (1xx) responses without end occupied a thread of the VM for ever, also after the caller's time was over and the call had been dropped: the parser accepts any number of them, each small, and a connection on which bytes always wait never yields to the executor.

The stream of a connection now fails once 512 KiB have arrived for a request without the head of its response; the parser accepts less for one head.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -23,6 +23,7 @@
 };
 use smol_hyper::rt::FuturesIo;
 
+use self::head_limit::{HeadLimit, LimitedStream};
 use crate::{
     clock::{BootInstant, SharedClock},
     dialer::{Dialer, DirectDialer},
@@ -165,6 +166,7 @@
 /// connection.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     /// The VM through which it runs, if it does.
     relay: Option<SocketAddr>,
     _driver: Task<()>,
@@ -378,14 +380,16 @@
         let dialed = self.dialer.dial(address).await;
         let dialed = dialed.map_err(|error| not_sent(&error))?;
         let relay = dialed.relay;
-        let (sender, driver) = http1::handshake(FuturesIo::new(dialed.stream))
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(dialed.stream, head_limit.clone());
+        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| not_sent(&error))?;
         let driver = task::spawn(async move {
             // The exchange sees a failure of the connection as well.
             let _ = driver.await;
         });
-        Ok(Connection { sender, relay, _driver: driver })
+        Ok(Connection { sender, head_limit, relay, _driver: driver })
     }
 }
 
@@ -401,8 +405,12 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
+    connection.head_limit.start();
     match connection.sender.try_send_request(request).await {
-        Ok(response) => Ok((response, connection)),
+        Ok(response) => {
+            connection.head_limit.lift();
+            Ok((response, connection))
+        }
         Err(mut error) => match error.take_message() {
             Some(request) => Err(AttemptError::Unsent(Box::new(request))),
             None => {
@@ -535,5 +543,7 @@
     }
 }
 
+mod head_limit;
+
 #[cfg(test)]
 mod endless_tests;
--- a/src/http_client/endless_tests.rs
+++ b/src/http_client/endless_tests.rs
@@ -103,6 +103,13 @@
     );
 }
 
+/// A peer may send any number of interim responses before its answer.
+#[test]
+fn interim_responses_without_end_are_given_up() {
+    assert_given_up("", "HTTP/1.1 100 Continue\r\n\r\n");
+    assert_given_up("", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+}
+
 /// The answer is complete; what follows belongs to no request.
 #[test]
 fn bytes_after_a_complete_answer_are_not_read() {
