Search each byte of a stream for the end of an event once

An upstream that sends an event without an end in many small chunks made the VM search the whole buffer anew after each of them, up to 1 MiB: half a million million comparisons before the event was rejected as too large.

The splitter remembers up to where no event ends. The new test feeds it an event without an end byte by byte; before the change it had not ended after a minute, now it takes a fraction of a second.

--- a/src/sse.rs
+++ b/src/sse.rs
@@ -8,6 +8,9 @@
 /// Largest event that is relayed.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
 
+/// Length of the longer of the line ends that end an event.
+const MAX_BLANK_LINE_BYTES: usize = 4;
+
 /// Data of the event that ends a stream.
 const DONE: &str = "[DONE]";
 
@@ -53,6 +56,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Splitter {
     buffer: BytesMut,
+    /// Length of the start of the buffer that holds no event's end.
+    searched: usize,
 }
 
 impl Splitter {
@@ -70,23 +75,26 @@
     /// Removes and returns the next complete event, or `None` if more bytes
     /// are needed.
     pub(crate) fn next(&mut self) -> Result<Option<Event>, EventTooLarge> {
-        match event_end(&self.buffer) {
-            Some(end) => {
-                let raw = self.buffer.split_to(end).freeze();
-                Ok(Some(parse(raw)))
-            }
-            None if self.buffer.len() > EVENT_LIMIT_BYTES => {
-                Err(EventTooLarge)
-            }
-            None => Ok(None),
+        let end = event_end(&self.buffer, self.searched);
+        if let Some(end) = end {
+            self.searched = 0;
+            let raw = self.buffer.split_to(end).freeze();
+            return Ok(Some(parse(raw)));
+        }
+        // The blank line may have begun in the last bytes.
+        self.searched =
+            self.buffer.len().saturating_sub(MAX_BLANK_LINE_BYTES - 1);
+        match self.buffer.len() > EVENT_LIMIT_BYTES {
+            true => Err(EventTooLarge),
+            false => Ok(None),
         }
     }
 }
 
 /// Returns the index after the blank line that ends the first event, with line
-/// ends of either kind.
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    (0..buffer.len()).find_map(|at| {
+/// ends of either kind, if it begins at `from` or later.
+fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
+    (from..buffer.len()).find_map(|at| {
         let rest = &buffer[at..];
         if rest.starts_with(b"\n\n") {
             Some(at + 2)
@@ -135,6 +143,18 @@
         }
     }
 
+    /// Takes minutes if the buffer is searched anew for every byte.
+    #[test]
+    fn an_event_without_end_in_single_bytes_is_rejected() {
+        let mut splitter = Splitter::default();
+        for _ in 0..EVENT_LIMIT_BYTES {
+            splitter.push(b"a");
+            assert_eq!(splitter.next(), Ok(None));
+        }
+        splitter.push(b"a");
+        assert_eq!(splitter.next(), Err(EventTooLarge));
+    }
+
     #[test]
     fn an_event_over_the_limit_is_rejected() {
         let mut splitter = Splitter::default();
