--- a/src/chains/store.rs
+++ b/src/chains/store.rs
@@ -486,6 +486,64 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::{clock::SystemClock, http_client::endless_peer::Endless};
+
+    /// Returns a client of the store at an address.
+    fn store_at(address: SocketAddr) -> HttpStore {
+        let settings = StoreSettings {
+            deadline: Duration::from_millis(200),
+            writes_per_s: 10.0,
+            reads_per_s: 10.0,
+            watch: Duration::from_millis(200),
+        };
+        let url = format!("http://{address}/store");
+        HttpStore::new(&url, settings, Arc::new(SystemClock))
+    }
+
+    /// Reads, lists, watches and writes at a store that sends these bytes, and
+    /// returns the largest number of bytes that one call was sent.
+    fn most_sent(bytes: Endless) -> u64 {
+        let watch = Duration::from_millis(50);
+        let calls: [fn(&HttpStore, Duration) -> bool; 4] = [
+            |store, _| smol::block_on(store.get("key")).is_err(),
+            |store, _| smol::block_on(store.list("key", "")).is_err(),
+            |store, watch| smol::block_on(store.wait("key", watch)).is_err(),
+            |store, _| {
+                let put = store.put("key", "value", Condition::Absent);
+                smol::block_on(put).is_err()
+            },
+        ];
+        let sent = calls.map(|call| {
+            let (address, peer) = bytes.serve();
+            let store = store_at(address);
+            assert!(call(&store, watch), "{bytes:?}: accepted");
+            drop(store);
+            peer.join().unwrap()
+        });
+        sent.into_iter().max().unwrap()
+    }
+
+    /// An answer may have [`ANSWER_LIMIT_BYTES`], here in chunks that take six
+    /// bytes each; the rest are buffers.
+    #[test]
+    fn answers_without_end_are_given_up() {
+        let forms: [(&[u8], &[u8]); 4] = [
+            (b"HTTP/1.1 200 OK\r\nX-Long: ", b"a"),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (b"HTTP/1.1 200 OK\r\nETag: \"1\"\r\n\r\n", b"a"),
+            (
+                b"HTTP/1.1 200 OK\r\nETag: \"1\"\r\n\
+                  Transfer-Encoding: chunked\r\n\r\n",
+                b"1\r\na\r\n",
+            ),
+        ];
+        for (start, rest) in forms {
+            for pause in [Duration::ZERO, Duration::from_millis(20)] {
+                let sent = most_sent(Endless { start, rest, pause });
+                assert!(sent <= 8 * ANSWER_LIMIT_BYTES, "sent {sent} bytes");
+            }
+        }
+    }
 
     #[test]
     fn urls_are_split() {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -545,5 +545,7 @@
 
 mod head_limit;
 
+#[cfg(test)]
+pub(crate) mod endless_peer;
 #[cfg(test)]
 mod endless_tests;
--- a/src/http_client/endless_tests.rs
+++ b/src/http_client/endless_tests.rs
@@ -1,74 +1,54 @@
-//! Peers that send bytes without end, quickly, until the caller closes the
-//! connection. Whatever reads from an upstream or the store does so with this
-//! client.
+//! Peers that send bytes without end, fast or slowly, until the caller closes
+//! the connection. Whatever reads from an upstream or the store does so with
+//! this client.
 
-use std::{
-    io::{ErrorKind, Read, Write},
-    net::{SocketAddr, TcpListener},
-    thread::{self, JoinHandle},
-    time::Duration,
-};
+use std::time::Duration;
 
 use hyper::Method;
 
-use super::*;
+use super::{
+    endless_peer::{Endless, MAX_SENT_BYTES},
+    *,
+};
 use crate::clock::SystemClock;
 
 /// Largest body that the caller accepts.
 const BODY_LIMIT_BYTES: u64 = 64 << 10;
 
-/// Time that the caller allows.
+/// Time that the caller allows where bytes come fast; they are given up by
+/// their number.
 const LIMIT: Duration = Duration::from_secs(5);
 
-/// Bytes that a peer may get rid of in a connection that nobody reads any
-/// more: the buffers of both sockets, and what the caller may read.
-const MAX_SENT_BYTES: u64 = 32 << 20;
+/// Time that it allows where they come slowly.
+const SLOW_LIMIT: Duration = Duration::from_millis(300);
 
-/// A peer that answers a request with `start` and then repeats `rest` until
-/// the connection is closed; ends with the number of bytes sent.
-fn endless(
-    start: &'static str,
-    rest: &'static str,
-) -> (SocketAddr, JoinHandle<u64>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let peer = thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut request = [0; 4096];
-        assert!(stream.read(&mut request).unwrap() > 0);
-        let block = rest.repeat((16 << 10) / rest.len());
-        let mut sent = 0;
-        let mut next = start.as_bytes();
-        loop {
-            match stream.write(next) {
-                Ok(count) => sent += count as u64,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return sent,
-            }
-            next = block.as_bytes();
-        }
-    });
-    (address, peer)
-}
+/// Time between slow bytes.
+const PAUSE: Duration = Duration::from_millis(20);
 
-/// Returns the result of a call to such a peer, and the bytes that it sent.
+/// Returns the result of a call to a peer that sends these bytes, and how many
+/// it sent.
 fn call(
-    start: &'static str,
-    rest: &'static str,
+    bytes: Endless,
+    limit: Duration,
 ) -> (Result<FullResponse, SendError>, u64) {
-    let (address, peer) = endless(start, rest);
+    let (address, peer) = bytes.serve();
     let client = HttpClient::new(LIMIT, Arc::new(SystemClock));
     let call = Call::new(address, Method::GET, "/");
-    let answer = smol::block_on(client.fetch(call, LIMIT, BODY_LIMIT_BYTES));
+    let answer = smol::block_on(client.fetch(call, limit, BODY_LIMIT_BYTES));
     // Closes a connection that was kept.
     drop(client);
     (answer, peer.join().unwrap())
 }
 
 fn assert_given_up(start: &'static str, rest: &'static str) {
-    let (answer, sent) = call(start, rest);
-    assert!(answer.is_err(), "{start:?} {rest:?}: accepted");
-    assert!(sent <= MAX_SENT_BYTES, "{start:?} {rest:?}: read {sent} bytes");
+    let [start, rest] = [start, rest].map(str::as_bytes);
+    let fast = Endless { start, rest, pause: Duration::ZERO };
+    let slow = Endless { pause: PAUSE, ..fast };
+    for (bytes, limit) in [(fast, LIMIT), (slow, SLOW_LIMIT)] {
+        let (answer, sent) = call(bytes, limit);
+        assert!(answer.is_err(), "{bytes:?}: accepted");
+        assert!(sent <= MAX_SENT_BYTES, "{bytes:?}: sent {sent} bytes");
+    }
 }
 
 #[test]
@@ -113,8 +93,11 @@
 /// The answer is complete; what follows belongs to no request.
 #[test]
 fn bytes_after_a_complete_answer_are_not_read() {
-    let (answer, sent) =
-        call("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "more");
-    assert_eq!(answer.map(|answer| answer.body), Ok(Bytes::from("ok")));
-    assert!(sent <= MAX_SENT_BYTES, "read {sent} bytes");
+    for pause in [Duration::ZERO, PAUSE] {
+        let start = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        let (answer, sent) =
+            call(Endless { start, rest: b"more", pause }, LIMIT);
+        assert_eq!(answer.map(|answer| answer.body), Ok(Bytes::from("ok")));
+        assert!(sent <= MAX_SENT_BYTES, "sent {sent} bytes");
+    }
 }
--- a/src/tunnel/tests.rs
+++ b/src/tunnel/tests.rs
@@ -1,6 +1,7 @@
 use smol::net::TcpListener;
 
 use super::*;
+use crate::http_client::endless_peer::MAX_SENT_BYTES;
 
 /// Returns the two ends of a connection.
 async fn connection() -> (TcpStream, TcpStream) {
@@ -65,3 +66,22 @@
         relay.await;
     });
 }
+
+/// The VM that relays holds no more than the buffers of the connections, and
+/// closes the upstream's once the caller is gone.
+#[test]
+fn bytes_without_end_stop_when_the_caller_closes() {
+    smol::block_on(async {
+        let (mut stream, mut upstream, relay) = tunnel().await;
+        let sending = smol::spawn(async move {
+            let block = vec![7; BUFFER_BYTES];
+            while upstream.write_all(&block).await.is_ok() {}
+        });
+        let mut read = vec![0; 1 << 20];
+        stream.read_exact(&mut read).await.unwrap();
+        drop(stream);
+        sending.await;
+        let sent = relay.await;
+        assert!(sent <= MAX_SENT_BYTES, "relayed {sent} bytes");
+    });
+}
