Give up a stream without whole events, and drop comments

An upstream that began a stream and then sent bytes that are no event kept its request until the deadline: each chunk restarted the time after which another upstream is asked, and comments were passed on as events. Of twelve callers beside one such upstream, three to five got 504 after five seconds or a stream of comments that was cut off.

The time counts from the last whole event now, in the gateway and in the other interface; only whole events show that an upstream is alive; events without a field, which readers ignore, are dropped. An error response that comes slowly in the other interface has the time limit of its attempt; that has no test of its own.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -10,6 +10,7 @@
 pub mod decision;
 pub(crate) mod dispatch;
 pub mod estimate;
+mod event_reader;
 pub(crate) mod gossip;
 pub(crate) mod load;
 pub mod membership;
--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -19,7 +19,8 @@
     api::{
         chat::TokenUsage,
         decision::AttemptStatus,
-        dispatch::{AttemptFault, SelectedUpstream, attempt_fault},
+        dispatch::{AttemptFault, SelectedUpstream},
+        event_reader::EventReader,
         queue::DispatchPermit,
         request::{Planned, Request},
         template::VersionEntry,
@@ -29,7 +30,7 @@
     event::Event,
     http_client::Exchange,
     id::UpstreamId,
-    sse::{self, Splitter},
+    sse,
     task::{self, within},
     unit::MicroCost,
 };
@@ -37,7 +38,7 @@
 /// Parts buffered for a slow caller before reading from the upstream stops.
 const BUFFERED_PARTS: usize = 32;
 
-/// Longest time without data from the upstream within a stream.
+/// Longest time without an event from the upstream within a stream.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Bytes of text after which no more of an answer is kept for its rating.
@@ -45,27 +46,14 @@
 
 /// An open event stream from one upstream.
 struct UpstreamStream {
-    exchange: Exchange,
-    splitter: Splitter,
+    events: EventReader,
     selected: SelectedUpstream,
 }
 
 impl UpstreamStream {
-    /// Returns the next event, `None` when the upstream closed the stream.
-    async fn next(&mut self) -> Result<Option<sse::Event>, AttemptFault> {
-        loop {
-            let ready = self.splitter.next();
-            if let Some(event) = ready.map_err(|_| AttemptFault::TooLarge)? {
-                return Ok(Some(event));
-            }
-            let chunk = within(IDLE_TIMEOUT, self.exchange.next_chunk());
-            match chunk.await {
-                None => return Err(AttemptFault::TimedOut),
-                Some(Err(error)) => return Err(attempt_fault(error)),
-                Some(Ok(None)) => return Ok(None),
-                Some(Ok(Some(bytes))) => self.splitter.push(&bytes),
-            }
-        }
+    fn new(exchange: Exchange, selected: SelectedUpstream) -> UpstreamStream {
+        let events = EventReader::new(exchange, IDLE_TIMEOUT);
+        UpstreamStream { events, selected }
     }
 }
 
@@ -160,7 +148,7 @@
         {
             Err(fault) => fault,
             Ok(exchange) if exchange.status != 200 => {
-                let answer = read_whole_answer(request, exchange).await;
+                let answer = read_whole_answer(request, exchange, limit).await;
                 let is_retryable = repeatable && is_rejection(&answer);
                 match answer {
                     Some(_)
@@ -174,12 +162,8 @@
                 }
             }
             Ok(exchange) => {
-                let mut stream = UpstreamStream {
-                    exchange,
-                    splitter: Splitter::default(),
-                    selected,
-                };
-                let fault = match within(limit, stream.next()).await {
+                let mut stream = UpstreamStream::new(exchange, selected);
+                let fault = match within(limit, stream.events.next()).await {
                     Some(Ok(Some(first))) => return Ok((stream, first)),
                     Some(Ok(None)) => AttemptFault::Broken,
                     Some(Err(fault)) => fault,
@@ -198,13 +182,14 @@
     }
 }
 
-/// Reads the body of an answer that is not a stream.
+/// Reads the body of an answer that is not a stream, within `limit`.
 async fn read_whole_answer(
     request: &mut Request<Planned>,
     exchange: Exchange,
+    limit: Duration,
 ) -> Option<Answer> {
-    let limit = request.context.vm.settings.requests.answer_limit_bytes;
-    let answer = exchange.read_to_end(limit).await.ok()?;
+    let most = request.context.vm.settings.requests.answer_limit_bytes;
+    let answer = within(limit, exchange.read_to_end(most)).await?.ok()?;
     let status = answer.status;
     request.context.end_attempt(AttemptStatus::Answered { status });
     let content_type = answer.header("content-type").unwrap_or("text/plain");
@@ -276,7 +261,7 @@
         loop {
             let event = match next.take() {
                 Some(event) => event,
-                None => match stream.next().await {
+                None => match stream.events.next().await {
                     Ok(Some(event)) => event,
                     Ok(None) => return RelayEnd::Broken(AttemptFault::Broken),
                     Err(fault) => return RelayEnd::Broken(fault),
@@ -381,9 +366,8 @@
         if exchange.status != 200 {
             return Err(AttemptFault::Broken);
         }
-        let splitter = Splitter::default();
-        let mut stream = UpstreamStream { exchange, splitter, selected };
-        let fault = match within(limit, stream.next()).await {
+        let mut stream = UpstreamStream::new(exchange, selected);
+        let fault = match within(limit, stream.events.next()).await {
             Some(Ok(Some(event))) => return Ok((stream, event)),
             Some(Ok(None)) => AttemptFault::Broken,
             Some(Err(fault)) => fault,
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -121,26 +121,27 @@
         last: &mut Option<u64>,
         limit: Duration,
     ) -> Result<StreamRead, StreamError> {
+        // Only a whole event ends a silence: bytes without one may come for
+        // ever.
+        let since = job.gateway.clock.now();
+        let member = self.attempt.member.clone();
         loop {
             let ready = self.take_events(last)?;
             if !ready.is_empty() {
                 self.has_begun = true;
+                member.record_activity(job.gateway.clock.now());
                 return Ok(StreamRead::Events(ready));
             }
-            let member = self.attempt.member.clone();
             let read = async {
                 let chunk = self.exchange.next_chunk().await;
                 chunk.map_err(|error| StreamError::Broken(error.to_string()))
             };
             let silent = async {
-                job.wait_for_stall(&member, limit).await;
+                job.wait_for_stall(&member, since, limit).await;
                 Err(StreamError::Silent)
             };
             match read.or(silent).await? {
-                Some(chunk) => {
-                    self.events.push(&chunk);
-                    member.record_activity(job.gateway.clock.now());
-                }
+                Some(chunk) => self.events.push(&chunk),
                 None if !self.events.is_empty() => {
                     return Err(StreamError::Broken("within an event".into()));
                 }
@@ -168,6 +169,9 @@
                     return Err(StreamError::Broken("event too large".into()));
                 }
             };
+            if event.is_comment() {
+                continue;
+            }
             if let Some(id) = event.id {
                 if last.is_some_and(|last| id <= last) {
                     continue;
@@ -180,13 +184,17 @@
 }
 
 impl Job {
-    /// Waits until a stream from this upstream has been silent for so long
-    /// (`limit` or more) that it is to be resumed elsewhere.
+    /// Waits until a stream from this upstream has been silent since `since`
+    /// for so long (`limit` or more) that it is to be resumed elsewhere.
     ///
     /// Whether it can be resumed is checked repeatedly: another upstream may
     /// become available once its backoff or a network partition is over.
-    async fn wait_for_stall(&self, member: &Member, limit: Duration) {
-        let since = self.gateway.clock.now();
+    async fn wait_for_stall(
+        &self,
+        member: &Member,
+        since: BootInstant,
+        limit: Duration,
+    ) {
         loop {
             let now = self.gateway.clock.now();
             let left = self.time_left(now);
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -31,6 +31,12 @@
         self.data == DONE
     }
 
+    /// Returns whether it has no field, so that readers ignore it.
+    pub(crate) fn is_comment(&self) -> bool {
+        let mut lines = self.raw.split(|byte| matches!(byte, b'\r' | b'\n'));
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+
     /// Returns the token usage that the event reports, if any.
     pub(crate) fn token_usage(&self) -> Option<TokenUsage> {
         if !self.data.contains("\"usage\"") {
@@ -143,6 +149,22 @@
         }
     }
 
+    #[test]
+    fn only_events_without_a_field_are_comments() {
+        for (text, is_comment) in [
+            (": keep-alive\n\n", true),
+            (":\r\n:\r\n\r\n", true),
+            ("\n\n", true),
+            (": first\ndata: a\n\n", false),
+            ("retry: 3000\r\n\r\n", false),
+        ] {
+            let mut splitter = Splitter::default();
+            splitter.push(text.as_bytes());
+            let event = splitter.next().unwrap().unwrap();
+            assert_eq!(event.is_comment(), is_comment, "{text:?}");
+        }
+    }
+
     /// Takes minutes if the buffer is searched anew for every byte.
     #[test]
     fn an_event_without_end_in_single_bytes_is_rejected() {
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -363,6 +363,21 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
+    /// Returns the most memory that its process has had resident, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// If it is not running.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let child = self.child.as_ref().expect("a running VM");
+        let path = format!("/proc/{}/status", child.id());
+        let status = std::fs::read_to_string(path).expect("a running VM");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1));
+        let kib: u64 = kib.and_then(|kib| kib.parse().ok()).expect("a size");
+        kib << 10
+    }
+
     /// Returns the file that its processes log to.
     pub fn log_path(&self) -> PathBuf {
         self.directory.path().join("log")
--- a/standins/src/scripted.rs
+++ b/standins/src/scripted.rs
@@ -19,6 +19,9 @@
 pub enum Step {
     /// Sends these bytes as given.
     Send(Vec<u8>),
+    /// Sends these bytes over and over, with a pause after each time, until
+    /// the router closes the connection.
+    SendEndlessly(Vec<u8>, Duration),
     /// Waits this long.
     Wait(Duration),
     /// Closes the connection.
@@ -121,6 +124,11 @@
 }
 
 impl Shared {
+    fn record_abandoned(&self, request: &RawRequest) {
+        let id = request.header("lupinseam-attempt-id");
+        self.abandoned.lock().unwrap().push(id.to_owned());
+    }
+
     fn crash(&self, address: SocketAddr) {
         self.has_crashed.store(true, Ordering::SeqCst);
         // Wakes the listening thread, so that it sees the flag and ends.
@@ -144,11 +152,17 @@
             match step {
                 Step::Send(bytes) => {
                     if writer.write_all(&bytes).is_err() {
-                        let id = request.header("lupinseam-attempt-id");
-                        shared.abandoned.lock().unwrap().push(id.to_owned());
+                        shared.record_abandoned(&request);
                         return;
                     }
                 }
+                Step::SendEndlessly(bytes, pause) => {
+                    while writer.write_all(&bytes).is_ok() {
+                        thread::sleep(pause);
+                    }
+                    shared.record_abandoned(&request);
+                    return;
+                }
                 Step::Wait(time) => thread::sleep(time),
                 Step::Close => {
                     // Fails only when the peer has closed it already.
