Ask another upstream when the body of a response does not end

The wait for the rest of a response was all the time that the request had left, so a body that came slowly or without end left none for another upstream: six of twelve callers beside one such upstream got 504.

If another upstream can be asked, the body has half of the time left, or three times the usual service time if that is more, so that a service whose answers take long keeps its time. All callers of the new tests get the other upstream's answer.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -103,6 +103,9 @@
 /// short the prompt is.
 const MAX_UNCOUNTED_PREFILL: Duration = Duration::from_millis(20);
 
+/// Factor on the usual service time in the wait for the rest of a response.
+const BODY_PATIENCE_FACTOR: f64 = 3.0;
+
 /// Interval between two checks of a silent upstream.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -906,7 +909,7 @@
         let headers = headers::response_headers(&exchange.headers);
         let now = self.gateway.clock.now();
         let waited = now.saturating_duration_since(attempt.began_at);
-        let body_limit = self.time_left(now);
+        let body_limit = self.body_timeout(now);
         let read = exchange.read_to_end(MAX_RESPONSE_BYTES);
         let answer = match task::within(body_limit, read).await {
             Some(Ok(answer)) => answer,
@@ -981,6 +984,20 @@
         }
     }
 
+    /// Returns how long to wait for the rest of a response whose head has
+    /// arrived: not all the time left if another upstream could still respond,
+    /// unless the responses of the service usually take that long.
+    pub(crate) fn body_timeout(&self, now: BootInstant) -> Duration {
+        let left = self.time_left(now);
+        if !self.may_resume(now) {
+            return left;
+        }
+        let usual = self.gateway.service_times.of(&self.service);
+        let patience = usual
+            .map_or(Duration::ZERO, |time| time.mul_f64(BODY_PATIENCE_FACTOR));
+        patience.max(left.div_f64(2.0)).min(left)
+    }
+
     /// Whether another attempt could be made if the current one failed.
     pub(crate) fn can_replace_attempt(&self) -> bool {
         self.route.repeat == Repeat::Any
@@ -999,7 +1016,8 @@
         self.gateway.pool.has_untried(&self.service, &criteria, now)
     }
 
-    /// Whether a broken stream may be resumed at another upstream.
+    /// Whether another upstream may be asked for what is left of a response,
+    /// or for all of it.
     pub(crate) fn may_resume(&self, now: BootInstant) -> bool {
         self.route.repeat == Repeat::Any
             && now < self.deadline
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -310,9 +310,9 @@
     ) -> AttemptError {
         const LIMIT_BYTES: u64 = 1 << 20;
         let status = exchange.status;
-        let left = self.time_left(self.gateway.clock.now());
+        let limit = self.body_timeout(self.gateway.clock.now());
         let read = exchange.read_to_end(LIMIT_BYTES);
-        let Some(Ok(answer)) = task::within(left, read).await else {
+        let Some(Ok(answer)) = task::within(limit, read).await else {
             self.record_attempt(&attempt, AttemptOutcome::Lost, None);
             return AttemptError::Unknown(
                 UnknownCause::Broken,
--- a/standins/tests/endless_upstreams.rs
+++ b/standins/tests/endless_upstreams.rs
@@ -65,10 +65,40 @@
     NoAnswer { status: "200 OK", head: Some(""), rest: "X-Many: a\r\n" },
 ];
 
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
+
+const ERROR: NoAnswer = NoAnswer {
+    status: "500 Internal Server Error",
+    head: Some(CHUNKED),
+    rest: "1\r\na\r\n",
+};
+
 const EVENTS: &str = "Content-Type: text/event-stream\r\n\
                       Transfer-Encoding: chunked\r\n\r\n";
 
-const STREAMS: [NoAnswer; 4] = [
+const BODIES: [NoAnswer; 6] = [
+    ERROR,
+    NoAnswer {
+        status: "200 OK",
+        head: Some("Content-Length: 100000000000\r\n\r\n"),
+        rest: "a",
+    },
+    NoAnswer { status: "200 OK", head: Some(CHUNKED), rest: "1\r\na\r\n" },
+    NoAnswer { status: "200 OK", head: Some(CHUNKED), rest: "1" },
+    NoAnswer {
+        status: "200 OK",
+        head: Some("Transfer-Encoding: chunked\r\n\r\n1;x="),
+        rest: "a",
+    },
+    NoAnswer {
+        status: "200 OK",
+        head: Some("Transfer-Encoding: chunked\r\n\r\n0\r\n"),
+        rest: "X-Trailer: a\r\n",
+    },
+];
+
+const STREAMS: [NoAnswer; 5] = [
+    ERROR,
     NoAnswer { status: "200 OK", head: Some(EVENTS), rest: "1\r\na\r\n" },
     NoAnswer { status: "200 OK", head: Some(EVENTS), rest: "5\r\ndata:\r\n" },
     NoAnswer { status: "200 OK", head: Some(EVENTS), rest: "3\r\n:\n\n\r\n" },
@@ -188,6 +218,12 @@
     assert_served(&HEADS, PLAIN, responds, plain_request);
 }
 
+#[test]
+fn callers_are_served_beside_bodies_without_end() {
+    let _guard = lock_site();
+    assert_served(&BODIES, PLAIN, responds, plain_request);
+}
+
 #[test]
 fn streams_are_served_beside_heads_without_end() {
     let _guard = lock_site();
