Give sessions a share of a trial that is the same at all VMs

A soak saw sessions change their version in the first half of a rollout. The share of a version on trial is derived from the number of requests that a VM knows of, so it differs between VMs and over time. A session whose hash lay between two such shares was on the old version for one VM and on the new one for another, and a VM with a smaller share did not report it to the others.

Requests with a session get the share that depends on the operator's bound alone; that is what the estimate gave for all but small and very large services. The others get the estimated share as before. The new test assigns 1,000 sessions at VMs that have seen 40, 400 and 4,000 requests; it failed before.

--- a/src/rollouts/exposure.rs
+++ b/src/rollouts/exposure.rs
@@ -63,13 +63,19 @@
 }
 
 impl ExposureLimit {
-    /// Returns the share of the requests for a version on trial, given how
-    /// many are expected in all, if that is known.
+    /// Returns the share of the requests without a session for a version on
+    /// trial, given how many requests are expected in all, if that is known.
     pub(super) fn trial_share(self, expected: Option<f64>) -> Share {
-        let share = match expected {
-            Some(expected) => self.trial_share_of(expected),
-            None => self.share * MAX_TRIAL_PART,
-        };
+        let Some(expected) = expected else { return self.session_share() };
+        let share = self.trial_share_of(expected);
+        Share::try_from(share).unwrap_or(Share::ZERO)
+    }
+
+    /// Returns the share of the sessions for a version on trial. It is the
+    /// same at all VMs and times, so that each of them assigns a session to
+    /// the same version.
+    pub(super) fn session_share(self) -> Share {
+        let share = self.share * MAX_TRIAL_PART;
         Share::try_from(share).unwrap_or(Share::ZERO)
     }
 
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -170,7 +170,8 @@
     pub(super) canary_ended: Option<Duration>,
     limit: ExposureLimit,
     fleet: FleetPlace,
-    /// Share of the requests that the new version gets in the canary phase.
+    /// Share of the requests without a session that the new version gets in
+    /// the canary phase.
     trial_share: Share,
     /// Whether the new version has given enough answers for all requests to
     /// move to it.
@@ -273,15 +274,17 @@
         time.as_secs_f64() / allowed
     }
 
-    /// Returns the share of the requests that the new version gets now, but
-    /// for those that would outlast the rollout at the old one.
-    fn share(&self, now: BootInstant) -> f64 {
+    /// Returns the share of the requests, with or without a session, that the
+    /// new version gets now, but for those that would outlast the rollout at
+    /// the old one.
+    fn share(&self, has_session: bool, now: BootInstant) -> f64 {
         let elapsed = |since| now.saturating_duration_since(since);
         let is_early = elapsed(self.started_at) < CANARY_DELAY
             || elapsed(self.learned_at) < SYNC_DELAY;
         match self.canary_ended {
             None if is_early => 0.0,
             Some(_) if self.may_move() && self.all_moved.is_some() => 1.0,
+            _ if has_session => self.limit.session_share().value(),
             _ => self.trial_share.value(),
         }
     }
@@ -348,7 +351,8 @@
         let has_all =
             new.complete >= wanted && (is_compared || !is_comparable);
         let has_answers = has_all
-            || is_late && (has_third || self.has_few_requests(old, now));
+            || is_late
+                && (has_third || self.has_few_requests([old, new], now));
         has_answers && !self.is_doubtful
     }
 
@@ -358,12 +362,21 @@
     ///
     /// A VM that has not had the order for long cannot tell: others may have
     /// seen more.
-    fn has_few_requests(&self, old: AnswerCounts, now: BootInstant) -> bool {
+    fn has_few_requests(
+        &self,
+        [old, new]: [AnswerCounts; 2],
+        now: BootInstant,
+    ) -> bool {
         let watched = now.saturating_duration_since(self.learned_at);
         let attempts = f64::from(old.complete + old.lost);
-        self.part(watched) >= MIN_WATCHED_PART
-            && attempts * self.trial_share.value()
-                < f64::from(MIN_CANARY_ANSWERS)
+        let is_too_few = |share: Share| {
+            attempts * share.value() < f64::from(MIN_CANARY_ANSWERS)
+        };
+        // How many of the requests had sessions is not known.
+        let has_few = is_too_few(self.trial_share)
+            || is_too_few(self.limit.session_share())
+                && new.sent < MIN_CANARY_ANSWERS;
+        has_few && self.part(watched) >= MIN_WATCHED_PART
     }
 
     /// Returns the answer counts of the old and the new version on all routes.
@@ -458,7 +471,8 @@
         let subject = ShortHash::of(session.unwrap_or(request_id));
         let is_moving = self.may_move()
             && self.outlasts_rollout(ShortHash::of(route), now);
-        let side = match is_moving || self.draw(subject) < self.share(now) {
+        let share = self.share(session.is_some(), now);
+        let side = match is_moving || self.draw(subject) < share {
             true => VersionSide::New,
             false => VersionSide::Old,
         };
@@ -551,8 +565,8 @@
         }
         let target = &self.order.target;
         let old = own.on_other_versions(target, self.session_lifetime, now);
-        let drawn =
-            old.filter(|(old, _)| self.draw(*old) < self.trial_share.value());
+        let share = self.limit.session_share().value();
+        let drawn = old.filter(|(old, _)| self.draw(*old) < share);
         let sessions = drawn.map(|(old, idle)| old_version_session(old, idle));
         sessions.take(MAX_SESSIONS_PER_HEARTBEAT).collect()
     }
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -20,7 +20,11 @@
 }
 
 fn running(now: BootInstant) -> Rollouts {
-    let rollouts = Rollouts::new(SESSION_TIMEOUT, LIMIT);
+    running_with(LIMIT, now)
+}
+
+fn running_with(limit: ExposureLimit, now: BootInstant) -> Rollouts {
+    let rollouts = Rollouts::new(SESSION_TIMEOUT, limit);
     let order = RolloutOrder { target: version("v2"), time_allowed: ALLOWED };
     assert!(rollouts.apply_order(service(), order, now));
     let status = RolloutStatus {
@@ -68,6 +72,32 @@
     assert_eq!(share(&rollouts, at), 1.0);
 }
 
+/// VMs see different numbers of requests, and more over time.
+#[test]
+fn the_number_of_requests_moves_no_session() {
+    const LIMIT: ExposureLimit =
+        ExposureLimit { share: 0.15, tolerance: 30.0 };
+    let now = BootInstant::now();
+    let at = now + ALLOWED / 4;
+    let sessions = |requests: u32| -> Vec<bool> {
+        let rollouts = running_with(LIMIT, now);
+        record(&rollouts, "v1", AttemptOutcome::Success, requests);
+        rollouts.evaluate(at);
+        let is_new = |number| {
+            let session = format!("session-{number}");
+            let session = Some(session.as_str());
+            let choice =
+                rollouts.choose_version(&service(), "a", session, "r", at);
+            matches!(choice.rule, VersionRule::Prefer(_))
+        };
+        (0..1000).map(is_new).collect()
+    };
+    let of_few = sessions(40);
+    assert!(of_few.contains(&true));
+    assert_eq!(of_few, sessions(400));
+    assert_eq!(of_few, sessions(4000));
+}
+
 /// The old version's upstreams stop when a rollout is completed.
 #[test]
 fn requests_that_would_outlast_the_rollout_go_to_a_proven_version() {
