Soak: upstreams send bytes without end in place of lost answers

An upstream that loses answers closed the connection. Half of the time it now sends interim responses, bytes that are no response, or a body without end, fast or slowly.

--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -43,6 +43,12 @@
 /// crashing request.
 const CRASH_TIME: Duration = Duration::from_millis(200);
 
+/// Pause between bytes without end.
+const ENDLESS_PAUSE: Duration = Duration::from_millis(10);
+
+/// Number of repetitions between two pauses where bytes come fast.
+const FAST_COUNT: usize = 4096;
+
 /// Backoff that an upstream asks for with `Retry-After`.
 const BACKOFF: Duration = Duration::from_secs(2);
 
@@ -60,7 +66,8 @@
     Well,
     /// Many of its responses have status 500.
     Failing,
-    /// It runs many requests and closes the connection without a response.
+    /// It runs many requests and closes the connection without a response, or
+    /// sends bytes that are none until the router closes it.
     LosingAnswers,
     /// Many of its responses carry another request's attempt ID.
     Foreign,
@@ -388,7 +395,8 @@
         }
         match behaviour {
             Behaviour::LosingAnswers => {
-                vec![Step::Wait(work_time), Step::Close]
+                let work = [Step::Wait(work_time)];
+                work.into_iter().chain(no_response(request)).collect()
             }
             Behaviour::Failing => {
                 let head = response_headers(request, &signal_headers);
@@ -482,6 +490,31 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
+/// Returns what a request gets in place of a response: the connection is
+/// closed, or bytes come without end, fast or slowly, in a head or a body.
+fn no_response(request: &RawRequest) -> Vec<Step> {
+    let mut rng = rand::rng();
+    if rng.random() {
+        return vec![Step::Close];
+    }
+    let count = if rng.random() { FAST_COUNT } else { 1 };
+    let without_end =
+        |bytes: &[u8]| Step::SendEndlessly(bytes.repeat(count), ENDLESS_PAUSE);
+    match rng.random_range(0..3) {
+        0 => vec![without_end(b"HTTP/1.1 100 Continue\r\n\r\n")],
+        1 => vec![without_end(b"no response ")],
+        _ => {
+            let more = [("Transfer-Encoding", "chunked")];
+            let mut head = String::from("HTTP/1.1 200 OK\r\n");
+            for (name, value) in response_headers(request, &more) {
+                head += &format!("{name}: {value}\r\n");
+            }
+            let head = Step::Send((head + "\r\n").into_bytes());
+            vec![head, without_end(b"1\r\na\r\n")]
+        }
+    }
+}
+
 fn plain(
     request: &RawRequest,
     behaviour: Behaviour,
