Let no session change its version where a VM has sent its share

For a session whose hash assigns it to the new version, a VM may now also use the part of the bound that is reserved for the end of a rollout, so only requests without such a session find the share spent. The bound itself holds as before. The new test failed before.

--- a/src/rollouts/exposure.rs
+++ b/src/rollouts/exposure.rs
@@ -98,6 +98,23 @@
     pub(super) fn may_send(self, sent: SentRequests, vms: usize) -> bool {
         let share = (self.share * USED_PART - RESERVED_SHARE)
             .max(self.share * MAX_TRIAL_PART);
+        self.is_within(share, sent, vms)
+    }
+
+    /// Whether it may send a request of a session that every VM assigns to the
+    /// new version. The session would change its version otherwise, so what is
+    /// reserved for the end may be used for it.
+    pub(super) fn may_send_session(
+        self,
+        sent: SentRequests,
+        vms: usize,
+    ) -> bool {
+        self.is_within(self.share * USED_PART, sent, vms)
+    }
+
+    /// Whether another request at the new version keeps to this share of the
+    /// requests of a VM, and its part of the fixed number.
+    fn is_within(self, share: f64, sent: SentRequests, vms: usize) -> bool {
         let own_tolerance =
             self.tolerance * USED_TOLERANCE_PART / vms.max(1) as f64;
         let most = share * (sent.old + sent.new + 1.0);
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -471,14 +471,16 @@
         let subject = ShortHash::of(session.unwrap_or(request_id));
         let is_moving = self.may_move()
             && self.outlasts_rollout(ShortHash::of(route), now);
-        let share = self.share(session.is_some(), now);
-        let side = match is_moving || self.draw(subject) < share {
+        let has_session = session.is_some();
+        let is_drawn = self.draw(subject) < self.share(has_session, now);
+        let side = match is_moving || is_drawn {
             true => VersionSide::New,
             false => VersionSide::Old,
         };
         let is_canary = self.canary_ended.is_none();
         let is_all = self.may_move() && self.all_moved.is_some();
-        let is_share_spent = !is_all && !self.may_send_new();
+        let is_share_spent =
+            !is_all && !self.may_send_new(has_session && is_drawn);
         let known = session.and_then(|_| self.session(subject, own, now));
         let (side, reason) = match known {
             Some((VersionSide::New, reason)) => (VersionSide::New, reason),
@@ -517,10 +519,15 @@
     }
 
     /// Whether another attempt at the new version keeps to this VM's part of
-    /// the bound.
-    fn may_send_new(&self) -> bool {
+    /// the bound; `is_drawn_session` says that the hash of its session assigns
+    /// it there.
+    fn may_send_new(&self, is_drawn_session: bool) -> bool {
         let [old, new] = self.sent.map(f64::from);
-        self.limit.may_send(SentRequests { old, new }, self.fleet.vms)
+        let sent = SentRequests { old, new };
+        match is_drawn_session {
+            true => self.limit.may_send_session(sent, self.fleet.vms),
+            false => self.limit.may_send(sent, self.fleet.vms),
+        }
     }
 
     /// Returns a hash of a session or request as a number in `0..=1`, the same
--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -98,6 +98,38 @@
     assert_eq!(of_few, sessions(4000));
 }
 
+/// Another VM, which has sent less, may have sent a request of the session to
+/// the new version.
+#[test]
+fn a_vm_that_has_sent_its_share_moves_no_session() {
+    let now = BootInstant::now();
+    let at = now + ALLOWED / 4;
+    let counts = |new: u32| -> [usize; 2] {
+        let rollouts = running(now);
+        for _ in 0..100 {
+            rollouts.record_sent(&service(), &version("v1"), "a");
+        }
+        for _ in 0..new {
+            rollouts.record_sent(&service(), &version("v2"), "a");
+        }
+        [true, false].map(|has_session| {
+            let is_new = |number: &u32| {
+                let id = format!("id-{number}");
+                let session = has_session.then_some(id.as_str());
+                let choice =
+                    rollouts.choose_version(&service(), "a", session, &id, at);
+                matches!(choice.rule, VersionRule::Prefer(_))
+            };
+            (0..1000).filter(is_new).count()
+        })
+    };
+    let [sessions, others] = counts(4);
+    assert!(sessions > 50 && others > 50, "{sessions}, {others}");
+    assert_eq!(counts(14), [sessions, 0]);
+    // Beyond the operator's bound.
+    assert_eq!(counts(20), [0, 0]);
+}
+
 /// The old version's upstreams stop when a rollout is completed.
 #[test]
 fn requests_that_would_outlast_the_rollout_go_to_a_proven_version() {
