Start sites of one VM in one place

Three tests started a site with one VM and waited until it had read the records of its upstreams, each with its own copy of the same lines. They use Site::with_one_vm now; what they check is unchanged.

--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -145,6 +145,33 @@
         }
     }
 
+    /// Creates a site with one VM that has read the records of these
+    /// upstreams of a service.
+    ///
+    /// # Panics
+    ///
+    /// When the VM can't be started, or has not read them in time.
+    pub fn with_one_vm(
+        program: PathBuf,
+        revoke_ms: u64,
+        upstreams: &[&Upstream],
+        service: &str,
+    ) -> Site {
+        let mut site = Site::new(program, &["vm"], revoke_ms);
+        for upstream in upstreams {
+            site.register(upstream, service, "v1");
+        }
+        site.start_vm();
+        for upstream in upstreams {
+            wait_until("the VM has read the upstream's record", || {
+                let lines = site.vms[0].lines("E043");
+                let id = upstream.id.as_str();
+                lines.iter().any(|line| line["upstream"] == id)
+            });
+        }
+        site
+    }
+
     /// Registers an upstream in the store, in the state `ready`.
     pub fn register(&self, upstream: &Upstream, service: &str, version: &str) {
         self.register_as(upstream, service, version, "ready");
--- a/standins/tests/endless_callers.rs
+++ b/standins/tests/endless_callers.rs
@@ -45,14 +45,7 @@
 /// Starts a site with one VM and one upstream.
 fn site_with(upstream: &Upstream) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
-    let mut site = Site::new(program, &["vm"], REVOKE_MS);
-    site.register(upstream, PLAIN, "v1");
-    site.start_vm();
-    wait_until("the VM has read the upstream's record", || {
-        let lines = site.vms[0].lines("E043");
-        lines.iter().any(|line| line["upstream"] == upstream.id.as_str())
-    });
-    site
+    Site::with_one_vm(program, REVOKE_MS, &[upstream], PLAIN)
 }
 
 /// Sends `start` and then repeats `rest` until the VM closes the connection;
--- a/standins/tests/endless_upstreams.rs
+++ b/standins/tests/endless_upstreams.rs
@@ -134,18 +134,7 @@
 /// Starts a site of one VM with these upstreams of a service.
 fn site_with(upstreams: &[&Upstream], service: &str) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
-    let mut site = Site::new(program, &["vm"], REVOKE_MS);
-    for upstream in upstreams {
-        site.register(upstream, service, "v1");
-    }
-    site.start_vm();
-    for upstream in upstreams {
-        wait_until("the VM has read the upstream's record", || {
-            let lines = site.vms[0].lines("E043");
-            lines.iter().any(|line| line["upstream"] == upstream.id.as_str())
-        });
-    }
-    site
+    Site::with_one_vm(program, REVOKE_MS, upstreams, service)
 }
 
 /// Sends requests at the same time; returns the replies.
--- a/standins/tests/resting_upstreams.rs
+++ b/standins/tests/resting_upstreams.rs
@@ -52,18 +52,7 @@
 /// Starts a site with one VM that knows these upstreams.
 fn site_with(upstreams: &[&Upstream]) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
-    let mut site = Site::new(program, &["vm"], REVOKE_MS);
-    for upstream in upstreams {
-        site.register(upstream, PLAIN, "v1");
-    }
-    site.start_vm();
-    for upstream in upstreams {
-        wait_until("the VM has read the upstream's record", || {
-            let lines = site.vms[0].lines("E043");
-            lines.iter().any(|line| line["upstream"] == upstream.id.as_str())
-        });
-    }
-    site
+    Site::with_one_vm(program, REVOKE_MS, upstreams, PLAIN)
 }
 
 /// Declines every request and asks for a backoff.
