Share the checks of rollout replays

Four tests repeated the same loop and assertions for versions that are reverted and for those that are completed. What they check is unchanged; the seed is named in each failure now.

--- a/src/rollouts/replay_tests.rs
+++ b/src/rollouts/replay_tests.rs
@@ -251,32 +251,29 @@
     if scenario.halls * scenario.vms_per_hall > 20 { 1..=1 } else { 1..=3 }
 }
 
-fn assert_reverted(scenario: Scenario) {
+/// Plays a rollout, which must end like this and keep to the bound.
+fn assert_end(scenario: Scenario, seed: u64, progress: RolloutProgress) {
+    let outcome = play(scenario, seed);
+    let case = format!("{scenario:?}, seed {seed}: {outcome:?}");
+    assert_eq!(outcome.progress, Some(progress), "{case}");
+    assert!(outcome.keeps_to_bound(), "{case}");
+}
+
+/// Plays it with fleets of several sizes.
+fn assert_ends(scenario: Scenario, progress: RolloutProgress) {
     for scenario in fleets(scenario) {
         for seed in seeds(scenario) {
-            let outcome = play(scenario, seed);
-            assert_eq!(
-                outcome.progress,
-                Some(RolloutProgress::Reverted),
-                "{scenario:?}, seed {seed}: {outcome:?}"
-            );
-            assert!(outcome.keeps_to_bound(), "{scenario:?}: {outcome:?}");
+            assert_end(scenario, seed, progress);
         }
     }
 }
 
+fn assert_reverted(scenario: Scenario) {
+    assert_ends(scenario, RolloutProgress::Reverted);
+}
+
 fn assert_completed(scenario: Scenario) {
-    for scenario in fleets(scenario) {
-        for seed in seeds(scenario) {
-            let outcome = play(scenario, seed);
-            assert_eq!(
-                outcome.progress,
-                Some(RolloutProgress::Completed),
-                "{scenario:?}, seed {seed}: {outcome:?}"
-            );
-            assert!(outcome.keeps_to_bound(), "{scenario:?}: {outcome:?}");
-        }
-    }
+    assert_ends(scenario, RolloutProgress::Completed);
 }
 
 /// The old version's waits hide that the new one is slow.
@@ -299,22 +296,13 @@
 fn a_slow_version_of_a_service_with_few_requests_is_not_completed() {
     let few = Scenario { requests_per_s: 8.7, is_model: false, ..GOOD };
     for (slow_share, slow_factor) in [(0.5, 8.0), (0.5, 4.0), (1.0, 3.0)] {
+        let slow = Scenario { slow_share, slow_factor, ..few };
         for seed in 1..=5 {
-            let outcome =
-                play(Scenario { slow_share, slow_factor, ..few }, seed);
-            assert_eq!(
-                outcome.progress,
-                Some(RolloutProgress::Reverted),
-                "{slow_share} {slow_factor}, seed {seed}: {outcome:?}"
-            );
-            assert!(outcome.keeps_to_bound(), "{outcome:?}");
+            assert_end(slow, seed, RolloutProgress::Reverted);
         }
     }
     for seed in 1..=5 {
-        let outcome = play(few, seed);
-        let completed = Some(RolloutProgress::Completed);
-        assert_eq!(outcome.progress, completed, "seed {seed}: {outcome:?}");
-        assert!(outcome.keeps_to_bound(), "{outcome:?}");
+        assert_end(few, seed, RolloutProgress::Completed);
     }
 }
 
@@ -348,12 +336,6 @@
         ..GOOD
     };
     let slow = Scenario { slow_share: 0.5, slow_factor: 3.0, ..large };
-    for (scenario, progress) in [
-        (large, RolloutProgress::Completed),
-        (slow, RolloutProgress::Reverted),
-    ] {
-        let outcome = play(scenario, 1);
-        assert_eq!(outcome.progress, Some(progress), "{outcome:?}");
-        assert!(outcome.keeps_to_bound(), "{outcome:?}");
-    }
+    assert_end(large, 1, RolloutProgress::Completed);
+    assert_end(slow, 1, RolloutProgress::Reverted);
 }
