--- a/src/rollouts/registry.rs
+++ b/src/rollouts/registry.rs
@@ -214,10 +214,9 @@
         software: &VersionId,
         route: &str,
     ) {
-        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
-        if let Some(rollout) = rollouts.get_mut(service) {
+        self.update(service, |rollout| {
             rollout.record_sent(software, route);
-        }
+        });
     }
 
     /// Records the outcome of an attempt at a version, with the time to the
@@ -231,10 +230,9 @@
         outcome: AttemptOutcome,
         time: Option<AnswerTime>,
     ) {
-        let mut rollouts = self.rollouts.lock().expect("rollouts lock");
-        if let Some(rollout) = rollouts.get_mut(service) {
+        self.update(service, |rollout| {
             rollout.record_answer(software, route, outcome, time);
-        }
+        });
     }
 
     /// Records how long a request took, to the end of its answer.
@@ -244,9 +242,16 @@
         route: &str,
         took: Duration,
     ) {
+        self.update(service, |rollout| {
+            rollout.record_duration(route, took);
+        });
+    }
+
+    /// Updates the rollout of a service, if there is one.
+    fn update(&self, service: &ServiceId, update: impl FnOnce(&mut Rollout)) {
         let mut rollouts = self.rollouts.lock().expect("rollouts lock");
         if let Some(rollout) = rollouts.get_mut(service) {
-            rollout.record_duration(route, took);
+            update(rollout);
         }
     }
 
