--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -854,7 +854,7 @@
     }
 
     /// Records that the request may have reached the upstream.
-    fn record_arrival(&mut self, attempt: &Attempt) {
+    pub(crate) fn record_arrival(&mut self, attempt: &Attempt) {
         self.sent += 1;
         let software = &attempt.member.entry.software;
         let rollouts = &self.gateway.rollouts;
--- a/src/rollouts/choice.rs
+++ b/src/rollouts/choice.rs
@@ -24,6 +24,9 @@
     Completed,
     /// The request has no session or an unknown one, so a hash decided.
     Drawn,
+    /// The hash assigns it to the new version, which gets no requests yet, or
+    /// none from this VM, which learned of the rollout late.
+    NotBegun,
     /// The request would probably still run at the old version when the
     /// rollout is completed.
     Outlasting,
@@ -43,6 +46,7 @@
             ChoiceReason::Stopped => "stopped",
             ChoiceReason::Completed => "completed",
             ChoiceReason::Drawn => "drawn",
+            ChoiceReason::NotBegun => "not_begun",
             ChoiceReason::Outlasting => "outlasting",
             ChoiceReason::ShareSpent => "share_spent",
             ChoiceReason::LocalSession(_) => "own_session",
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -278,17 +278,21 @@
     /// new version gets now, but for those that would outlast the rollout at
     /// the old one.
     fn share(&self, has_session: bool, now: BootInstant) -> f64 {
-        let elapsed = |since| now.saturating_duration_since(since);
-        let is_early = elapsed(self.started_at) < CANARY_DELAY
-            || elapsed(self.learned_at) < SYNC_DELAY;
         match self.canary_ended {
-            None if is_early => 0.0,
+            None if !self.has_begun(now) => 0.0,
             Some(_) if self.may_move() && self.all_moved.is_some() => 1.0,
             _ if has_session => self.limit.session_share().value(),
             _ => self.trial_share.value(),
         }
     }
 
+    /// Whether this VM sends requests to the new version.
+    fn has_begun(&self, now: BootInstant) -> bool {
+        let elapsed = |since| now.saturating_duration_since(since);
+        elapsed(self.started_at) >= CANARY_DELAY
+            && elapsed(self.learned_at) >= SYNC_DELAY
+    }
+
     /// Whether requests may move to the new version.
     fn may_move(&self) -> bool {
         self.canary_ended.is_some() && self.is_proven && !self.is_doubtful
@@ -473,6 +477,8 @@
             && self.outlasts_rollout(ShortHash::of(route), now);
         let has_session = session.is_some();
         let is_drawn = self.draw(subject) < self.share(has_session, now);
+        let is_in_trial =
+            self.draw(subject) < self.limit.session_share().value();
         let side = match is_moving || is_drawn {
             true => VersionSide::New,
             false => VersionSide::Old,
@@ -491,6 +497,9 @@
                 (VersionSide::Old, ChoiceReason::ShareSpent)
             }
             _ if is_moving => (side, ChoiceReason::Outlasting),
+            _ if is_canary && !self.has_begun(now) && is_in_trial => {
+                (side, ChoiceReason::NotBegun)
+            }
             _ => (side, ChoiceReason::Drawn),
         };
         let rule = match side {
