Test the sessions of whole rollouts as callers' requests send them

The fleet tests never counted what they send, so that no VM of theirs had sent its part of the bound. Counted, 7 sessions change their version where 3 may. The new replays begin their attempts as forwarded requests do, with several attempts a request, streams, restarts and the second half of the rollout, in fleets of 9, 84 and 300 VMs. They fail on this code: 4 to 11, 22 to 27 and 55 to 63 requests go back to the old version, nearly all of them after half of the time; and 84 and 300 VMs exceed the operator's bound (807 of 780, 2,585 of 2,546, 1,799 of 1,665).

--- a/src/rollouts/fleet_tests.rs
+++ b/src/rollouts/fleet_tests.rs
@@ -144,6 +144,7 @@
             _ => version("v1"),
         };
         rollouts.begin_session(&service(), session, &software, now);
+        rollouts.record_sent(&service(), &software, "write");
         rollouts.end_session(&service(), session, now);
         software
     }
--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -39,3 +39,5 @@
 mod fleet_tests;
 #[cfg(test)]
 mod replay_tests;
+#[cfg(test)]
+mod session_replay_tests;
