Hold a version back until its rollout is known

Without an order, any version may answer.

A version whose first upstream was listed after another version's is avoided for 3 s now unless its rollout is known, also after a rollout that was reverted.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -372,13 +372,17 @@
     pub(crate) fn version_choice(&self, now: BootInstant) -> VersionChoice {
         let session = self.request.session.as_deref();
         let id = &self.request.id;
-        self.gateway.rollouts.choose_version(
+        let choice = self.gateway.rollouts.choose_version(
             &self.service,
             &self.route.name,
             session,
             id,
             now,
-        )
+        );
+        match self.gateway.pool.recent_version(&self.service, now) {
+            Some(recent) => choice.without_unordered(recent),
+            None => choice,
+        }
     }
 
     /// Builds the criteria for choosing an upstream that is not in `tried`.
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -152,6 +152,8 @@
     pub upstream: Arc<Upstream>,
     /// Its recent health.
     pub health: Health,
+    /// When this VM learned of it.
+    pub(super) listed_at: BootInstant,
     pub(super) link: Arc<HallLink>,
     pub(super) prefill_ms: AtomicU32,
     peer_requests: AtomicU32,
@@ -264,6 +266,7 @@
         Member {
             upstream: Arc::new(upstream),
             health: Health::new(now),
+            listed_at: now,
             link,
             prefill_ms: AtomicU32::new(0),
             peer_requests: AtomicU32::new(0),
--- a/src/placing/mod.rs
+++ b/src/placing/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! * [`pool`]: the upstreams as this VM sees them, and the selection of one;
 //!   `pool/gossip` exchanges reports about them with other VMs.
+//! * `recent_version`: the versions that were listed after another one.
 //! * [`member`]: one incarnation of an upstream in the pool.
 //! * [`upstream`]: its load, requests in flight and circuit breaker.
 //! * [`health`]: its recent successes and failures.
@@ -34,6 +35,7 @@
 pub(crate) mod permit_lenders;
 pub mod pool;
 pub(crate) mod rate_limit;
+mod recent_version;
 pub mod reported_state;
 pub(crate) mod retry_reason;
 pub mod retry_window;
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -29,6 +29,7 @@
         },
         memory::{MemoryNeed, PeerMemory},
         owners::Roster,
+        recent_version::RecentVersions,
         reported_state::UnlistedStates,
         slowness,
         warm_up::{self, WarmUp, WarmUpSlack},
@@ -248,6 +249,7 @@
     by_service: HashMap<ServiceId, Vec<Arc<Member>>>,
     by_short_hash: HashMap<ShortHash, Arc<Member>>,
     by_address: HashMap<SocketAddr, Arc<Member>>,
+    recent_versions: RecentVersions,
 }
 
 /// The upstreams at which each other VM has last reported work, so that its
@@ -570,6 +572,16 @@
         self.members().by_service.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the version of a service whose first upstream was listed only
+    /// recently, and after another version's.
+    pub fn recent_version(
+        &self,
+        service: &ServiceId,
+        now: BootInstant,
+    ) -> Option<VersionId> {
+        self.members().recent_versions.of(service, now).cloned()
+    }
+
     /// Picks the upstream for one attempt, and counts the request against its
     /// warm-up, backoff and rate limits.
     ///
@@ -1183,8 +1195,15 @@
         let by_address = by_id.values();
         let by_address =
             by_address.map(|m| (m.entry.address, m.clone())).collect();
-        *current =
-            Arc::new(Members { by_id, by_service, by_short_hash, by_address });
+        let recent_versions =
+            RecentVersions::new(by_id.values().map(|member| &**member));
+        *current = Arc::new(Members {
+            by_id,
+            by_service,
+            by_short_hash,
+            by_address,
+            recent_versions,
+        });
     }
 }
 
--- a/src/rollouts/choice.rs
+++ b/src/rollouts/choice.rs
@@ -9,12 +9,32 @@
 pub struct VersionChoice {
     /// The rule for the choice of an upstream.
     pub rule: VersionRule,
-    /// The reason for the rule; `None` without a rollout.
+    /// The reason for the rule; `None` without one.
     pub reason: Option<ChoiceReason>,
     /// Withdrawn versions, which may not answer any request.
     pub withdrawn: Vec<VersionId>,
 }
 
+impl VersionChoice {
+    /// Avoids a version whose rollout is not known yet, unless another one is
+    /// preferred.
+    pub(crate) fn without_unordered(
+        mut self,
+        unordered: VersionId,
+    ) -> VersionChoice {
+        match &self.rule {
+            VersionRule::Any => {}
+            VersionRule::Never(other) if *other != unordered => {
+                self.withdrawn.push(other.clone());
+            }
+            _ => return self,
+        }
+        self.rule = VersionRule::Avoid(unordered);
+        self.reason = Some(ChoiceReason::NotOrdered);
+        self
+    }
+}
+
 /// The reason for the choice of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChoiceReason {
@@ -24,6 +44,8 @@
     Completed,
     /// The request has no session or an unknown one, so a hash decided.
     Drawn,
+    /// Upstreams of a version were listed, but no rollout of it is known yet.
+    NotOrdered,
     /// The hash assigns it to the new version, which gets no requests yet, or
     /// none from this VM, which learned of the rollout late.
     NotBegun,
@@ -48,6 +70,7 @@
             ChoiceReason::Stopped => "stopped",
             ChoiceReason::Completed => "completed",
             ChoiceReason::Drawn => "drawn",
+            ChoiceReason::NotOrdered => "not_ordered",
             ChoiceReason::NotBegun => "not_begun",
             ChoiceReason::Moved => "moved",
             ChoiceReason::Outlasting => "outlasting",
--- a/src/rollouts/session_replay_tests.rs
+++ b/src/rollouts/session_replay_tests.rs
@@ -87,6 +87,8 @@
     /// Intervals at which one VM after the other restarts during the first
     /// half of the rollout; `None` if all keep running.
     restart_interval_ms: Option<u64>,
+    /// How long before the order VMs know the new version's upstreams.
+    upstreams_lead_ms: u64,
 }
 
 const NINE_VMS: Scenario = Scenario {
@@ -95,6 +97,7 @@
     sessions_per_s: 30.0,
     bound: WIDE,
     restart_interval_ms: None,
+    upstreams_lead_ms: 0,
 };
 
 const EIGHTY_FOUR_VMS: Scenario =
@@ -208,7 +211,7 @@
         }
     }
 
-    /// Makes a VM know the order and the upstreams of the new version.
+    /// Makes a VM know the order.
     fn order(&self, vm: usize) {
         let order =
             RolloutOrder { target: version("v2"), time_allowed: ALLOWED };
@@ -216,7 +219,6 @@
         let service = slot_test_site::service();
         rollouts.apply_order(service.clone(), order, self.fleet.clock.now());
         rollouts.apply_status(&service, &status(RolloutProgress::Running));
-        self.add_upstreams(vm, "v2");
     }
 
     /// Restarts a VM, which has read the order when it gets requests. It closes
@@ -228,6 +230,7 @@
         }
         self.fleet.restart(vm);
         self.add_upstreams(vm, "v1");
+        self.add_upstreams(vm, "v2");
         self.order(vm);
     }
 
@@ -382,6 +385,10 @@
             for vm in 0..self.fleet.vms.len() {
                 // The store's watches deliver what is written within 150 ms.
                 let delay_ms = vm as u64 % 8 * 20;
+                let listed_ms = ORDERED_MS - self.scenario.upstreams_lead_ms;
+                if elapsed_ms == listed_ms + delay_ms {
+                    self.add_upstreams(vm, "v2");
+                }
                 if elapsed_ms == ORDERED_MS + delay_ms {
                     self.order(vm);
                 }
@@ -482,3 +489,13 @@
         }
     }
 }
+
+/// The store's watch delivers each change by itself, and some VMs read
+/// upstreams before orders.
+#[test]
+fn sessions_keep_their_version_where_upstreams_are_known_before_the_order() {
+    for upstreams_lead_ms in [200, 900] {
+        let scenario = Scenario { upstreams_lead_ms, ..NINE_VMS };
+        assert_sessions_stay(scenario, 1);
+    }
+}
