Take no version for recent that a VM reads after its start

A VM that has just started reads all upstreams, in any order of their versions. The one that it reads last would be held back, which may be the old one. A version counts as recent if it is listed a second after another one or later. The new unit test failed before.

Sessions of a version that is stopped do not return to it in replays of 9 and 84 VMs, also where the store tells nothing for two seconds.

--- a/src/placing/recent_version.rs
+++ b/src/placing/recent_version.rs
@@ -13,6 +13,10 @@
 /// may read it later.
 const ORDER_DELAY: Duration = Duration::from_secs(3);
 
+/// Time within which a VM that has just started has read all upstreams, in any
+/// order of their versions.
+const READ_TIME: Duration = Duration::from_secs(1);
+
 /// For each service whose upstreams run several versions, the latest one and
 /// when its first upstream was listed.
 #[derive(Debug, Default)]
@@ -34,7 +38,7 @@
         let recent = listed.into_iter().filter_map(|(service, versions)| {
             let first = versions.values().min()?;
             let (version, at) = versions.iter().max_by_key(|(_, at)| **at)?;
-            let is_later = at > first;
+            let is_later = *at >= *first + READ_TIME;
             is_later.then(|| (service.clone(), ((*version).clone(), *at)))
         });
         RecentVersions(recent.collect())
@@ -51,3 +55,6 @@
         (age < ORDER_DELAY).then_some(version)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/rollouts/session_replay_tests.rs
+++ b/src/rollouts/session_replay_tests.rs
@@ -39,9 +39,6 @@
 /// Interval between two evaluations of a VM.
 const CHECK_MS: u64 = 100;
 
-/// Time after which the first VM receives what was written to the store.
-const STORE_DELAY_MS: u64 = 10;
-
 /// Upstreams of each version.
 const UPSTREAMS: usize = 6;
 
@@ -87,6 +84,10 @@
     /// Intervals at which one VM after the other restarts during the first
     /// half of the rollout; `None` if all keep running.
     restart_interval_ms: Option<u64>,
+    /// Share of the new version's answers that are failures.
+    failures: f64,
+    /// Time after which the first VM receives what was written to the store.
+    store_delay_ms: u64,
     /// How long before the order VMs know the new version's upstreams.
     upstreams_lead_ms: u64,
 }
@@ -97,6 +98,8 @@
     sessions_per_s: 30.0,
     bound: WIDE,
     restart_interval_ms: None,
+    failures: 0.0,
+    store_delay_ms: 10,
     upstreams_lead_ms: 0,
 };
 
@@ -340,8 +343,13 @@
         let Request { session, job, trace, attempt, attempts_left } = request;
         let now = self.fleet.clock.now();
         let first_part = self.draw_time(40.0, 120.0);
-        let success = AttemptOutcome::Success;
-        job.record_attempt(&attempt, success, Some(first_part));
+        let is_new = attempt.member.entry.software == version("v2");
+        let fails = is_new && self.random.random_bool(self.scenario.failures);
+        let outcome = match fails {
+            true => AttemptOutcome::Failed,
+            false => AttemptOutcome::Success,
+        };
+        job.record_attempt(&attempt, outcome, Some(first_part));
         job.learn_service_time(&attempt);
         drop(attempt);
         if let Some(last) = &mut self.sessions[session].last {
@@ -432,7 +440,8 @@
                 && recorded_ms.is_none()
             {
                 self.outcome.progress = Some(progress);
-                recorded_ms = Some((progress, elapsed_ms + STORE_DELAY_MS));
+                let delay_ms = self.scenario.store_delay_ms;
+                recorded_ms = Some((progress, elapsed_ms + delay_ms));
             }
         }
         self.outcome
@@ -499,3 +508,19 @@
         assert_sessions_stay(scenario, 1);
     }
 }
+
+/// VMs learn at different times that one of them has stopped the version,
+/// first from each other if the store is slow.
+#[test]
+fn sessions_of_a_stopped_version_do_not_return_to_it() {
+    for (fleet, store_delay_ms) in [(NINE_VMS, 10), (EIGHTY_FOUR_VMS, 2_000)] {
+        for failures in [0.3, 1.0] {
+            let scenario = Scenario { failures, store_delay_ms, ..fleet };
+            let outcome = Replay::new(scenario, 1).play();
+            let case = format!("{scenario:?}: {outcome:?}");
+            assert!(outcome.moved_early <= MAX_CHANGES, "{case}");
+            let reverted = Some(RolloutProgress::Reverted);
+            assert_eq!(outcome.progress, reverted, "{case}");
+        }
+    }
+}
