Soak: order rollouts after upstreams of the version are listed

Rollouts were ordered as soon as the upstreams were written, so only the store's watch made VMs learn of the order later. The order now follows after 0 to 0.9 s.

--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -21,6 +21,13 @@
 /// Time that a rollout may take, in seconds.
 const ROLLOUT_S: u64 = 8;
 
+/// The times by which upstreams of a version precede its order are multiples
+/// of this one.
+const ORDER_LEAD_STEP: Duration = Duration::from_millis(300);
+
+/// Number of these times; the shortest is zero.
+const ORDER_LEADS: u64 = 4;
+
 /// Time until the record of an upstream says that it is leaving, as its
 /// responses do already.
 const RECORD_LEAVING_AFTER: Duration = Duration::from_secs(5);
@@ -219,8 +226,8 @@
         }
     }
 
-    /// Starts upstreams of a new version and orders its rollout, unless one is
-    /// in progress.
+    /// Starts upstreams of a new version and schedules the order of its rollout,
+    /// unless one is in progress.
     fn start_rollout(&mut self, is_bad: bool) {
         if self.rollout_version.is_some() {
             return;
@@ -234,6 +241,15 @@
             let new = self.workers.iter().filter(|w| w.software == software);
             new.for_each(|worker| worker.set_behaviour(Behaviour::Failing));
         }
+        self.rollout_version = Some(software.clone());
+        // VMs may know upstreams of a version before its order.
+        let lead = ORDER_LEAD_STEP * (number % ORDER_LEADS) as u32;
+        let order = Action::OrderRollout { software, is_bad };
+        self.scheduled.push((self.now() + lead, order));
+    }
+
+    /// Orders the rollout of a version whose upstreams have started.
+    pub(super) fn order_rollout(&mut self, software: String, is_bad: bool) {
         let order = json!({
             "service": MODELS,
             "target_version": software,
@@ -241,9 +257,8 @@
         });
         self.site.store.put(&format!("op/rollout/{MODELS}"), &order);
         let allowed = Duration::from_secs(ROLLOUT_S);
-        let order = Order { software: software.clone(), allowed, is_bad };
+        let order = Order { software, allowed, is_bad };
         self.evidence.changes.push((self.now(), Change::Ordered(order)));
-        self.rollout_version = Some(software);
     }
 
     /// Ends an active fault and its trouble.
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -87,6 +87,8 @@
     WriteAgain,
     /// Ends the preference of the load balancer for a VM.
     EndPreference,
+    /// Orders the rollout of a version.
+    OrderRollout { software: String, is_bad: bool },
     /// Removes the rollout order of this version unless a later order replaced
     /// it.
     RemoveRolloutOrder(String),
@@ -361,6 +363,9 @@
             Action::EndRateLimit(id) => self.end_rate_limit(&id),
             Action::WriteAgain => self.site.store.write_again(),
             Action::EndPreference => self.end_preference(),
+            Action::OrderRollout { software, is_bad } => {
+                self.order_rollout(software, is_bad);
+            }
             Action::RemoveRolloutOrder(software) => {
                 let key = format!("op/rollout/{MODELS}");
                 let order = self.site.store.get(&key).unwrap_or_default();
