--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -1,6 +1,7 @@
-use super::*;
+use super::{version_choice::SYNC_DELAY, *};
 use crate::{
     id::ServiceId,
+    placing::pool::VersionRule,
     rollouts::{comparison::MIN_BAD_ANSWERS, registry::Rollouts},
 };
 
