--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -17,8 +17,9 @@
 //! move so late that any version keeps to the operator's bound.
 //!
 //! Every VM evaluates the evidence of all VMs and stops the version by itself.
-//! Each VM bounds the share of its own requests, so the bound holds however
-//! many VMs are alive or can reach each other.
+//! The share of the sessions on trial is the same at all VMs, and each VM bounds
+//! that of its other requests, so the bound holds however many VMs are alive or
+//! can reach each other.
 
 use std::{collections::HashMap, fmt, time::Duration};
 
