--- a/src/rollouts/session_replay_tests.rs
+++ b/src/rollouts/session_replay_tests.rs
@@ -81,7 +81,7 @@
     vms_per_hall: usize,
     sessions_per_s: f64,
     bound: Bound,
-    /// Intervals at which one VM after the other restarts during the first
+    /// Interval at which one VM after the other restarts during the first
     /// half of the rollout; `None` if all keep running.
     restart_interval_ms: Option<u64>,
     /// Share of the new version's answers that are failures.
@@ -123,17 +123,12 @@
     all: u32,
 }
 
-/// An attempt that ran for a session.
-struct Run {
-    software: VersionId,
-    ended_at: BootInstant,
-}
-
 struct Session {
     name: String,
     vm: usize,
     requests_left: u32,
-    last: Option<Run>,
+    /// The version that its last attempt was sent to.
+    last: Option<VersionId>,
 }
 
 /// A request in flight.
@@ -325,8 +320,7 @@
             self.outcome.new += u32::from(is_new);
         }
         let last = &mut self.sessions[session].last;
-        let is_changed =
-            last.as_ref().is_some_and(|last| last.software != *software);
+        let is_changed = last.as_ref().is_some_and(|last| last != software);
         let is_reverted =
             self.outcome.progress == Some(RolloutProgress::Reverted);
         if is_changed && is_new && since_order < ALLOWED / 2 {
@@ -336,7 +330,7 @@
             let is_second_half = since_order >= ALLOWED / 2;
             self.outcome.moved_back[usize::from(is_second_half)] += 1;
         }
-        *last = Some(Run { software: software.clone(), ended_at: now });
+        *last = Some(software.clone());
     }
 
     fn end(&mut self, request: Request) {
@@ -352,9 +346,6 @@
         job.record_attempt(&attempt, outcome, Some(first_part));
         job.learn_service_time(&attempt);
         drop(attempt);
-        if let Some(last) = &mut self.sessions[session].last {
-            last.ended_at = now;
-        }
         if attempts_left > 0 {
             self.attempt(session, job, trace, attempts_left);
         } else if self.sessions[session].requests_left > 0 {
