--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -443,12 +443,19 @@
     new.count() as f64 / 10_000.0
 }
 
-#[test]
-fn a_version_whose_answers_turn_slow_after_the_canary_phase_gets_less() {
-    let now = BootInstant::now();
+/// Returns a rollout whose new version has given enough answers to be proven,
+/// as fast as the old one's.
+fn running_with_good_answers(now: BootInstant) -> Rollouts {
     let rollouts = running(now);
     record_times(&rollouts, "v1", 1.0, 600);
     record_times(&rollouts, "v2", 1.0, 40);
+    rollouts
+}
+
+#[test]
+fn a_version_whose_answers_turn_slow_after_the_canary_phase_gets_less() {
+    let now = BootInstant::now();
+    let rollouts = running_with_good_answers(now);
     evaluate_between(&rollouts, now, [0.6, 0.95]);
     let at = now + ALLOWED.mul_f64(0.95);
     assert_eq!(share(&rollouts, at), 1.0);
@@ -463,9 +470,7 @@
 #[test]
 fn a_version_that_turns_doubtful_after_the_move_keeps_its_sessions() {
     let now = BootInstant::now();
-    let rollouts = running(now);
-    record_times(&rollouts, "v1", 1.0, 600);
-    record_times(&rollouts, "v2", 1.0, 40);
+    let rollouts = running_with_good_answers(now);
     evaluate_between(&rollouts, now, [0.6, 0.95]);
     let at = now + ALLOWED.mul_f64(0.95);
     assert_eq!(share(&rollouts, at), 1.0);
@@ -484,9 +489,7 @@
 #[test]
 fn no_session_moves_to_a_version_that_is_doubtful_before_the_move() {
     let now = BootInstant::now();
-    let rollouts = running(now);
-    record_times(&rollouts, "v1", 1.0, 600);
-    record_times(&rollouts, "v2", 1.0, 40);
+    let rollouts = running_with_good_answers(now);
     evaluate_between(&rollouts, now, [0.6, 0.75]);
     record_times(&rollouts, "v2", 2.0, 40);
     evaluate_between(&rollouts, now, [0.76, 0.97]);
