--- a/src/rollouts/session_replay_tests.rs
+++ b/src/rollouts/session_replay_tests.rs
@@ -373,6 +373,33 @@
         written.filter(|progress| *progress != RolloutProgress::Running)
     }
 
+    /// Sends the requests and ends the attempts that are due.
+    fn run_due(&mut self) {
+        let now = self.fleet.clock.now();
+        while let Some(Reverse((at, number))) = self.queue.peek().copied()
+            && at <= now
+        {
+            self.queue.pop();
+            match self.due[number].take() {
+                Some(Due::Send(session)) => self.send(session),
+                Some(Due::End(request)) => self.end(*request),
+                None => {}
+            }
+        }
+    }
+
+    /// Begins the sessions of one step.
+    fn begin_sessions(&mut self) {
+        // Many sessions are under way when the replay begins.
+        let factor = if self.fleet.elapsed_ms < 1_000 { 5.0 } else { 1.0 };
+        let chance = factor * self.scenario.sessions_per_s / 100.0;
+        let mut begun = chance as u32;
+        begun += u32::from(self.random.random_bool(chance.fract()));
+        for _ in 0..begun {
+            self.begin_session();
+        }
+    }
+
     /// Plays the rollout until a second after its deadline.
     fn play(mut self) -> Outcome {
         let end_ms = ORDERED_MS + ALLOWED.as_millis() as u64 + 1_000;
@@ -407,25 +434,8 @@
                 self.restart(next_restart % self.fleet.vms.len());
                 next_restart += 1;
             }
-            // Many sessions are under way when the replay begins.
-            let factor = if elapsed_ms < 1_000 { 5.0 } else { 1.0 };
-            let chance = factor * self.scenario.sessions_per_s / 100.0;
-            let mut begun = chance as u32;
-            begun += u32::from(self.random.random_bool(chance.fract()));
-            for _ in 0..begun {
-                self.begin_session();
-            }
-            let now = self.fleet.clock.now();
-            while let Some(Reverse((at, number))) = self.queue.peek().copied()
-                && at <= now
-            {
-                self.queue.pop();
-                match self.due[number].take() {
-                    Some(Due::Send(session)) => self.send(session),
-                    Some(Due::End(request)) => self.end(*request),
-                    None => {}
-                }
-            }
+            self.begin_sessions();
+            self.run_due();
             if elapsed_ms.is_multiple_of(CHECK_MS)
                 && let Some(progress) = self.evaluate()
                 && recorded_ms.is_none()
