Review: a restarted VM that sends to a draining replica

Cause: a read of several pages takes the position of the first page for all, also where a later page of a stale read is older. Ruled out: with all followers of the store up to date, none is sent there.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod site;
 mod store;
 
+mod drain_case;
 mod rollout_case;
 
 use std::process::exit;
@@ -23,6 +24,7 @@
     let has_trouble =
         std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match case.as_str() {
+        "drain" => drain_case::run,
         "rollout" => rollout_case::run,
         _ => {
             eprintln!("no case {case}");
