Review: a late write of a replica brings it back

Cause: ready after draining under the same id is taken for a later incarnation, and the sequence of the entry is not compared. Ruled out: without the late write, none is sent there.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -10,6 +10,7 @@
 mod store;
 
 mod drain_case;
+mod late_beat_case;
 mod rollout_case;
 
 use std::process::exit;
@@ -25,6 +26,7 @@
         std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match case.as_str() {
         "drain" => drain_case::run,
+        "late-beat" => late_beat_case::run,
         "rollout" => rollout_case::run,
         _ => {
             eprintln!("no case {case}");
