Review: VMs that act by an old configuration after others were killed

Cause: the times after which a VM asks the store itself exceed the time in which a configuration has to take effect. Ruled out: without the kill, the change takes effect within milliseconds.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -12,6 +12,7 @@
 mod drain_case;
 mod late_beat_case;
 mod rollout_case;
+mod watchers_case;
 
 use std::process::exit;
 
@@ -28,6 +29,7 @@
         "drain" => drain_case::run,
         "late-beat" => late_beat_case::run,
         "rollout" => rollout_case::run,
+        "watchers" => watchers_case::run,
         _ => {
             eprintln!("no case {case}");
             exit(2);
