Review: open connections keep the limits of an old configuration

Cause: the limits are read when a connection is accepted. Ruled out: new connections get the new limits; within the old ones, all is served.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -11,6 +11,7 @@
 
 mod drain_case;
 mod late_beat_case;
+mod limits_case;
 mod rollout_case;
 mod watchers_case;
 
@@ -29,6 +30,7 @@
         "drain" => drain_case::run,
         "late-beat" => late_beat_case::run,
         "rollout" => rollout_case::run,
+        "limits" => limits_case::run,
         "watchers" => watchers_case::run,
         _ => {
             eprintln!("no case {case}");
