--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -184,6 +184,11 @@
         *self.fails_on.lock().unwrap() = Some((format!("/{prefix}/"), 0));
     }
 
+    /// From now on, it answers all requests again.
+    pub fn recover(&self) {
+        *self.fails_on.lock().unwrap() = None;
+    }
+
     fn fails(&self, path: &str) -> bool {
         let mut fails_on = self.fails_on.lock().unwrap();
         let Some((prefix, count)) = &mut *fails_on else { return false };
