Review: a stream that may run once is asked again of a larger model

A route with sizes whose streams may not be resumed: the answer of the smallest model is dropped for a larger one although it has run, so the request runs twice.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -8,11 +8,14 @@
 mod json;
 mod site;
 mod store;
+mod streams;
 
 mod drain_case;
 mod late_beat_case;
 mod limits_case;
 mod rollout_case;
+mod silence_case;
+mod twice_case;
 mod watchers_case;
 
 use std::process::exit;
@@ -30,6 +33,8 @@
         "drain" => drain_case::run,
         "late-beat" => late_beat_case::run,
         "rollout" => rollout_case::run,
+        "silence" => silence_case::run,
+        "twice" => twice_case::run,
         "limits" => limits_case::run,
         "watchers" => watchers_case::run,
         _ => {
