--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -10,6 +10,7 @@
 mod store;
 mod streams;
 
+mod bodies_case;
 mod drain_case;
 mod late_beat_case;
 mod limits_case;
@@ -35,6 +36,7 @@
         "rollout" => rollout_case::run,
         "silence" => silence_case::run,
         "twice" => twice_case::run,
+        "bodies" => bodies_case::run,
         "limits" => limits_case::run,
         "watchers" => watchers_case::run,
         _ => {
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -138,6 +138,17 @@
         }
     }
 
+    /// Returns the memory that the process takes; 0 if it has ended.
+    pub fn memory_mb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next());
+        kb.and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) / 1024
+    }
+
     /// Waits for the end of the process.
     pub fn wait(&mut self) {
         if let Some(mut child) = self.child.take() {
