--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -72,6 +72,8 @@
     era: u64,
     mode: StoreMode,
     calls: Vec<String>,
+    /// A follower that is behind, which answers some stale reads.
+    late_follower: Option<StoreCopy>,
 }
 
 /// An address of a running store; clones share the address.
@@ -190,6 +192,12 @@
         self.content.1.notify_all();
     }
 
+    /// Has every page of a stale read but the first come from a follower that
+    /// is behind and has this copy; `None` for none.
+    pub fn set_late_follower(&self, copy: Option<StoreCopy>) {
+        self.content.0.lock().unwrap().late_follower = copy;
+    }
+
     /// Sets whether every call to this address is answered with 503.
     pub fn reject(&self, is_rejecting: bool) {
         self.is_rejecting.store(is_rejecting, Ordering::Relaxed);
@@ -281,8 +289,14 @@
         let content = self.content.0.lock().unwrap();
         let prefix = request.parameter("path_prefix");
         let after = request.parameter("since_revision");
-        let matching: Vec<_> = content
-            .items
+        let is_stale = request.parameter("serializable") == "1";
+        let follower = content.late_follower.as_ref();
+        let follower = follower.filter(|_| is_stale && !after.is_empty());
+        let (items, version) = match follower {
+            Some(copy) => (&copy.items, copy.version),
+            None => (&content.items, content.version),
+        };
+        let matching: Vec<_> = items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix))
             .filter(|(key, _)| key.as_str() > after)
@@ -295,7 +309,7 @@
         let body = json!({
             "entries": entries,
             "has_more": matching.len() > PAGE_ENTRIES,
-            "timestamp": content.version,
+            "timestamp": version,
         });
         (200, body)
     }
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -749,6 +749,32 @@
 /// ```text
 /// listed at …187264, E043 "leaving":true at …187848, first request at …187867
 /// ```
+/// Guards against pages of one read that are taken to be as new as the first
+/// one: a follower of the store that is behind has sent a later one.
+#[test]
+fn a_starting_vm_learns_what_an_older_page_lacks() {
+    let _guard = lock_site();
+    let kept = ["i-1", "i-2", "i-3"]
+        .map(|id| Upstream::start(id, always_responds(200, "kept")));
+    let leaving = Upstream::start("i-9", always_responds(200, "leaving"));
+    let mut site = site(REVOKE_MS);
+    for upstream in kept.iter().chain([&leaving]) {
+        site.register(upstream, PLAIN, "v1");
+    }
+    let copy = site.store.copy();
+    site.register_as(&leaving, PLAIN, "v1", "draining");
+    site.store.set_late_follower(Some(copy));
+    site.start_vm();
+    site.store.set_late_follower(None);
+    wait_for_record(&site.vms[0], &leaving.id, true);
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let got = site.vms[0].ask(&request("GET", "/read/x", &id, ""));
+        assert_eq!(got.body, "kept", "{got:?}");
+    }
+    assert!(leaving.received().is_empty());
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_new_requests() {
     let _guard = lock_site();
