Streams: keep a silent upstream until another one has accepted the rest

Callers had streams cut whose upstream was silent for half a second and would have gone on: at a VM that was asked to stop, and also without a stop where all upstreams were silent for a second.

Cause: EventRelay::resume closed the connection to the silent upstream before it had another one. "Another one" was any that had not been tried, full or not; if it was full, declined the request, or the retry budget was spent, the answer was aborted.

The relay now asks a successor beside its source. What the source sends meanwhile is relayed, and it ends when the successor's head has arrived, so that two upstreams never go on with one stream. A successor that declines, fails or is silent leaves the stream where it was. A stream counts as stalled only while an upstream can take it, and one that has lost its own waits for room until its deadline. Attempts and the retry budget bound successors as before.

A trace can end an attempt beside which a later one has begun.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 //! left and the retry budget.
 
 use std::{
+    pin::Pin,
     sync::{Arc, OnceLock},
     time::Duration,
 };
@@ -23,7 +24,7 @@
         relay_events::EventRelay,
         request_head::{AttemptHead, RequestHead},
         slot_client::{GrantedUpstream, SlotTicket},
-        trace::{RequestEnd, Trace},
+        trace::{AttemptNumber, RequestEnd, Trace},
     },
     http_client::{Call, Exchange, Reuse, SendError},
     id::{ModelId, ServiceId, VersionId},
@@ -162,6 +163,8 @@
 pub(crate) struct Attempt {
     pub(crate) member: Arc<Member>,
     pub(crate) model: Option<ModelId>,
+    /// Its number in the trace of the request.
+    pub(crate) number: AttemptNumber,
     pub(crate) began_at: BootInstant,
     /// Prefill backlog of the upstream when the attempt began.
     pub(crate) prefill_before: Duration,
@@ -215,7 +218,41 @@
     }
 }
 
+/// An attempt that is sent and whose response head has not arrived. Dropping
+/// it closes its connection.
+pub(crate) struct PendingHead {
+    sending: Pin<Box<dyn Future<Output = SendResult> + Send>>,
+    member: Arc<Member>,
+    since: BootInstant,
+    /// Silence after which the upstream is given up; `None` if no other one
+    /// could be asked.
+    max_silence: Option<Duration>,
+    /// Longest wait since `since`.
+    limit: Duration,
+}
+
+pub(crate) type SendResult = Result<Exchange, SendError>;
+
+impl PendingHead {
+    /// Waits for the head; returns `None` if the upstream is given up before.
+    pub(crate) async fn wait(&mut self, job: &Job) -> Option<SendResult> {
+        let silent = async {
+            job.wait_for_silence(
+                &self.member,
+                self.since,
+                self.max_silence,
+                self.limit,
+            )
+            .await;
+            None
+        };
+        let answered = async { Some(self.sending.as_mut().await) };
+        answered.or(silent).await
+    }
+}
+
 /// Why no attempt begins.
+#[derive(Debug)]
 pub(crate) enum NoAttempt {
     /// The request may not be sent.
     Rejected(Error),
@@ -430,20 +467,6 @@
 
     /// Chooses an upstream that this VM may send a request to, and begins an
     /// attempt at it.
-    pub(crate) fn begin_attempt(
-        &mut self,
-        trace: &mut Trace,
-        now: BootInstant,
-    ) -> Result<Attempt, Error> {
-        let began = self.try_begin_attempt(trace, now);
-        began.map_err(|reason| match reason {
-            NoAttempt::Rejected(error) => error,
-            NoAttempt::NoUpstream(error) => self.pick_error(error),
-        })
-    }
-
-    /// Does the same, but tells a rejected request from one that no upstream
-    /// may take.
     pub(crate) fn try_begin_attempt(
         &mut self,
         trace: &mut Trace,
@@ -558,7 +581,7 @@
         now: BootInstant,
     ) -> Attempt {
         let model = self.model.clone();
-        trace.begin_attempt(&member, model.clone(), now);
+        let number = trace.begin_attempt(&member, model.clone(), now);
         trace.record_version(version);
         self.tried.push(member.upstream.short_hash);
         let session = self.begin_session(&member.entry.software, now);
@@ -586,6 +609,7 @@
             _session: session,
             member,
             model,
+            number,
             began_at: now,
             prefill_before,
             max_prefill_before,
@@ -778,6 +802,19 @@
         limit: Duration,
         trace: &mut Trace,
     ) -> Result<(Exchange, ResponseHead), AttemptError> {
+        let mut pending = self.begin_send(attempt, resume_after, limit);
+        let sent = pending.wait(self).await;
+        self.receive_head(attempt, sent, trace)
+    }
+
+    /// Begins to send an attempt whose response head is waited for at most
+    /// `limit`.
+    pub(crate) fn begin_send(
+        &self,
+        attempt: &Attempt,
+        resume_after: Option<u64>,
+        limit: Duration,
+    ) -> PendingHead {
         let reuse = match self.route.repeat {
             Repeat::Any => Reuse::Pooled,
             // On a new connection, a failure to connect is known to precede
@@ -786,34 +823,39 @@
         };
         let call = self.call(attempt, resume_after);
         let http = self.gateway.http.clone();
-        let can_replace_attempt = self.can_replace_attempt();
-        let answered = async {
-            let sent = http.send(call, reuse).await;
-            sent.map_err(Some)
-        };
-        let silent = async {
-            let (member, since) = (&attempt.member, attempt.began_at);
-            let max_silence = can_replace_attempt.then_some(SILENCE_TIMEOUT);
-            self.wait_for_silence(member, since, max_silence, limit).await;
-            Err(None)
-        };
-        let sent = answered.or(silent).await;
+        PendingHead {
+            sending: Box::pin(async move { http.send(call, reuse).await }),
+            member: attempt.member.clone(),
+            since: attempt.began_at,
+            max_silence: self.can_replace_attempt().then_some(SILENCE_TIMEOUT),
+            limit,
+        }
+    }
+
+    /// Records what came of sending an attempt, and returns the response whose
+    /// head has arrived. `sent` is `None` if the upstream was silent.
+    pub(crate) fn receive_head(
+        &mut self,
+        attempt: &Attempt,
+        sent: Option<SendResult>,
+        trace: &mut Trace,
+    ) -> Result<(Exchange, ResponseHead), AttemptError> {
         let exchange = match sent {
-            Ok(exchange) => exchange,
-            Err(Some(SendError::NotSent(reason))) => {
+            Some(Ok(exchange)) => exchange,
+            Some(Err(SendError::NotSent(reason))) => {
                 let member = &attempt.member;
                 self.gateway
                     .record_outcome(member, AttemptOutcome::Unreachable);
                 return Err(AttemptError::NotRun("unreachable", reason));
             }
-            Err(Some(error)) => {
+            Some(Err(error)) => {
                 self.record_sent(attempt);
                 return Err(AttemptError::Unknown(
                     UnknownCause::Broken,
                     error.to_string(),
                 ));
             }
-            Err(None) => {
+            None => {
                 self.record_sent(attempt);
                 return Err(AttemptError::Unknown(
                     UnknownCause::Silent,
@@ -1028,6 +1070,13 @@
             && self.has_other_upstream()
     }
 
+    /// Whether an upstream that has not been tried can take the request now.
+    pub(crate) fn can_pick_other(&self, now: BootInstant) -> bool {
+        let version = self.version_choice(now);
+        let criteria = self.pick_criteria(&version, &self.tried);
+        self.gateway.pool.can_pick(&self.service, &criteria, now)
+    }
+
     /// Whether the request may be sent again, and the attempts of the route
     /// and the retry budget leave one more.
     pub(crate) fn has_attempt_left(&self) -> bool {
--- a/src/gateway/organisation_share_tests.rs
+++ b/src/gateway/organisation_share_tests.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Gateway,
-    forward::Job,
+    forward::{Job, NoAttempt},
     slot_test_site::{
         entry_vm_with, job, route, service, system_clock, trace,
     },
@@ -78,9 +78,10 @@
     /// Begins an attempt; returns the reason of the rejection, if any.
     fn begin(&self, mut job: Job) -> Result<(), String> {
         let mut trace = trace(&self.vm);
-        match job.begin_attempt(&mut trace, self.vm.clock.now()) {
+        match job.try_begin_attempt(&mut trace, self.vm.clock.now()) {
             Ok(_) => Ok(()),
-            Err(error) => {
+            Err(NoAttempt::NoUpstream(error)) => panic!("{error:?}"),
+            Err(NoAttempt::Rejected(error)) => {
                 assert_eq!(error.kind(), ErrorKind::Overloaded);
                 assert!(error.retry_after().is_some());
                 Err(error.to_string())
@@ -142,7 +143,7 @@
         let site = Site::new(reserve, 0);
         let mut job = site.job(Some(LARGE));
         let mut trace = trace(&site.vm);
-        let attempt = job.begin_attempt(&mut trace, site.vm.clock.now());
+        let attempt = job.try_begin_attempt(&mut trace, site.vm.clock.now());
         assert!(attempt.is_ok());
         let requests = &site.vm.organisation_requests;
         assert_eq!(requests.report().len(), counted);
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -4,31 +4,34 @@
 //! Only whole events are relayed, each once and in order. When the connection
 //! to an upstream breaks or the upstream stays silent, the rest is requested
 //! from another one, starting after the last relayed event; the caller sees a
-//! single response. If no upstream can continue, the response is aborted so
-//! that the caller cannot take it for complete.
+//! single response. A silent upstream is given up only once another one has
+//! accepted the rest, since it may still go on. If no upstream can continue,
+//! the response is aborted so that the caller cannot take it for complete.
 
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 
 use crate::{
     clock::BootInstant,
     gateway::{
         forward::{
-            Attempt, AttemptError, Job, Reply, ReplyBody,
-            SILENCE_CHECK_INTERVAL, UnknownCause,
+            Attempt, AttemptError, Job, NoAttempt, PendingHead, Reply,
+            ReplyBody, SILENCE_CHECK_INTERVAL, SendResult, UnknownCause,
+            silence_limit,
         },
         trace::{RequestEnd, Trace},
     },
     http_client::Exchange,
+    id::ModelId,
     placing::{
         cascade::{NoEscalation, calibration::RatedAnswer},
         health::AttemptOutcome,
         member::Member,
         retry_reason::RetryReason,
     },
-    platform::headers::{self, ResponseHead},
+    platform::headers,
     sse::Splitter,
     task,
 };
@@ -68,6 +71,8 @@
     events: Splitter,
     /// Whether a whole event has been read.
     has_begun: bool,
+    /// Whether its silence is recorded for the health of the upstream.
+    is_lost: bool,
 }
 
 /// A stream from an upstream whose first events, or its end, have been read.
@@ -109,12 +114,18 @@
 
 impl UpstreamStream {
     fn new(attempt: Attempt, exchange: Exchange) -> UpstreamStream {
-        let events = Splitter::default();
-        UpstreamStream { attempt, exchange, events, has_begun: false }
+        UpstreamStream {
+            attempt,
+            exchange,
+            events: Splitter::default(),
+            has_begun: false,
+            is_lost: false,
+        }
     }
 
     /// Returns the next whole events after the event id `last`, and advances
-    /// `last`.
+    /// `last`. Gives up once the upstream has been silent for too long
+    /// (`limit` or more) and another one can be asked.
     async fn next(
         &mut self,
         job: &Job,
@@ -125,22 +136,30 @@
         // ever.
         let since = job.gateway.clock.now();
         let member = self.attempt.member.clone();
+        let silent = async {
+            job.wait_for_stall(&member, since, limit).await;
+            Err(StreamError::Silent)
+        };
+        self.read(job, last).or(silent).await
+    }
+
+    /// Returns the next whole events after the event id `last`, and advances
+    /// `last`.
+    async fn read(
+        &mut self,
+        job: &Job,
+        last: &mut Option<u64>,
+    ) -> Result<StreamRead, StreamError> {
         loop {
             let ready = self.take_events(last)?;
             if !ready.is_empty() {
                 self.has_begun = true;
+                let member = &self.attempt.member;
                 member.record_activity(job.gateway.clock.now());
                 return Ok(StreamRead::Events(ready));
             }
-            let read = async {
-                let chunk = self.exchange.next_chunk().await;
-                chunk.map_err(|error| StreamError::Broken(error.to_string()))
-            };
-            let silent = async {
-                job.wait_for_stall(&member, since, limit).await;
-                Err(StreamError::Silent)
-            };
-            match read.or(silent).await? {
+            let chunk = self.exchange.next_chunk().await;
+            match chunk.map_err(|e| StreamError::Broken(e.to_string()))? {
                 Some(chunk) => self.events.push(&chunk),
                 None if !self.events.is_empty() => {
                     return Err(StreamError::Broken("within an event".into()));
@@ -185,10 +204,13 @@
 
 impl Job {
     /// Waits until a stream from this upstream has been silent since `since`
-    /// for so long (`limit` or more) that it is to be resumed elsewhere.
+    /// for so long (`limit` or more) that it is to be resumed elsewhere, and
+    /// until another upstream can take it. Returns also when nothing more can
+    /// come: at the deadline, or once the upstream has been replaced.
     ///
     /// Whether it can be resumed is checked repeatedly: another upstream may
-    /// become available once its backoff or a network partition is over.
+    /// become available once it has room, or its backoff or a network
+    /// partition is over.
     async fn wait_for_stall(
         &self,
         member: &Member,
@@ -198,13 +220,15 @@
         loop {
             let now = self.gateway.clock.now();
             let left = self.time_left(now);
-            if self.may_resume(now) {
-                let max_wait = self.time_left(since).min(MAX_STALL);
-                self.wait_for_silence(member, since, Some(limit), max_wait)
-                    .await;
+            if left.is_zero() || member.is_superseded() {
                 return;
             }
-            if left.is_zero() || member.is_superseded() {
+            let waited = now.saturating_duration_since(since);
+            let max_silence = silence_limit(member, limit, now);
+            let pool = &self.gateway.pool;
+            let is_stalled = waited >= MAX_STALL
+                || pool.seems_dead(member, waited, max_silence, now);
+            if is_stalled && self.may_resume(now) && self.can_pick_other(now) {
                 return;
             }
             task::sleep(left.min(SILENCE_CHECK_INTERVAL)).await;
@@ -356,9 +380,12 @@
         let relay = EventRelay {
             job,
             trace: Some(trace),
+            model: self.source.attempt.model.clone(),
             source: Some(self.source),
+            successor: None,
             first: Some(self.first),
             last_event: self.last_event,
+            failure: String::new(),
             ended: self.ended,
         };
         Reply { body: ReplyBody::Events(Box::new(relay)), ..self.head }
@@ -366,15 +393,38 @@
 }
 
 /// Relays a stream to its caller, across the upstreams that it comes from.
+///
+/// An upstream that is silent keeps the stream until another one has accepted
+/// the rest of it: what it sends meanwhile is relayed.
 pub(crate) struct EventRelay {
     job: Job,
     trace: Option<Trace>,
+    /// The model that makes the events.
+    model: Option<ModelId>,
+    /// Where the events come from; `None` once its connection has broken.
     source: Option<UpstreamStream>,
+    /// Another upstream that was asked for the rest of the stream.
+    successor: Option<Successor>,
     first: Option<Bytes>,
     last_event: Option<u64>,
+    /// Why the last upstream that failed did.
+    failure: String,
     ended: bool,
 }
 
+/// An upstream that was asked for the rest of a stream and has not accepted it.
+struct Successor {
+    attempt: Attempt,
+    head: PendingHead,
+}
+
+/// What comes next from the upstreams of a stream.
+enum RelayStep {
+    Source(Result<StreamRead, StreamError>),
+    /// The successor has responded, or is given up.
+    Successor(Box<Option<SendResult>>),
+}
+
 impl EventRelay {
     /// Returns the next events, or `None` after the last.
     pub(crate) async fn next(
@@ -390,155 +440,208 @@
                 self.finish();
                 return Ok(None);
             }
-            let limit = self.job.stall_timeout();
-            let Some(source) = &mut self.source else {
-                return Err(StreamAborted);
-            };
-            let last = &mut self.last_event;
-            match source.next(&self.job, last, limit).await {
-                Ok(StreamRead::Events(events)) => {
+            if self.source.is_none() && self.successor.is_none() {
+                self.resume().await?;
+            }
+            match self.step().await {
+                RelayStep::Source(Ok(StreamRead::Events(events))) => {
                     if let Some(trace) = &mut self.trace {
                         trace.record_body_part();
                     }
                     return Ok(Some(events));
                 }
-                Ok(StreamRead::End) => self.ended = true,
-                // No other upstream can continue; this one still may.
-                Err(StreamError::Silent) if self.must_keep_waiting() => {}
-                Err(error) => self.resume(error).await?,
+                RelayStep::Source(Ok(StreamRead::End)) => self.ended = true,
+                RelayStep::Source(Err(StreamError::Silent))
+                    if self.may_wait() =>
+                {
+                    // Without a successor, more may still come from here.
+                    if self.begin_successor()? {
+                        self.record_lost_source();
+                    }
+                }
+                RelayStep::Source(Err(error)) => self.end_source(&error),
+                RelayStep::Successor(sent) => self.take_over(*sent),
             }
         }
     }
 
+    async fn step(&mut self) -> RelayStep {
+        let EventRelay { job, source, successor, last_event, .. } = self;
+        let job: &Job = job;
+        // While a successor is asked, silence changes nothing.
+        let is_asked = successor.is_some();
+        let from_successor = async {
+            match successor {
+                Some(successor) => {
+                    let sent = successor.head.wait(job).await;
+                    RelayStep::Successor(Box::new(sent))
+                }
+                None => future::pending().await,
+            }
+        };
+        let from_source = async {
+            match source {
+                Some(source) if is_asked => {
+                    RelayStep::Source(source.read(job, last_event).await)
+                }
+                Some(source) => {
+                    let limit = job.stall_timeout();
+                    let read = source.next(job, last_event, limit).await;
+                    RelayStep::Source(read)
+                }
+                None => future::pending().await,
+            }
+        };
+        from_source.or(from_successor).await
+    }
+
     fn finish(&mut self) {
+        if let Some(successor) = self.successor.take() {
+            self.job.record_arrival(&successor.attempt);
+            self.end_attempt(&successor.attempt, "cancelled", "");
+        }
         if let Some(source) = self.source.take() {
             self.job.learn_service_time(&source.attempt);
             let is_framed = source.exchange.is_framed();
             self.job.record_completion(&source.attempt, is_framed);
             source.exchange.finish();
-        }
-        if let Some(mut trace) = self.trace.take() {
-            trace.end_attempt("answered", "");
-            trace.end(RequestEnd::Answered(200));
+            if let Some(mut trace) = self.trace.take() {
+                trace.end_attempt_of(source.attempt.number, "answered", "");
+                trace.end(RequestEnd::Answered(200));
+            }
         }
     }
 
-    /// Whether to keep waiting for a silent upstream: there is time left, more
-    /// may come from it, and no other upstream can take over.
-    fn must_keep_waiting(&self) -> bool {
+    /// Whether more may come from a silent upstream.
+    fn may_wait(&self) -> bool {
         let now = self.job.gateway.clock.now();
-        let is_superseded =
-            |source: &UpstreamStream| source.attempt.member.is_superseded();
         now < self.job.deadline
-            && !self.source.as_ref().is_none_or(is_superseded)
-            && !self.job.may_resume(now)
+            && self
+                .source
+                .as_ref()
+                .is_some_and(|source| !source.attempt.member.is_superseded())
     }
 
-    /// Resumes the stream at another upstream.
-    async fn resume(
-        &mut self,
-        error: StreamError,
-    ) -> Result<(), StreamAborted> {
-        let Some(source) = self.source.take() else {
-            return Err(StreamAborted);
-        };
-        let mut reason = error.reason();
-        self.job.record_attempt(&source.attempt, AttemptOutcome::Lost, None);
-        self.end_attempt(error.cause().label(), &reason);
-        // Dropping the connection stops the old upstream before another one
-        // continues.
-        let model = source.attempt.model.clone();
-        drop(source);
-        loop {
-            let now = self.job.gateway.clock.now();
-            if !self.job.may_resume(now) {
-                return self.abort(reason);
-            }
-            // The upstream is chosen before a retry is taken from the budget:
-            // without one, the budget is left to other requests.
-            let mut attempt = match self.begin_attempt(now) {
-                Ok(attempt) => attempt,
-                Err(reason) => return self.abort(reason),
-            };
-            attempt.model.clone_from(&model);
-            if !self.job.try_retry(RetryReason::Resumed) {
-                self.end_attempt("not_sent", "the retry budget is spent");
-                return self.abort(reason);
-            }
-            match self.try_resume(attempt).await {
-                Ok(source) => {
-                    self.source = Some(source);
-                    return Ok(());
-                }
-                Err(failure) => reason = failure,
-            }
+    /// Records that nothing more is expected from the upstream, once.
+    fn record_lost_source(&mut self) {
+        if let Some(source) = &mut self.source
+            && !std::mem::replace(&mut source.is_lost, true)
+        {
+            let outcome = AttemptOutcome::Lost;
+            self.job.record_attempt(&source.attempt, outcome, None);
         }
     }
 
-    /// Begins an attempt at the upstream that is to continue the stream.
-    fn begin_attempt(&mut self, now: BootInstant) -> Result<Attempt, String> {
-        let Some(trace) = &mut self.trace else {
-            return Err("ended".to_owned());
-        };
-        self.job.begin_attempt(trace, now).map_err(|error| error.to_string())
+    /// Gives up the upstream that the events come from. Closing its connection
+    /// stops it.
+    fn end_source(&mut self, error: &StreamError) {
+        self.record_lost_source();
+        let Some(source) = self.source.take() else { return };
+        self.failure = error.reason();
+        let label = error.cause().label();
+        self.end_attempt(&source.attempt, label, &error.reason());
     }
 
-    async fn try_resume(
-        &mut self,
-        mut attempt: Attempt,
-    ) -> Result<UpstreamStream, String> {
-        let Some(trace) = &mut self.trace else {
-            return Err("ended".to_owned());
+    /// Asks another upstream for the rest of a stream that has lost its own,
+    /// as soon as one can take it.
+    async fn resume(&mut self) -> Result<(), StreamAborted> {
+        while !self.begin_successor()? {
+            task::sleep(SILENCE_CHECK_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Asks another upstream for the rest of the stream; returns whether one
+    /// can take it now.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamAborted`] if none may be asked any more and nothing else can
+    /// come; the stream is aborted then.
+    fn begin_successor(&mut self) -> Result<bool, StreamAborted> {
+        let now = self.job.gateway.clock.now();
+        let Some(trace) = &mut self.trace else { return Err(StreamAborted) };
+        if !self.job.may_resume(now) {
+            return self.abort_without_source();
+        }
+        // The upstream is chosen before a retry is taken from the budget:
+        // without one, the budget is left to other requests.
+        let mut attempt = match self.job.try_begin_attempt(trace, now) {
+            Ok(attempt) => attempt,
+            Err(NoAttempt::NoUpstream(_)) => return Ok(false),
+            Err(NoAttempt::Rejected(error)) => {
+                self.failure = error.to_string();
+                return self.abort_without_source();
+            }
         };
+        // The rest must come from the model that has made the events so far.
+        attempt.model.clone_from(&self.model);
+        if !self.job.try_retry(RetryReason::Resumed) {
+            self.end_attempt(
+                &attempt,
+                "not_sent",
+                "the retry budget is spent",
+            );
+            self.job.tried.pop();
+            return self.abort_without_source();
+        }
         let limit = self.job.head_timeout(&attempt);
-        let last = self.last_event;
-        let sent = self.job.send(&attempt, last, limit, trace).await;
-        let fail = |relay: &mut EventRelay, label, reason: String| {
-            relay.end_attempt(label, &reason);
-            Err(reason)
+        let head = self.job.begin_send(&attempt, self.last_event, limit);
+        self.successor = Some(Successor { attempt, head });
+        Ok(true)
+    }
+
+    /// Continues the stream at the successor if it has accepted it. Otherwise
+    /// the stream stays with its upstream, if it still has one.
+    fn take_over(&mut self, sent: Option<SendResult>) {
+        let Some(Successor { mut attempt, .. }) = self.successor.take() else {
+            return;
         };
-        match sent {
-            Ok((mut exchange, ResponseHead { .. }))
-                if exchange.status == 200 =>
-            {
+        let Some(trace) = &mut self.trace else { return };
+        let received = self.job.receive_head(&attempt, sent, trace);
+        let (label, reason) = match received {
+            Ok((mut exchange, _)) if exchange.status == 200 => {
+                self.end_source(&StreamError::Silent);
                 exchange.allow_end_at_close();
                 attempt.prefill = None;
-                Ok(UpstreamStream::new(attempt, exchange))
+                self.source = Some(UpstreamStream::new(attempt, exchange));
+                return;
             }
             Ok((exchange, _)) => {
-                self.job.record_attempt(
-                    &attempt,
-                    AttemptOutcome::Failed,
-                    None,
-                );
-                let reason = format!("status {}", exchange.status);
-                fail(self, "failed", reason)
-            }
-            Err(AttemptError::NotRun(label, reason)) => {
-                fail(self, label, reason)
+                let outcome = AttemptOutcome::Failed;
+                self.job.record_attempt(&attempt, outcome, None);
+                ("failed", format!("status {}", exchange.status))
             }
+            Err(AttemptError::NotRun(label, reason)) => (label, reason),
             Err(AttemptError::Unknown(cause, reason)) => {
-                self.job.record_attempt(&attempt, AttemptOutcome::Lost, None);
-                fail(self, cause.label(), reason)
-            }
-            Err(AttemptError::LowConfidence(..)) => {
-                fail(self, "poor", String::new())
+                let outcome = AttemptOutcome::Lost;
+                self.job.record_attempt(&attempt, outcome, None);
+                (cause.label(), reason)
             }
+            Err(AttemptError::LowConfidence(..)) => ("poor", String::new()),
             Err(AttemptError::Failed(reply)) => {
-                fail(self, "failed", format!("status {}", reply.status))
+                ("failed", format!("status {}", reply.status))
             }
-        }
+        };
+        self.end_attempt(&attempt, label, &reason);
+        self.failure = reason;
     }
 
-    fn end_attempt(&mut self, label: &str, reason: &str) {
+    fn end_attempt(&mut self, attempt: &Attempt, label: &str, reason: &str) {
         if let Some(trace) = &mut self.trace {
             trace.record_digest(self.job.digest());
-            trace.end_attempt(label, reason);
+            trace.end_attempt_of(attempt.number, label, reason);
         }
     }
 
-    fn abort(&mut self, reason: String) -> Result<(), StreamAborted> {
+    /// Aborts the stream unless it still has an upstream; returns that no
+    /// other one was asked.
+    fn abort_without_source(&mut self) -> Result<bool, StreamAborted> {
+        if self.source.is_some() {
+            return Ok(false);
+        }
         if let Some(trace) = self.trace.take() {
+            let reason = std::mem::take(&mut self.failure);
             trace.end(RequestEnd::Aborted(reason));
         }
         Err(StreamAborted)
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -31,6 +31,10 @@
 /// Maximum number of prompt segments in the line of a request.
 const MAX_SEGMENTS_LOGGED: usize = 16;
 
+/// The position of an attempt in the trace of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AttemptNumber(usize);
+
 /// The trace of one attempt at an upstream.
 #[derive(Debug)]
 struct AttemptTrace {
@@ -236,7 +240,8 @@
         member: &Member,
         model: Option<ModelId>,
         now: BootInstant,
-    ) {
+    ) -> AttemptNumber {
+        let number = AttemptNumber(self.attempts.len());
         self.attempts.push(AttemptTrace {
             upstream: member.entry.id.to_string(),
             software: member.entry.software.to_string(),
@@ -257,6 +262,7 @@
             no_escalation: None,
             best_offer: None,
         });
+        number
     }
 
     /// Records which version the last attempt preferred during a rollout.
@@ -314,11 +320,22 @@
 
     /// Records how the last attempt ended, and counts it by `label`.
     pub(crate) fn end_attempt(&mut self, label: &str, detail: &str) {
+        let last = self.attempts.len().saturating_sub(1);
+        self.end_attempt_of(AttemptNumber(last), label, detail);
+    }
+
+    /// Does the same for an attempt beside which a later one has begun.
+    pub(crate) fn end_attempt_of(
+        &mut self,
+        number: AttemptNumber,
+        label: &str,
+        detail: &str,
+    ) {
         let elapsed_ms = self.elapsed_ms();
         self.metrics.attempts.with_label_values(&[label]).inc();
-        if let Some(last) = self.attempts.last_mut() {
-            last.ended_ms = Some(elapsed_ms);
-            last.end = match detail.is_empty() {
+        if let Some(attempt) = self.attempts.get_mut(number.0) {
+            attempt.ended_ms = Some(elapsed_ms);
+            attempt.end = match detail.is_empty() {
                 true => label.to_owned(),
                 false => format!("{label}: {detail}"),
             };
--- a/src/rollouts/session_replay_tests.rs
+++ b/src/rollouts/session_replay_tests.rs
@@ -293,8 +293,8 @@
         attempts_left: u32,
     ) {
         let now = self.fleet.clock.now();
-        let began = job.begin_attempt(&mut trace, now);
-        let attempt = began.unwrap_or_else(|error| panic!("{error}"));
+        let began = job.try_begin_attempt(&mut trace, now);
+        let attempt = began.unwrap_or_else(|reason| panic!("{reason:?}"));
         job.record_arrival(&attempt);
         self.count(session, &attempt.member.entry.software, now);
         let attempts_left = attempts_left - 1;
--- /dev/null
+++ b/standins/tests/silent_upstreams.rs
@@ -0,0 +1,200 @@
+//! Checks that callers get whole answers although upstreams fall silent for a
+//! while, and although the VM that relays them is stopped meanwhile.
+
+use std::{
+    path::PathBuf,
+    sync::{Mutex, MutexGuard},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use standins::{
+    gateway_site::{
+        HttpReply, MODELS, Site, exchange, stream_request, wait_until,
+    },
+    http_raw::{RawRequest, chunk},
+    scripted::{
+        Script, Step, Streamed, Upstream, always_declines, response_headers,
+        streams,
+    },
+};
+
+const REVOKE_MS: u64 = 8_000;
+
+/// Silence of the upstreams; callers accept 0.8 s between two events.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Event after which the upstreams fall silent.
+const SILENT_AFTER: u64 = 2;
+
+const LAST_EVENT: u64 = 6;
+
+static SITE_LOCK: Mutex<()> = Mutex::new(());
+
+/// Serializes the tests: sites side by side would slow each other down.
+fn lock_site() -> MutexGuard<'static, ()> {
+    SITE_LOCK.lock().unwrap_or_else(|failed| failed.into_inner())
+}
+
+/// Creates a site without VMs and upstreams.
+fn site() -> Site {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+    Site::new(program, &["vm"], REVOKE_MS)
+}
+
+/// Starts the VM of a site and waits until it knows these upstreams.
+fn start_vm(site: &mut Site, upstreams: &[&Upstream]) {
+    for upstream in upstreams {
+        site.register(upstream, MODELS, "v1");
+    }
+    site.start_vm();
+    for upstream in upstreams {
+        wait_until("the VM knows the upstream", || {
+            let lines = site.vms[0].lines("E043");
+            lines.iter().any(|line| line["upstream"] == upstream.id)
+        });
+    }
+}
+
+/// Sends a request in a thread of its own.
+fn ask(site: &Site, text: String) -> JoinHandle<HttpReply> {
+    let callers = site.vms[0].callers;
+    thread::spawn(move || exchange(callers, text.as_bytes()))
+}
+
+/// Returns the body of a stream with all events.
+fn all_events() -> String {
+    (1..=LAST_EVENT).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect()
+}
+
+/// Returns the steps that stream the events after the last one that the
+/// request has, with a silence before one of them.
+fn steps(request: &RawRequest, silent_after: Option<u64>) -> Vec<Step> {
+    let more = [
+        ("content-type", "text/event-stream"),
+        ("transfer-encoding", "chunked"),
+        ("Lupinseam-Confidence", "100"),
+    ];
+    let mut head = String::from("HTTP/1.1 200 OK\r\n");
+    for (name, value) in response_headers(request, &more) {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    let mut steps = vec![Step::Send(head.into_bytes())];
+    let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
+    for id in after + 1..=LAST_EVENT {
+        let event = chunk(&format!("id: {id}\ndata: e{id}\n\n"));
+        steps.push(Step::Send(event));
+        if silent_after == Some(id) {
+            steps.push(Step::Wait(SILENCE));
+        }
+    }
+    steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
+    steps
+}
+
+/// Streams events and falls silent once.
+fn falls_silent() -> Script {
+    Box::new(|request| steps(request, Some(SILENT_AFTER)))
+}
+
+/// Streams events and falls silent until a time, like all others with it.
+fn silent_until(until: Instant) -> Script {
+    Box::new(move |request| {
+        let mut steps = steps(request, None);
+        let left = until.saturating_duration_since(Instant::now());
+        let at = match request.header("last-event-id").is_empty() {
+            true => 1 + SILENT_AFTER as usize,
+            false => 0,
+        };
+        steps.insert(at, Step::Wait(left));
+        steps
+    })
+}
+
+/// Guards against a stream that is given up at a silent upstream although the
+/// only other one does not take it.
+#[test]
+fn a_silent_stream_goes_on_where_no_other_upstream_takes_it() {
+    let _guard = lock_site();
+    let silent = Upstream::start("i-1", falls_silent());
+    let full = Upstream::start("i-2", always_declines());
+    for is_stopped in [false, true] {
+        let mut site = site();
+        start_vm(&mut site, &[&silent]);
+        let asked = ask(&site, stream_request("/write/x", "r-1"));
+        wait_until("the stream has begun", || !silent.received().is_empty());
+        site.register(&full, MODELS, "v1");
+        if is_stopped {
+            site.vms[0].signal(Signal::TERM);
+        }
+        let got = asked.join().unwrap();
+        assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+        assert_eq!(got.body, all_events());
+        let asked_full = full.received().iter().any(|request| {
+            request.header("last-event-id") == SILENT_AFTER.to_string()
+        });
+        assert!(asked_full, "no other upstream was asked");
+    }
+}
+
+/// Guards against streams that are cut since all upstreams, which are full,
+/// are silent for a second.
+#[test]
+fn streams_outlast_a_silence_of_all_upstreams() {
+    const STREAMS: usize = 60;
+    let _guard = lock_site();
+    let began_at = Instant::now() + Duration::from_secs(4);
+    let upstreams = ["i-1", "i-2", "i-3"]
+        .map(|id| Upstream::start(id, silent_until(began_at + SILENCE * 2)));
+    let mut site = site();
+    start_vm(&mut site, &upstreams.each_ref());
+    thread::sleep(began_at.saturating_duration_since(Instant::now()));
+    let asked: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            ask(&site, stream_request("/write/x", &format!("r-{number}")))
+        })
+        .collect();
+    thread::sleep(SILENCE);
+    site.vms[0].signal(Signal::TERM);
+    let mut answered = 0;
+    for asked in asked {
+        let got = asked.join().unwrap();
+        // What finds no room is rejected before it runs.
+        if got.status != 503 {
+            assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+            assert_eq!(got.body, all_events());
+            answered += 1;
+        }
+    }
+    assert!(answered >= STREAMS / 3, "{answered} were answered");
+}
+
+/// Guards against two upstreams that both go on with a stream: the silent one
+/// is stopped as soon as another one has accepted the rest.
+#[test]
+fn a_silent_upstream_is_stopped_once_another_one_goes_on() {
+    let _guard = lock_site();
+    let silent = Upstream::start("i-1", falls_silent());
+    let other = Upstream::start(
+        "i-2",
+        streams(|_| Streamed {
+            last: LAST_EVENT,
+            pause: Duration::from_millis(100),
+            ..Streamed::default()
+        }),
+    );
+    let mut site = site();
+    start_vm(&mut site, &[&silent]);
+    let asked = ask(&site, stream_request("/write/x", "r-1"));
+    wait_until("the stream has begun", || !silent.received().is_empty());
+    site.register(&other, MODELS, "v1");
+    let got = asked.join().unwrap();
+    assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    assert_eq!(got.body, all_events());
+    assert_eq!(other.received()[0].header("last-event-id"), "2");
+    wait_until("the silent upstream is stopped", || {
+        silent.abandoned() == ["r-1".to_owned()]
+    });
+}
