Stop: wait until callers have their answers whole

Callers that read slowly got part of an answer from a VM that was asked to stop.

Cause: a request counted as in flight until the VM had its answer.

Evidence: an_answer_that_is_still_written_at_a_stop_is_whole, 12 MiB read in blocks of 1 MiB each 0.3 s, failed before.

A stopping VM now waits for the connections of its callers, within the grace period.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -125,7 +125,10 @@
     format!("{a:?}") == format!("{b:?}")
 }
 
-/// Waits for the requests in flight, within the grace period.
+/// Waits until all connections of callers are closed, within the grace period.
+///
+/// A connection outlives its last request, since the response has to be
+/// written to a caller that may read slowly.
 async fn stop(
     gateway: &Gateway,
     callers: Task<()>,
@@ -143,12 +146,9 @@
     // another VM.
     callers.cancel().await;
     close.close();
-    while gateway.in_flight.count() > 0 && gateway.clock.now() < ends_at {
+    while gateway.connections.count() > 0 && gateway.clock.now() < ends_at {
         task::sleep(CHECK_INTERVAL).await;
     }
-    // Leaves time to write the last responses, which follow the end of their
-    // requests.
-    task::sleep(CHECK_INTERVAL).await;
     let cut = gateway.in_flight.count();
     let event = match cut {
         0 => Event::Stopped,
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -2,6 +2,8 @@
 //! store and upstreams.
 
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     path::PathBuf,
     sync::{Mutex, MutexGuard},
     thread,
@@ -878,6 +880,41 @@
     assert_eq!(site.vms[0].lines("E004").len(), 1, "the stop is logged once");
 }
 
+/// Guards against a process that ends before it has written an answer that
+/// its caller reads slowly.
+#[test]
+fn an_answer_that_is_still_written_at_a_stop_is_whole() {
+    const BODY_BYTES: usize = 12 << 20;
+    const BLOCK_BYTES: usize = 1 << 20;
+    let _guard = lock_site();
+    let large: Script = Box::new(|request| {
+        let body = "x".repeat(BODY_BYTES);
+        let headers = response_headers(request, &[]);
+        vec![Step::Send(answer(200, &headers, &body))]
+    });
+    let upstream = Upstream::start("i-1", large);
+    let mut site = site_with(&[(&upstream, PLAIN)]);
+    let mut stream = TcpStream::connect(site.vms[0].callers).unwrap();
+    let text = request("GET", "/read/x", "r-1", "");
+    stream.write_all(text.as_bytes()).unwrap();
+    wait_until("the request has arrived", || !upstream.received().is_empty());
+    site.vms[0].signal(Signal::TERM);
+    let stopped_at = Instant::now();
+    let (mut got, mut block) = (0, vec![0; BLOCK_BYTES]);
+    loop {
+        // Reads for longer than the VM accepts connections.
+        if stopped_at.elapsed() < Duration::from_secs(4) {
+            thread::sleep(Duration::from_millis(300));
+        }
+        match stream.read(&mut block) {
+            Ok(count) if count > 0 => got += count,
+            _ => break,
+        }
+    }
+    assert!(got > BODY_BYTES, "{got} bytes");
+    assert!(site.vms[0].has_ended_well());
+}
+
 /// Orders the rollout of a version of the models, to take this long.
 fn order_version(site: &Site, version: &str, within: Duration) {
     let order = json!({
