Tests: a response that is cut within its head is no response

Other operators reported a replica that stopped in the middle of its answer's head and closed, after which clients got a 200 with an empty or short body, framed as whole.

The client is given heads of several framings that are cut at every byte; the gateway heads that are cut every three bytes, of a plain response, a stream, and the rest of a stream that another upstream is asked for. Each ends as a 502 or as an incomplete stream.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -545,6 +545,8 @@
 
 mod head_limit;
 
+#[cfg(test)]
+mod cut_head_tests;
 #[cfg(test)]
 pub(crate) mod endless_peer;
 #[cfg(test)]
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -308,6 +308,77 @@
     assert_eq!(got.body, events(1, 5));
 }
 
+/// Returns a script that sends the head of a stream, or of an answer with a
+/// body, as far as the last part of the request's path says, and closes the
+/// connection.
+fn cut_heads(more: &'static [(&'static str, &'static str)]) -> Script {
+    Box::new(move |request| {
+        let mut text = "HTTP/1.1 200 OK\r\n".to_owned();
+        for (name, value) in response_headers(request, more) {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        let at = request.path.rsplit('/').next().unwrap().parse().unwrap();
+        text.truncate(at);
+        vec![Step::Send(text.into_bytes()), Step::Close]
+    })
+}
+
+/// Guards against a head that ends with its connection and is taken for a
+/// whole one, with whatever body its headers so far allow.
+#[test]
+fn a_response_that_is_cut_within_its_head_is_not_forwarded() {
+    let _guard = lock_site();
+    let framings: [&[(&str, &str)]; 3] = [
+        &[("content-length", "0")],
+        &[("transfer-encoding", "chunked")],
+        &[("connection", "close")],
+    ];
+    for more in framings {
+        let plain = Upstream::start("i-1", cut_heads(more));
+        let streaming = Upstream::start("i-2", cut_heads(more));
+        let site = site_with(&[(&plain, PLAIN), (&streaming, MODELS)]);
+        for at in (0..120).step_by(3) {
+            let id = format!("r-{at}");
+            let path = format!("/once/{at}");
+            let whole = request("POST", &path, &id, "Content-Length: 0\r\n");
+            let once = stream_request(&format!("/tell/{at}"), &id);
+            for text in [whole, once] {
+                let got = site.vms[0].ask(&text);
+                assert_eq!(got.status, 502, "{more:?}, {at} bytes: {got:?}");
+            }
+        }
+    }
+}
+
+/// The same for an upstream that is asked for the rest of a stream.
+#[test]
+fn a_stream_is_not_whole_if_the_head_of_its_rest_is_cut() {
+    let _guard = lock_site();
+    for head in ["HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n"] {
+        let script = move || {
+            Box::new(move |request: &RawRequest| {
+                match request.header("last-event-id").is_empty() {
+                    true => {
+                        let mut steps = unframed_stream(request, 1, 3);
+                        let partial = Step::Send(b"id: 4\ndata: h".to_vec());
+                        steps.insert(1, partial);
+                        steps
+                    }
+                    false => {
+                        vec![Step::Send(head.as_bytes().to_vec()), Step::Close]
+                    }
+                }
+            })
+        };
+        let one = Upstream::start("i-1", script());
+        let two = Upstream::start("i-2", script());
+        let site = site_with(&[(&one, MODELS), (&two, MODELS)]);
+        let got = site.vms[0].ask(&stream_request("/write/x", "r-1"));
+        assert_eq!((got.status, got.whole), (200, false), "{got:?}");
+        assert_eq!(got.body, events(1, 3));
+    }
+}
+
 /// An upstream that crashes before the first event closes its connection too.
 #[test]
 fn a_stream_that_closes_before_its_first_event_is_not_whole() {
