Soak: silences within streams, heads cut short, and a late follower of the store

Streams whose requests may run once have two models, and the smallest one states a low confidence in half of its answers. Upstreams are silent for a while within some streams and go on, and close connections within a head.

--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -24,6 +24,9 @@
 /// The service of the plain upstreams.
 pub const PLAIN: &str = "portal";
 
+/// The smallest model of the routes whose model the router chooses.
+pub const SMALLEST_MODEL: &str = "small";
+
 /// The service of the model replicas.
 pub const MODELS: &str = "writers";
 
@@ -459,7 +462,7 @@
                 "name": "write", "host": "site.example",
                 "path_prefix": "/write/", "type": "streaming",
                 "timeout_ms": 8000, "target_latency_ms": 1500,
-                "priority": 1, "sizes": ["small", "large"],
+                "priority": 1, "sizes": [SMALLEST_MODEL, "large"],
                 "service": MODELS, "max_attempts": 3, "public": false,
                 "session_affinity": true, "stream_resume": true,
                 "itl_target_ms": 800,
@@ -468,6 +471,7 @@
                 "name": "tell", "host": "site.example",
                 "path_prefix": "/tell/", "type": "streaming",
                 "timeout_ms": 8000, "target_latency_ms": 1500,
+                "sizes": [SMALLEST_MODEL, "large"],
                 "service": MODELS, "max_attempts": 3, "public": true,
             },
         ],
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -8,6 +8,7 @@
 //! * [`crashing`]: requests that crash upstreams, and their quarantine.
 //! * [`signals`]: backoff and leaving signals, and whether VMs respect them.
 //! * [`rate_limits`]: rate limits, and whether VMs respect them.
+//! * [`late_follower`]: a follower of the store that is behind.
 //! * [`older_copies`]: returns of the store from an older copy of itself.
 //! * [`preferences`]: a load balancer that prefers one VM.
 //! * [`load`]: load that exceeds the slots, and how it is shared.
@@ -29,6 +30,7 @@
 pub mod crashing;
 pub mod evidence;
 pub mod faults;
+pub mod late_follower;
 pub mod load;
 pub mod older_copies;
 pub mod preferences;
--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -21,7 +21,7 @@
     signals::UpstreamSignal,
 };
 use crate::{
-    gateway_site::{MODELS, PLAIN, upstream_record},
+    gateway_site::{MODELS, PLAIN, SMALLEST_MODEL, upstream_record},
     http_raw::{RawRequest, answer, chunk},
     pace::Pace,
     platform_store::PlatformStore,
@@ -49,6 +49,18 @@
 /// Number of repetitions between two pauses where bytes come fast.
 const FAST_COUNT: usize = 4096;
 
+/// Share of the streams within which an upstream is silent for a while, and
+/// range of that silence, in milliseconds. It goes on afterwards.
+const SILENT_SHARE: f64 = 0.03;
+const SILENCE_MS: std::ops::Range<u64> = 500..1300;
+
+/// Event after which it is silent.
+const SILENT_AFTER: u64 = 3;
+
+/// Share of the answers of the smallest model to requests that may run once in
+/// which it states a low confidence.
+const UNSURE_SHARE: f64 = 0.5;
+
 /// Backoff that an upstream asks for with `Retry-After`.
 const BACKOFF: Duration = Duration::from_secs(2);
 
@@ -491,11 +503,14 @@
 }
 
 /// Returns what a request gets in place of a response: the connection is
-/// closed, or bytes come without end, fast or slowly, in a head or a body.
+/// closed, also within the head, or bytes come without end, fast or slowly, in
+/// a head or a body.
 fn no_response(request: &RawRequest) -> Vec<Step> {
     let mut rng = rand::rng();
     if rng.random() {
-        return vec![Step::Close];
+        let mut head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n".to_vec();
+        head.truncate(rng.random_range(0..=head.len()));
+        return vec![Step::Send(head), Step::Close];
     }
     let count = if rng.random() { FAST_COUNT } else { 1 };
     let without_end =
@@ -551,9 +566,17 @@
         Behaviour::Foreign => "another",
         _ => id,
     };
+    let mut rng = rand::rng();
+    let may_be_unsure = request.path.starts_with("/tell/")
+        && request.header("lupinseam-model") == SMALLEST_MODEL;
+    let is_unsure = may_be_unsure && rng.random_bool(UNSURE_SHARE);
+    let confidence = if is_unsure { 20 } else { 90 };
+    let silence = rng.random_bool(SILENT_SHARE).then(|| {
+        Step::Wait(Duration::from_millis(rng.random_range(SILENCE_MS)))
+    });
     let head = format!(
         "HTTP/1.1 200 OK\r\nLupinseam-Attempt-Id: {attempt_id}\r\n\
-         Lupinseam-Response-Seal: s\r\nLupinseam-Confidence: 90\r\n\
+         Lupinseam-Response-Seal: s\r\nLupinseam-Confidence: {confidence}\r\n\
          Content-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n"
     );
@@ -572,6 +595,9 @@
             return steps;
         }
         steps.push(Step::Send(chunk(&event)));
+        if number == SILENT_AFTER {
+            steps.extend(silence.clone());
+        }
     }
     steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
     if behaviour == Behaviour::Surplus {
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -18,6 +18,7 @@
     crashing,
     evidence::{Change, Evidence, Kind, Scope},
     faults::{Fault, Target},
+    late_follower::LateFollower,
     load::{self, CoordinationChange, Load},
     older_copies::OlderCopies,
     preferences::Preferences,
@@ -123,6 +124,7 @@
     pub(super) evidence: Evidence,
     pub(super) faults: Vec<(Duration, Fault)>,
     limits: Schedule,
+    pub(super) late_follower: LateFollower,
     pub(super) older_copies: OlderCopies,
     pub(super) preferences: Preferences,
     pub(super) load: Load,
@@ -194,6 +196,7 @@
             evidence: Evidence::default(),
             faults: Vec::new(),
             limits: Schedule::new(seed),
+            late_follower: LateFollower::new(seed),
             older_copies: OlderCopies::new(seed),
             preferences: Preferences::new(seed),
             load,
@@ -280,6 +283,7 @@
                 self.inject(now);
             }
             self.start_rate_limits(now);
+            self.run_late_follower(now);
             self.run_older_copies(now);
             self.run_preferences(now);
         }
