Serve: plan a single version for a request that may run once

Callers of an organisation whose template has a model that is not repeatable got the answer of the cheapest version although it was likely to miss the quality target.

Cause: a cascade was planned, then cut to its first version, which had been chosen as if better ones could follow.

Evidence: a_request_that_may_run_once_is_planned_for_a_sufficient_model failed with the cut put back in place of the second plan.

Where the plan would run the request more than once and one of its models does not allow that, a second plan with the same seed chooses the only version that will answer.

--- a/src/api/request.rs
+++ b/src/api/request.rs
@@ -560,12 +560,7 @@
             has_upstream: &has_upstream,
             now,
         };
-        let plan = selection::plan(&properties, &input, rand::random())?;
-        let repeatable = plan.steps.iter().all(|step| {
-            let rule = template.model_rule(&step.entry.model);
-            rule.is_some_and(|rule| rule.repeatable)
-        });
-        Ok((truncate_to_one_step(plan, repeatable), repeatable))
+        selection::plan_runs(properties, &input, rand::random())
     }
 
     fn request_properties(&self) -> RequestProperties {
@@ -654,14 +649,6 @@
     }
 }
 
-/// Cuts the plan to its first step if the request may not be repeated.
-fn truncate_to_one_step(mut plan: Plan, repeatable: bool) -> Plan {
-    if !repeatable {
-        plan.steps.truncate(1);
-    }
-    plan
-}
-
 /// Returns the class of a request, a label of its metrics.
 fn metrics_class(decision: &Decision) -> &'static str {
     match &decision.asked {
--- a/src/api/selection.rs
+++ b/src/api/selection.rs
@@ -149,6 +149,37 @@
     Ok(Plan { steps, candidates: list.candidates })
 }
 
+/// Makes a plan, and returns whether the request may be repeated: every model
+/// of the plan allows it.
+///
+/// A request that may not be repeated gets a single version, chosen as the
+/// only one that will answer.
+///
+/// # Errors
+///
+/// As [`plan`].
+pub fn plan_runs(
+    request: RequestProperties,
+    input: &PlanInput<'_>,
+    seed: u64,
+) -> Result<(Plan, bool), PlanError> {
+    let may_repeat = |plan: &Plan| {
+        plan.steps.iter().all(|step| {
+            let rule = input.template.model_rule(&step.entry.model);
+            rule.is_some_and(|rule| rule.repeatable)
+        })
+    };
+    let first = plan(&request, input, seed)?;
+    if first.steps.len() == 1 || may_repeat(&first) {
+        let repeatable = may_repeat(&first);
+        return Ok((first, repeatable));
+    }
+    let request = RequestProperties { can_escalate: false, ..request };
+    let only = plan(&request, input, seed)?;
+    let repeatable = may_repeat(&only);
+    Ok((only, repeatable))
+}
+
 /// Returns why a request is rejected because of its model or session, before
 /// any version is considered.
 fn request_rejection(
@@ -711,3 +742,6 @@
 pub(crate) fn age_ms(age: Option<Duration>) -> Option<u64> {
     age.map(|age| age.as_millis() as u64)
 }
+
+#[cfg(test)]
+mod tests;
