--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -420,6 +420,7 @@
 
 /// What comes next from the upstreams of a stream.
 enum RelayStep {
+    /// Events, their end, or a failure of the source.
     Source(Result<StreamRead, StreamError>),
     /// The successor has responded, or is given up.
     Successor(Box<Option<SendResult>>),
@@ -552,12 +553,12 @@
     }
 
     /// Asks another upstream for the rest of the stream; returns whether one
-    /// can take it now.
+    /// was asked.
     ///
     /// # Errors
     ///
-    /// [`StreamAborted`] if none may be asked any more and nothing else can
-    /// come; the stream is aborted then.
+    /// [`StreamAborted`] if none may be asked any more and the stream has no
+    /// upstream left.
     fn begin_successor(&mut self) -> Result<bool, StreamAborted> {
         let now = self.job.gateway.clock.now();
         let Some(trace) = &mut self.trace else { return Err(StreamAborted) };
@@ -634,8 +635,8 @@
         }
     }
 
-    /// Aborts the stream unless it still has an upstream; returns that no
-    /// other one was asked.
+    /// Aborts the stream unless it still has an upstream; returns false, since
+    /// no other one was asked.
     fn abort_without_source(&mut self) -> Result<bool, StreamAborted> {
         if self.source.is_some() {
             return Ok(false);
