--- a/src/rollouts/rollout/tests.rs
+++ b/src/rollouts/rollout/tests.rs
@@ -314,6 +314,38 @@
     assert_eq!(rule, VersionRule::Never(version("v2")));
 }
 
+/// Guards against a service that every VM refuses: the old version's upstreams
+/// stop when a rollout is recorded as completed, so a VM that has stopped the
+/// new one has no other.
+#[test]
+fn a_version_that_is_recorded_as_completed_is_used_despite_a_stop() {
+    let now = BootInstant::now();
+    let at = now + ALLOWED;
+    let [before, after] = [running(now), running(now)];
+    let completed = RolloutStatus {
+        target: version("v2"),
+        progress: RolloutProgress::Completed,
+    };
+    record(&before, "v1", AttemptOutcome::Success, 600);
+    record(&before, "v2", AttemptOutcome::Failed, MIN_BAD_ANSWERS);
+    assert_eq!(before.evaluate(now).len(), 1);
+    let rule = before.choose_version(&service(), "a", None, "r", at).rule;
+    assert_eq!(rule, VersionRule::Never(version("v2")));
+    let stopped = before.evidence(|_, _| 0, now);
+    before.apply_status(&service(), &completed);
+    // Another VM hears of the stop only after the outcome.
+    after.apply_status(&service(), &completed);
+    after.merge_evidence("vm-2", &stopped, now);
+    for rollouts in [&before, &after] {
+        for session in [None, Some("s")] {
+            let choice =
+                rollouts.choose_version(&service(), "a", session, "r", at);
+            assert_eq!(choice.rule, VersionRule::Prefer(version("v2")));
+            assert!(choice.withdrawn.is_empty());
+        }
+    }
+}
+
 #[test]
 fn lost_answers_stop_a_version_only_if_there_are_many() {
     let now = BootInstant::now();
--- a/src/rollouts/rollout/version_choice.rs
+++ b/src/rollouts/rollout/version_choice.rs
@@ -45,9 +45,7 @@
         now: BootInstant,
     ) -> (VersionRule, ChoiceReason) {
         let target = self.order.target.clone();
-        if self.stopped_at.is_some()
-            || self.progress == Some(RolloutProgress::Reverted)
-        {
+        if self.is_withdrawn() {
             return (VersionRule::Never(target), ChoiceReason::Stopped);
         }
         if self.progress == Some(RolloutProgress::Completed) {
--- a/standins/src/scripted.rs
+++ b/standins/src/scripted.rs
@@ -217,6 +217,8 @@
     pub breaks_after: Option<u64>,
     /// Delay before each event.
     pub pause: Duration,
+    /// Id of an event before which the upstream is silent, and for how long.
+    pub silence: Option<(u64, Duration)>,
     /// Value of the `Lupinseam-Confidence` header: the model's confidence in
     /// its response.
     pub confidence: u8,
@@ -228,6 +230,7 @@
             last: 5,
             breaks_after: None,
             pause: Duration::ZERO,
+            silence: None,
             confidence: 100,
         }
     }
@@ -262,6 +265,9 @@
             return steps;
         }
         steps.push(Step::Wait(plan.pause));
+        if let Some((_, time)) = plan.silence.filter(|(at, _)| *at == id) {
+            steps.push(Step::Wait(time));
+        }
         steps.push(Step::Send(chunk(&format!("id: {id}\ndata: e{id}\n\n"))));
     }
     steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -451,6 +451,14 @@
     assert_eq!(got.body, events(1, 6), "it is retried: {got:?}");
 }
 
+/// Returns the models that an upstream was asked for by attempts with this ID,
+/// in order.
+fn models_asked(upstream: &Upstream, id: &str) -> Vec<String> {
+    let received = upstream.received().into_iter();
+    let own = received.filter(|r| r.header("lupinseam-attempt-id") == id);
+    own.map(|r| r.header("lupinseam-model").to_owned()).collect()
+}
+
 #[test]
 fn a_low_confidence_answer_is_replaced_by_one_of_the_larger_model() {
     let _guard = lock_site();
@@ -465,18 +473,13 @@
         }),
     );
     let site = site_with(&[(&upstream, MODELS)]);
-    let models = |id: &str| -> Vec<String> {
-        let received = upstream.received().into_iter();
-        let own = received.filter(|r| r.header("lupinseam-attempt-id") == id);
-        own.map(|r| r.header("lupinseam-model").to_owned()).collect()
-    };
     let got = site.vms[0].ask(&stream_request("/write/easy", "r-1"));
     assert_eq!(got.body, events(1, 5));
-    assert_eq!(models("r-1"), ["small"]);
+    assert_eq!(models_asked(&upstream, "r-1"), ["small"]);
     let got = site.vms[0].ask(&stream_request("/write/hard", "r-2"));
     assert_eq!(got.body, events(1, 5), "{got:?}");
     assert!(got.whole);
-    assert_eq!(models("r-2"), ["small", "large"]);
+    assert_eq!(models_asked(&upstream, "r-2"), ["small", "large"]);
 }
 
 /// Guards against a second run at a larger model of a stream that may not be
@@ -504,11 +507,7 @@
     for id in ["r-1", "r-2", "r-3"] {
         let got = site.vms[0].ask(&stream_request("/write/x", id));
         assert_eq!(got.body, events(1, 5), "{got:?}");
-        let received = upstream.received().into_iter();
-        let own = received.filter(|r| r.header("lupinseam-attempt-id") == id);
-        let models: Vec<String> =
-            own.map(|r| r.header("lupinseam-model").to_owned()).collect();
-        assert_eq!(models, ["large"]);
+        assert_eq!(models_asked(&upstream, id), ["large"]);
     }
 }
 
@@ -527,11 +526,6 @@
             ..Streamed::default()
         }),
     );
-    let models = |id: &str| -> Vec<String> {
-        let received = upstream.received().into_iter();
-        let own = received.filter(|r| r.header("lupinseam-attempt-id") == id);
-        own.map(|r| r.header("lupinseam-model").to_owned()).collect()
-    };
     for (id, large_cost, expected) in
         [("r-1", 0.3, &["small", "large"][..]), ("r-2", 0.0, &["small"][..])]
     {
@@ -549,7 +543,7 @@
         wait_for_record(&site.vms[0], &upstream.id, false);
         let got = site.vms[0].ask(&stream_request("/write/x", id));
         assert_eq!(got.body, events(1, 5), "{got:?}");
-        assert_eq!(models(id), expected);
+        assert_eq!(models_asked(&upstream, id), expected);
     }
 }
 
--- a/standins/tests/silent_upstreams.rs
+++ b/standins/tests/silent_upstreams.rs
@@ -13,11 +13,7 @@
     gateway_site::{
         HttpReply, MODELS, Site, exchange, stream_request, wait_until,
     },
-    http_raw::{RawRequest, chunk},
-    scripted::{
-        Script, Step, Streamed, Upstream, always_declines, response_headers,
-        streams,
-    },
+    scripted::{Script, Streamed, Upstream, always_declines, streams},
 };
 
 const REVOKE_MS: u64 = 8_000;
@@ -68,48 +64,26 @@
     (1..=LAST_EVENT).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect()
 }
 
-/// Returns the steps that stream the events after the last one that the
-/// request has, with a silence before one of them.
-fn steps(request: &RawRequest, silent_after: Option<u64>) -> Vec<Step> {
-    let more = [
-        ("content-type", "text/event-stream"),
-        ("transfer-encoding", "chunked"),
-        ("Lupinseam-Confidence", "100"),
-    ];
-    let mut head = String::from("HTTP/1.1 200 OK\r\n");
-    for (name, value) in response_headers(request, &more) {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    head.push_str("\r\n");
-    let mut steps = vec![Step::Send(head.into_bytes())];
-    let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
-    for id in after + 1..=LAST_EVENT {
-        let event = chunk(&format!("id: {id}\ndata: e{id}\n\n"));
-        steps.push(Step::Send(event));
-        if silent_after == Some(id) {
-            steps.push(Step::Wait(SILENCE));
-        }
-    }
-    steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
-    steps
-}
-
 /// Streams events and falls silent once.
 fn falls_silent() -> Script {
-    Box::new(|request| steps(request, Some(SILENT_AFTER)))
+    streams(|_| Streamed {
+        last: LAST_EVENT,
+        silence: Some((SILENT_AFTER + 1, SILENCE)),
+        ..Streamed::default()
+    })
 }
 
 /// Streams events and falls silent until a time, like all others with it.
 fn silent_until(until: Instant) -> Script {
-    Box::new(move |request| {
-        let mut steps = steps(request, None);
+    streams(move |request| {
+        let after = request.header("last-event-id");
+        let after = after.parse().unwrap_or(SILENT_AFTER);
         let left = until.saturating_duration_since(Instant::now());
-        let at = match request.header("last-event-id").is_empty() {
-            true => 1 + SILENT_AFTER as usize,
-            false => 0,
-        };
-        steps.insert(at, Step::Wait(left));
-        steps
+        Streamed {
+            last: LAST_EVENT,
+            silence: Some((after + 1, left)),
+            ..Streamed::default()
+        }
     })
 }
 
