--- a/src/placing/cascade/tests.rs
+++ b/src/placing/cascade/tests.rs
@@ -109,3 +109,21 @@
     times.record(&model, 2000, Duration::from_millis(300));
     assert!(times.is_learned(&model));
 }
+
+/// Guards against the smallest model where no larger one may follow and nothing
+/// is known of the costs, and against one that answers too late.
+#[test]
+fn without_costs_the_only_model_is_the_largest_in_time() {
+    let times = PrefillTimes::default();
+    let large = "large".parse().unwrap();
+    // The largest model reads 10,000 tokens in 1.2 s, the target is 2 s.
+    times.record(&large, 10_000, Duration::from_millis(1210));
+    let only = |tokens, waiting_ms| {
+        let waiting = Duration::from_millis(waiting_ms);
+        only_model(&route(), &times, tokens, waiting).unwrap().to_string()
+    };
+    assert_eq!(only(1_000, 0), "large");
+    assert_eq!(only(10_000, 0), "middle");
+    assert_eq!(only(1_000, 950), "middle");
+    assert_eq!(only(1_000, 1_000), "small");
+}
