--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -14,9 +14,9 @@
 use serde_json::json;
 use standins::{
     gateway_site::{
-        KEY, MODELS, PLAIN, Site, SiteVm, configuration, configuration_with,
-        request, stream_request, unique_prompt_stream_request,
-        upstream_record, wait_until,
+        KEY, MODELS, PLAIN, SMALLEST_MODEL, Site, SiteVm, configuration,
+        configuration_with, request, stream_request,
+        unique_prompt_stream_request, upstream_record, wait_until,
     },
     http_raw::{RawRequest, answer, chunk},
     platform_store::StoreMode,
@@ -451,6 +451,18 @@
     assert_eq!(got.body, events(1, 6), "it is retried: {got:?}");
 }
 
+/// Streams events; the smallest model states this confidence in its answer,
+/// and the others a high one.
+fn unsure_if_small(confidence: u8) -> Script {
+    streams(move |request| Streamed {
+        confidence: match request.header("lupinseam-model") {
+            SMALLEST_MODEL => confidence,
+            _ => 95,
+        },
+        ..Streamed::default()
+    })
+}
+
 /// Returns the models that an upstream was asked for by attempts with this ID,
 /// in order.
 fn models_asked(upstream: &Upstream, id: &str) -> Vec<String> {
@@ -487,16 +499,7 @@
 #[test]
 fn a_stream_that_may_run_once_is_asked_of_one_model() {
     let _guard = lock_site();
-    let upstream = Upstream::start(
-        "i-1",
-        streams(|request| Streamed {
-            confidence: match request.header("lupinseam-model") {
-                "small" => 10,
-                _ => 95,
-            },
-            ..Streamed::default()
-        }),
-    );
+    let upstream = Upstream::start("i-1", unsure_if_small(10));
     let mut site = site(REVOKE_MS);
     let mut configuration = configuration(2);
     configuration["routes"][2]["stream_resume"] = json!(false);
@@ -516,16 +519,7 @@
 #[test]
 fn model_costs_decide_whether_a_larger_model_is_asked() {
     let _guard = lock_site();
-    let upstream = Upstream::start(
-        "i-1",
-        streams(|request| Streamed {
-            confidence: match request.header("lupinseam-model") {
-                "small" => 70,
-                _ => 95,
-            },
-            ..Streamed::default()
-        }),
-    );
+    let upstream = Upstream::start("i-1", unsure_if_small(70));
     for (id, large_cost, expected) in
         [("r-1", 0.3, &["small", "large"][..]), ("r-2", 0.0, &["small"][..])]
     {
