Connections: let the limit of a slow VM end once fewer connections come

Cause: at rates of up to 10 a second the bucket holds a single connection. Each connection empties it, the listener closes for a tenth of a second, and what is on its way then is refused. The limit ends after two seconds without a refusal, so it never ends while any connections come.

The bucket now holds three connections at least.

--- a/src/intake/connection_limiter.rs
+++ b/src/intake/connection_limiter.rs
@@ -46,6 +46,11 @@
 /// the listener should close rarely.
 const BURST_TIME: Duration = Duration::from_millis(100);
 
+/// Smallest number of connections that are accepted at once. If a single one
+/// used up the burst, the limit of a slow VM would not end for as long as any
+/// connections come.
+const MIN_BURST: f64 = 3.0;
+
 /// Part of the burst that must be available before connections are accepted
 /// again.
 const REOPEN_FRACTION: f64 = 0.9;
@@ -103,7 +108,7 @@
     fn may_accept(&mut self, now: BootInstant) -> bool {
         let needed = match self.is_open {
             true => 1.0,
-            false => (burst(self.rate_per_s) * REOPEN_FRACTION).max(1.0),
+            false => burst(self.rate_per_s) * REOPEN_FRACTION,
         };
         self.is_open = self.bucket.has(needed, now);
         if !self.is_open {
@@ -126,7 +131,7 @@
 }
 
 fn burst(rate_per_s: f64) -> f64 {
-    (rate_per_s * BURST_TIME.as_secs_f64()).max(1.0)
+    (rate_per_s * BURST_TIME.as_secs_f64()).max(MIN_BURST)
 }
 
 impl ConnectionLimiter {
--- a/src/intake/connection_limiter/tests.rs
+++ b/src/intake/connection_limiter/tests.rs
@@ -1,3 +1,6 @@
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use super::*;
 
 fn at(start: BootInstant, ms: u64) -> BootInstant {
@@ -86,3 +89,32 @@
     }
     assert!((5..=45).contains(&count), "{count}");
 }
+
+/// Connections of a slow VM would be refused for as long as any come if a
+/// single one used up what may be accepted at once.
+#[test]
+fn the_limit_of_a_slow_vm_ends_once_fewer_connections_come() {
+    let start = BootInstant::now();
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut limiter = ConnectionLimiter::default();
+        for ms in (0..300).step_by(30) {
+            limiter.record_request(at(start, ms));
+        }
+        // It takes until 1000 ms to do them.
+        assert!(limiter.may_accept(Some(start), at(start, 300)));
+        assert!(limiter.may_accept(None, at(start, 1000)));
+        let rate = limiter.rate_per_s().unwrap();
+        assert!((6.0..12.0).contains(&rate), "{rate}");
+        let mut limited_ms = 0;
+        for ms in 1000..11_000 {
+            let now = at(start, ms);
+            limited_ms += u32::from(limiter.rate_per_s().is_some());
+            // Three requests a second.
+            if limiter.may_accept(None, now) && rng.random_bool(0.003) {
+                limiter.record_request(now);
+            }
+        }
+        assert!(limited_ms <= 6000, "seed {seed}: {limited_ms} ms");
+    }
+}
