Streams: stay with an upstream that goes on while another one is asked

Callers of a stream saw a pause: an upstream was silent for a second, another one was asked for the rest, the first one went on, and when the head of the second one arrived the stream was taken from the first, although the second one had to make the events again that had been relayed meanwhile. Until then both worked on the stream, and the prompt was read for nothing.

Cause: once a successor was asked, only its failure kept the stream at its source.

Events from the source now end the successor. The session stays at the version of the source; a successor of another version that was given up left it at its own.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -267,7 +267,7 @@
 }
 
 /// Marks a session as in use until its attempt ends.
-struct SessionGuard {
+pub(crate) struct SessionGuard {
     gateway: Arc<Gateway>,
     service: ServiceId,
     session: String,
@@ -702,7 +702,7 @@
 
     /// Records which version an attempt of the session goes to; `None` if the
     /// request belongs to no session.
-    fn begin_session(
+    pub(crate) fn begin_session(
         &self,
         software: &VersionId,
         now: BootInstant,
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -395,7 +395,8 @@
 /// Relays a stream to its caller, across the upstreams that it comes from.
 ///
 /// An upstream that is silent keeps the stream until another one has accepted
-/// the rest of it: what it sends meanwhile is relayed.
+/// the rest of it: what it sends meanwhile is relayed. One that goes on before
+/// that keeps it.
 pub(crate) struct EventRelay {
     job: Job,
     trace: Option<Trace>,
@@ -446,6 +447,8 @@
             }
             match self.step().await {
                 RelayStep::Source(Ok(StreamRead::Events(events))) => {
+                    // The successor would repeat what has just arrived.
+                    self.cancel_successor();
                     if let Some(trace) = &mut self.trace {
                         trace.record_body_part();
                     }
@@ -496,11 +499,25 @@
         from_source.or(from_successor).await
     }
 
-    fn finish(&mut self) {
-        if let Some(successor) = self.successor.take() {
-            self.job.record_arrival(&successor.attempt);
-            self.end_attempt(&successor.attempt, "cancelled", "");
+    /// Closes the connection to the successor, which stops it.
+    fn cancel_successor(&mut self) {
+        let Some(successor) = self.successor.take() else { return };
+        self.job.record_arrival(&successor.attempt);
+        self.end_attempt(&successor.attempt, "cancelled", "");
+        self.keep_version();
+    }
+
+    /// Records that the session stays at the version of the source.
+    fn keep_version(&self) {
+        if let Some(source) = &self.source {
+            let software = &source.attempt.member.entry.software;
+            let now = self.job.gateway.clock.now();
+            drop(self.job.begin_session(software, now));
         }
+    }
+
+    fn finish(&mut self) {
+        self.cancel_successor();
         if let Some(source) = self.source.take() {
             self.job.learn_service_time(&source.attempt);
             let is_framed = source.exchange.is_framed();
@@ -584,6 +601,7 @@
                 "the retry budget is spent",
             );
             self.job.tried.pop();
+            self.keep_version();
             return self.abort_without_source();
         }
         let limit = self.job.head_timeout(&attempt);
@@ -626,6 +644,7 @@
         };
         self.end_attempt(&attempt, label, &reason);
         self.failure = reason;
+        self.keep_version();
     }
 
     fn end_attempt(&mut self, attempt: &Attempt, label: &str, reason: &str) {
--- a/standins/tests/silent_upstreams.rs
+++ b/standins/tests/silent_upstreams.rs
@@ -13,7 +13,7 @@
     gateway_site::{
         HttpReply, MODELS, Site, exchange, stream_request, wait_until,
     },
-    scripted::{Script, Streamed, Upstream, always_declines, streams},
+    scripted::{Script, Step, Streamed, Upstream, always_declines, streams},
 };
 
 const REVOKE_MS: u64 = 8_000;
@@ -172,3 +172,41 @@
         silent.abandoned() == ["r-1".to_owned()]
     });
 }
+
+/// Guards against a stream that is taken from an upstream that has gone on
+/// while another one was asked.
+#[test]
+fn a_stream_stays_with_an_upstream_that_goes_on_while_another_is_asked() {
+    const EVENTS: u64 = 20;
+    let _guard = lock_site();
+    let silent = Upstream::start(
+        "i-1",
+        streams(|_| Streamed {
+            last: EVENTS,
+            pause: Duration::from_millis(100),
+            silence: Some((SILENT_AFTER + 1, SILENCE)),
+            ..Streamed::default()
+        }),
+    );
+    let rest = streams(|_| Streamed { last: EVENTS, ..Streamed::default() });
+    let late = Upstream::start(
+        "i-2",
+        Box::new(move |request| {
+            let mut steps = vec![Step::Wait(SILENCE)];
+            steps.extend(rest(request));
+            steps
+        }),
+    );
+    let mut site = site();
+    start_vm(&mut site, &[&silent]);
+    let asked = ask(&site, stream_request("/write/x", "r-1"));
+    wait_until("the stream has begun", || !silent.received().is_empty());
+    site.register(&late, MODELS, "v1");
+    let got = asked.join().unwrap();
+    assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    assert_eq!(got.body.matches("data: ").count() as u64, EVENTS);
+    wait_until("the other upstream is stopped", || {
+        late.abandoned() == ["r-1".to_owned()]
+    });
+    assert_eq!(silent.abandoned(), Vec::<String>::new());
+}
