Streams: wait for another upstream while all others back off

Callers had streams cut whose upstream had failed at a moment at which all others asked for a backoff, or at which the retry budget was spent: after the head and some events, the connection was closed.

Cause: a stream that had lost its upstream waited for room, but was aborted at once if an upstream could not be asked for one of the other reasons that pass. The upstream need not be at fault: its connection may have gone through a VM that stops.

It now waits until its deadline for the end of a backoff, of a warm-up limit and of a spent retry budget too, and is aborted at once only if it may not be sent again or no upstream is left.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1080,9 +1080,13 @@
     /// Whether the request may be sent again, and the attempts of the route
     /// and the retry budget leave one more.
     pub(crate) fn has_attempt_left(&self) -> bool {
-        self.may_run_again()
-            && self.sent < self.route.attempts
-            && self.gateway.can_retry(&self.service)
+        self.may_be_sent_again() && self.gateway.can_retry(&self.service)
+    }
+
+    /// Whether the request may be sent again, and the attempts of the route
+    /// leave one more.
+    pub(crate) fn may_be_sent_again(&self) -> bool {
+        self.may_run_again() && self.sent < self.route.attempts
     }
 
     /// Whether another upstream may execute the request, whatever became of
@@ -1207,8 +1211,7 @@
         };
         // The retry budget bounds the load on upstreams, so nothing is taken
         // from it before an attempt has reached one.
-        let may_retry = self.may_run_again()
-            && self.sent < self.route.attempts
+        let may_retry = self.may_be_sent_again()
             && self.tried.len()
                 < self.route.attempts as usize + MAX_CONNECT_FAILURES
             && (self.sent == 0 || self.try_retry(RetryReason::Failed));
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -29,6 +29,7 @@
         cascade::{NoEscalation, calibration::RatedAnswer},
         health::AttemptOutcome,
         member::Member,
+        pool::PickError,
         retry_reason::RetryReason,
     },
     platform::headers,
@@ -561,7 +562,7 @@
     }
 
     /// Asks another upstream for the rest of a stream that has lost its own,
-    /// as soon as one can take it.
+    /// as soon as one can take it and the retry budget allows it.
     async fn resume(&mut self) -> Result<(), StreamAborted> {
         while !self.begin_successor()? {
             task::sleep(SILENCE_CHECK_INTERVAL).await;
@@ -579,14 +580,23 @@
     fn begin_successor(&mut self) -> Result<bool, StreamAborted> {
         let now = self.job.gateway.clock.now();
         let Some(trace) = &mut self.trace else { return Err(StreamAborted) };
-        if !self.job.may_resume(now) {
+        if now >= self.job.deadline || !self.job.may_be_sent_again() {
             return self.abort_without_source();
         }
+        if !self.job.gateway.can_retry(&self.job.service) {
+            return Ok(false);
+        }
         // The upstream is chosen before a retry is taken from the budget:
         // without one, the budget is left to other requests.
         let mut attempt = match self.job.try_begin_attempt(trace, now) {
             Ok(attempt) => attempt,
-            Err(NoAttempt::NoUpstream(_)) => return Ok(false),
+            Err(NoAttempt::NoUpstream(
+                PickError::NoCandidate | PickError::Evacuated,
+            )) => return self.abort_without_source(),
+            // One may have room, or be over its backoff, before the deadline.
+            Err(NoAttempt::NoUpstream(
+                PickError::BackingOff(_) | PickError::Cold | PickError::Full,
+            )) => return Ok(false),
             Err(NoAttempt::Rejected(error)) => {
                 self.failure = error.to_string();
                 return self.abort_without_source();
@@ -602,7 +612,7 @@
             );
             self.job.tried.pop();
             self.keep_version();
-            return self.abort_without_source();
+            return Ok(false);
         }
         let limit = self.job.head_timeout(&attempt);
         let head = self.job.begin_send(&attempt, self.last_event, limit);
--- a/standins/tests/silent_upstreams.rs
+++ b/standins/tests/silent_upstreams.rs
@@ -13,7 +13,11 @@
     gateway_site::{
         HttpReply, MODELS, Site, exchange, stream_request, wait_until,
     },
-    scripted::{Script, Step, Streamed, Upstream, always_declines, streams},
+    http_raw::answer,
+    scripted::{
+        Script, Step, Streamed, Upstream, always_declines, response_headers,
+        streams,
+    },
 };
 
 const REVOKE_MS: u64 = 8_000;
@@ -210,3 +214,43 @@
     });
     assert_eq!(silent.abandoned(), Vec::<String>::new());
 }
+
+/// Guards against a stream that is cut since, right when its upstream has
+/// failed, all others ask for a backoff.
+#[test]
+fn a_broken_stream_waits_until_another_upstream_may_be_asked() {
+    let _guard = lock_site();
+    let broken = Upstream::start(
+        "i-1",
+        streams(|_| Streamed {
+            last: LAST_EVENT,
+            breaks_after: Some(SILENT_AFTER),
+            pause: Duration::from_millis(300),
+            ..Streamed::default()
+        }),
+    );
+    let resting = Upstream::start(
+        "i-2",
+        Box::new(|request| {
+            let more = [("Lupinseam-Not-Executed", "1"), ("Retry-After", "4")];
+            let headers = response_headers(request, &more);
+            vec![Step::Send(answer(503, &headers, ""))]
+        }),
+    );
+    let mut site = site();
+    start_vm(&mut site, &[&resting]);
+    // The VM learns of the backoff.
+    ask(&site, stream_request("/write/x", "r-0")).join().unwrap();
+    resting.set_script(streams(|_| Streamed {
+        last: LAST_EVENT,
+        ..Streamed::default()
+    }));
+    site.register(&broken, MODELS, "v1");
+    wait_until("the VM knows the upstream", || {
+        let lines = site.vms[0].lines("E043");
+        lines.iter().any(|line| line["upstream"] == broken.id)
+    });
+    let got = ask(&site, stream_request("/write/x", "r-1")).join().unwrap();
+    assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    assert_eq!(got.body, all_events());
+}
