--- a/standins/tests/silent_upstreams.rs
+++ b/standins/tests/silent_upstreams.rs
@@ -13,7 +13,7 @@
     gateway_site::{
         HttpReply, MODELS, Site, exchange, stream_request, wait_until,
     },
-    http_raw::answer,
+    http_raw::{RawRequest, answer},
     scripted::{
         Script, Step, Streamed, Upstream, always_declines, response_headers,
         streams,
@@ -254,3 +254,35 @@
     assert_eq!((got.status, got.whole), (200, true), "{got:?}");
     assert_eq!(got.body, all_events());
 }
+
+/// Guards against requests that fail since others have spent the retry budget
+/// by the time at which their upstream is given up as silent.
+#[test]
+fn requests_outlast_a_silence_that_spends_the_retry_budget() {
+    const REQUESTS: usize = 12;
+    let _guard = lock_site();
+    let upstreams = ["i-1", "i-2", "i-3"].map(|id| {
+        let whole = streams(|_| Streamed::default());
+        let silent = Box::new(move |request: &RawRequest| {
+            let mut steps = vec![Step::Wait(SILENCE * 2)];
+            steps.extend(whole(request));
+            steps
+        });
+        Upstream::start(id, silent)
+    });
+    let mut site = site();
+    site.retry_share = 0.0;
+    site.retry_extra = 15;
+    start_vm(&mut site, &upstreams.each_ref());
+    let asked: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            ask(&site, stream_request("/write/x", &format!("r-{number}")))
+        })
+        .collect();
+    for asked in asked {
+        let got = asked.join().unwrap();
+        assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    }
+    let arrived: usize = upstreams.iter().map(|u| u.received().len()).sum();
+    assert!(arrived > REQUESTS, "no upstream was given up");
+}
