Serve: read the entries of the platform's list one by one

What callers saw: one odd entry in the list (a port of 70000, `slots` of 70000 or 1e999, an unknown role or state, 100,000 nested brackets) stopped every VM of `lupinseam serve` from following it. Replicas that joined got no requests, and those that left or moved kept getting them, until the entry was gone.

Cause: the list was decoded as one `Vec<ListedVm>`, so that one entry rejected the whole of it at every poll.

Now each entry is taken as raw JSON and decoded by itself. Also odd: an address at which nothing can listen (port 0, unspecified, multicast), which named a replica before, and names twice with different contents, which made two replicas of one name. Of those, one in service is used, the known one first, then the first of the list.

An unreadable entry that names a known replica or VM: what was known holds until the list says that it leaves, no longer names it, or lists another one at its address. Taking it out would let another writer's mistake take a sound replica away, in the worst case all of them. Keeping one that has in fact gone costs failed attempts, which the circuit breaker bounds. An unreadable entry that names nobody known adds nobody, and one whose name cannot be read keeps nobody: the list then says that the replica is gone.

E028 states each such entry once, while it stays in the list, of bounded length and number; lupinseam_list_entries_unreadable_total counts them.

--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use serde_json::{Map, Value};
 use smol::net::{TcpListener, UdpSocket};
 use trillium::HttpConfig;
 use trillium_server_common::ServerHandle;
@@ -17,7 +18,7 @@
         gossip::{Gossiper, log_leaving},
         load,
         operators::OperatorApi,
-        platform_list::ListReader,
+        platform_list::{ListReader, ReportedEntries, VmList},
         rollout_guard,
         steward::Steward,
         vm::{Vm, VmParts},
@@ -261,6 +262,7 @@
 async fn list_loop(vm: Arc<Vm>) {
     let url = vm.settings.platform.list_url.clone();
     let mut reader = ListReader::new(&url, vm.http.clone());
+    let mut reported = ReportedEntries::default();
     let mut is_failing = false;
     loop {
         let read = reader.read().await;
@@ -274,6 +276,7 @@
         }
         match read {
             Ok(Some(list)) => {
+                report_unreadable(&vm, &mut reported, &list);
                 for upstream in vm.view.apply_list(&list, now) {
                     log_leaving(&upstream, "reported by the platform's list");
                     Gossiper::broadcast_notice(
@@ -292,6 +295,26 @@
     }
 }
 
+/// Counts the unreadable entries that the list before did not have, and logs
+/// the first few of them.
+fn report_unreadable(vm: &Vm, reported: &mut ReportedEntries, list: &VmList) {
+    let new = reported.newly_unreadable(list);
+    vm.metrics.list_entries_unreadable.inc_by(new.count as u64);
+    let last = new.entries.len().saturating_sub(1);
+    let left_out = new.count - new.entries.len();
+    for (number, unreadable) in new.entries.iter().enumerate() {
+        let left_out = if number == last { left_out } else { 0 };
+        let fields = [
+            ("entry", unreadable.entry.clone().into()),
+            ("reason", unreadable.reason.clone().into()),
+            ("left_out", left_out.into()),
+        ];
+        let fields =
+            fields.map(|(name, value): (_, Value)| (name.to_owned(), value));
+        Event::ListEntryUnreadable.record(Map::from_iter(fields));
+    }
+}
+
 /// Updates this VM's share of the organisations' limits and admits queued
 /// requests at regular intervals; never returns.
 async fn limits_loop(vm: Arc<Vm>) {
--- a/src/api/view.rs
+++ b/src/api/view.rs
@@ -5,7 +5,7 @@
 //! its age, and upstream selection uses whatever is known.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, RwLock},
     time::Duration,
@@ -16,7 +16,7 @@
 use crate::{
     api::{
         membership::{Liveness, LivenessChange, Membership},
-        platform_list::{ListedRole, ListedState, ListedVm},
+        platform_list::{ListedName, ListedRole, ListedState, VmList},
     },
     clock::BootInstant,
     event::Event,
@@ -25,7 +25,7 @@
     placing::{
         owners::Roster,
         paths::RelayVm,
-        upstream::{Serves, Upstream, UpstreamSnapshot},
+        upstream::{Serves, Upstream, UpstreamRecord, UpstreamSnapshot},
     },
     rendezvous,
     settings::PeerSettings,
@@ -37,7 +37,7 @@
 /// Loads of upstreams in other halls older than this are not gossiped on.
 const REMOTE_MAX_AGE: Duration = Duration::from_secs(30);
 
-/// Another entry VM.
+/// A listed entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
     /// Its name.
@@ -90,6 +90,9 @@
     vm: VmId,
     data_hall: DataHallId,
     upstreams: RwLock<Arc<Upstreams>>,
+    /// The listed entry VMs, this one included.
+    vms: RwLock<Arc<Vec<Peer>>>,
+    /// Those without this one.
     peers: RwLock<Arc<Vec<Peer>>>,
     /// The entry VMs, this one included, among which the owners of an
     /// upstream's rate limit are chosen.
@@ -114,6 +117,7 @@
             vm,
             data_hall,
             upstreams: RwLock::default(),
+            vms: RwLock::default(),
             peers: RwLock::default(),
             roster: RwLock::default(),
             members: Mutex::new(members),
@@ -134,40 +138,80 @@
     /// Replaces the known upstreams and peers by those of the platform's
     /// list.
     ///
-    /// An upstream whose record is unchanged keeps its state. Returns the
-    /// upstreams that are newly known to be leaving.
+    /// An upstream whose record is unchanged, or whose entry cannot be read,
+    /// keeps its state. Returns the upstreams that are newly known to be
+    /// leaving.
     pub fn apply_list(
         &self,
-        list: &[ListedVm],
+        list: &VmList,
         now: BootInstant,
     ) -> Vec<Arc<Upstream>> {
         let known = self.upstreams();
         let is_first_list = self.list_read_at().is_none();
         let mut newly_leaving = Vec::new();
         let mut all = Vec::new();
-        for listed in list {
+        let existing = |record: &UpstreamRecord| {
+            let upstream = known.by_id.get(&record.id)?;
+            (upstream.record == *record).then(|| upstream.clone())
+        };
+        let known_vms = self.vms.read().expect("view lock").clone();
+        let entries = list.entries(|listed| match &listed.role {
+            ListedRole::Entry { vm } => known_vms.iter().any(|known| {
+                known.vm == *vm && known.address == listed.address
+            }),
+            _ => listed.upstream().is_some_and(|r| existing(&r).is_some()),
+        });
+        let mut vms = Vec::new();
+        for listed in entries {
+            let is_leaving = listed.state == ListedState::Leaving;
+            if let ListedRole::Entry { vm } = &listed.role {
+                vms.push(Peer {
+                    vm: vm.clone(),
+                    data_hall: listed.data_hall.clone(),
+                    address: listed.address,
+                    leaving: is_leaving,
+                });
+            }
             let Some(record) = listed.upstream() else { continue };
-            let existing = known.by_id.get(&record.id);
-            let upstream = match existing.filter(|u| u.record == record) {
-                Some(upstream) => upstream.clone(),
-                None => Arc::new(Upstream::new(record, !is_first_list, now)),
-            };
-            match listed.state {
-                ListedState::Leaving if upstream.mark_leaving() => {
-                    newly_leaving.push(upstream.clone());
-                }
-                ListedState::Leaving => {}
-                // The list lags behind the other sources, so `Live` does not
-                // clear a known `leaving`; only a changed record does.
-                ListedState::Live => {}
+            let upstream = existing(&record).unwrap_or_else(|| {
+                Arc::new(Upstream::new(record, !is_first_list, now))
+            });
+            // The list lags behind the other sources, so `Live` does not
+            // clear a known `leaving`; only a changed record does.
+            if is_leaving && upstream.mark_leaving() {
+                newly_leaving.push(upstream.clone());
             }
             all.push(upstream);
         }
+        let addresses: HashSet<SocketAddr> =
+            all.iter().map(|upstream| upstream.record.address).collect();
+        for (name, is_leaving) in list.unreadable_names() {
+            match name {
+                ListedName::Upstream(id) => {
+                    let known = known.by_id.get(id).filter(|upstream| {
+                        !addresses.contains(&upstream.record.address)
+                    });
+                    let Some(upstream) = known else { continue };
+                    if is_leaving && upstream.mark_leaving() {
+                        newly_leaving.push(upstream.clone());
+                    }
+                    all.push(upstream.clone());
+                }
+                ListedName::Vm(vm) => {
+                    let known = known_vms.iter().find(|peer| peer.vm == *vm);
+                    vms.extend(known.map(|peer| Peer {
+                        leaving: peer.leaving || is_leaving,
+                        ..peer.clone()
+                    }));
+                }
+            }
+        }
         *self.upstreams.write().expect("view lock") =
             Arc::new(Upstreams::new(all));
-        *self.peers.write().expect("view lock") =
-            Arc::new(self.listed_peers(list));
-        *self.roster.write().expect("view lock") = build_roster(list);
+        *self.roster.write().expect("view lock") = build_roster(&vms);
+        let peers = vms.iter().filter(|peer| peer.vm != self.vm).cloned();
+        *self.peers.write().expect("view lock") = Arc::new(peers.collect());
+        *self.vms.write().expect("view lock") = Arc::new(vms);
         *self.list_read_at.lock().expect("view lock") = Some(now);
         newly_leaving
     }
@@ -418,30 +462,13 @@
     fn upstreams(&self) -> Arc<Upstreams> {
         self.upstreams.read().expect("view lock").clone()
     }
-
-    fn listed_peers(&self, list: &[ListedVm]) -> Vec<Peer> {
-        let peers = list.iter().filter_map(|listed| {
-            let ListedRole::Entry { vm } = &listed.role else {
-                return None;
-            };
-            (*vm != self.vm).then(|| Peer {
-                vm: vm.clone(),
-                data_hall: listed.data_hall.clone(),
-                address: listed.address,
-                leaving: listed.state == ListedState::Leaving,
-            })
-        });
-        peers.collect()
-    }
 }
 
 /// Collects the entry VMs that the platform lists as live.
-fn build_roster(list: &[ListedVm]) -> Roster {
+fn build_roster(vms: &[Peer]) -> Roster {
     let mut roster = Roster::default();
-    for listed in list.iter().filter(|one| one.state == ListedState::Live) {
-        if let ListedRole::Entry { vm } = &listed.role {
-            roster.add(vm.as_str(), &listed.data_hall);
-        }
+    for vm in vms.iter().filter(|vm| !vm.leaving) {
+        roster.add(vm.vm.as_str(), &vm.data_hall);
     }
     roster
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -100,6 +100,9 @@
     /// This VM's record could not be written or renewed.
     RecordNotKept = 27, Warn,
         "This VM's record in the platform's store could not be written or renewed; other VMs that know it still accept its messages.";
+    /// An entry of the platform's list of VMs cannot be read.
+    ListEntryUnreadable = 28, Warn,
+        "An entry of the platform's list of VMs cannot be read, or contradicts another one of its name; logged once, not at each read of the list. A VM that it names and that was known keeps its last known entry until the list says that it leaves or no longer names it; of contradicting entries, one in service is used, the known one first. Of many at once only the first twenty are logged, the last with the number `left_out`.";
     /// A VM of the data hall is suspected to have failed.
     PeerSuspected = 30, Info,
         "Another VM of the data hall is silent and suspected to have failed.";
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,8 @@
     pub frames_dropped: IntCounterVec,
     /// Values in the platform's store that could not be decoded.
     pub entries_unreadable: IntCounter,
+    /// Entries of the platform's list of VMs that could not be read.
+    pub list_entries_unreadable: IntCounter,
     /// Bytes sent to other VMs, by transport.
     pub peer_bytes: IntCounterVec,
     /// Connections to upstreams asked of other VMs, by outcome.
@@ -211,6 +213,11 @@
                 "lupinseam_entries_unreadable_total",
                 "Values in the platform's store that could not be decoded.",
             ),
+            list_entries_unreadable: r.counter(
+                "lupinseam_list_entries_unreadable_total",
+                "Entries of the platform's list of VMs that could not be \
+                 read; one that stays in the list counts once.",
+            ),
             relayed_connections: r.counters(
                 "lupinseam_relayed_connections_total",
                 "Connections to upstreams asked of other VMs, by outcome.",
