Serve: bound the price of token counts that no request can use

What callers saw: a `max_tokens` near the end of 64 bits, or a `usage` like it in an upstream's answer, overflows the product with the price. Where overflow is checked (debug builds), the request panics; in release builds the price wraps round, so that a dear version looks cheap and a bill states too little.

Cause: VersionEntry::price multiplied and added without a bound, and the counts of an answer were taken whatever they were.

Now the price saturates, and a `usage` above 32 bits is not read: the bill then states what is charged without one.

Evidence: before, prices_of_too_many_tokens_do_not_overflow failed ("attempt to multiply with overflow") and usage_that_counts_no_tokens_is_not_read failed ("assertion `left == right` failed:"); both pass now.

--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -186,11 +186,18 @@
 
 impl TokenUsage {
     /// Reads the `usage` of an answer or a stream event, if it has one.
+    ///
+    /// Numbers that no request can use are not read, since organisations are
+    /// billed by them.
     pub fn from_json(value: &Value) -> Option<TokenUsage> {
         let usage = value.get("usage")?;
+        let tokens = |name| {
+            let tokens = usage.get(name)?.as_u64()?;
+            u32::try_from(tokens).ok().map(u64::from)
+        };
         Some(TokenUsage {
-            input: usage.get("prompt_tokens")?.as_u64()?,
-            output: usage.get("completion_tokens")?.as_u64()?,
+            input: tokens("prompt_tokens")?,
+            output: tokens("completion_tokens")?,
         })
     }
 }
@@ -263,4 +270,21 @@
         assert_eq!(segments(long).len(), 2);
         assert_eq!(segments(long), segments(other));
     }
+
+    #[test]
+    fn usage_that_counts_no_tokens_is_not_read() {
+        let usage = |input: &str, output: &str| {
+            let text = format!(
+                r#"{{"usage":{{"prompt_tokens":{input},
+                    "completion_tokens":{output}}}}}"#
+            );
+            TokenUsage::from_json(&serde_json::from_str(&text).unwrap())
+        };
+        let most = u32::MAX.to_string();
+        assert!(usage("0", &most).is_some());
+        for odd in ["4294967296", "18446744073709551615", "-1", "1e18", "[]"] {
+            assert_eq!(usage(odd, "1"), None, "{odd}");
+            assert_eq!(usage("1", odd), None, "{odd}");
+        }
+    }
 }
--- a/src/api/template.rs
+++ b/src/api/template.rs
@@ -347,9 +347,10 @@
 
     /// Returns the price of a request with these token counts, rounded up.
     pub fn price(&self, input_tokens: u64, output_tokens: u64) -> MicroCost {
-        let input = self.input_price_micro_per_1k.0 * input_tokens;
-        let output = self.output_price_micro_per_1k.0 * output_tokens;
-        MicroCost((input + output).div_ceil(1000))
+        let part = |price: MicroCost, tokens| price.0.saturating_mul(tokens);
+        let input = part(self.input_price_micro_per_1k, input_tokens);
+        let output = part(self.output_price_micro_per_1k, output_tokens);
+        MicroCost(input.saturating_add(output).div_ceil(1000))
     }
 }
 
@@ -395,4 +396,17 @@
     fn stages_past_the_last_use_its_share() {
         assert_eq!(template().stage_share(200), Share::ONE);
     }
+
+    #[test]
+    fn prices_of_too_many_tokens_do_not_overflow() {
+        let text = r#"{"model":"m","version":"v1","state":"serving",
+            "input_price_micro_per_1k":3,"output_price_micro_per_1k":5,
+            "prior_quality":0.5}"#;
+        let entry = VersionEntry::from_json(text.as_bytes()).unwrap();
+        let most = MicroCost(u64::MAX.div_ceil(1000));
+        assert_eq!(entry.price(1, u64::MAX), most);
+        assert_eq!(entry.price(u64::MAX, 1), most);
+        assert_eq!(entry.price(u64::MAX, u64::MAX), most);
+        assert!(entry.price(u64::MAX / 5, u64::MAX / 5) <= most);
+    }
 }
