Serve: add the numbers of a load report without overflow

In release builds the sum wraps round, and the upstream looks idle and gets requests.

Evidence: before, the_largest_load_that_can_be_reported_does_not_overflow failed ("attempt to add with overflow"); it passes now.

--- a/src/placing/upstream.rs
+++ b/src/placing/upstream.rs
@@ -307,7 +307,7 @@
             .filter(|load| now.saturating_duration_since(load.at) < LOAD_TTL);
         let own = self.in_flight();
         let requests = load.map_or(f64::from(own), |load| {
-            let reported = f64::from(load.running + load.waiting);
+            let reported = f64::from(load.running) + f64::from(load.waiting);
             let since = f64::from(own) - f64::from(load.own_in_flight);
             (reported + since).max(f64::from(own))
         });
@@ -388,6 +388,16 @@
         assert_eq!(upstream.snapshot(&hall, late).requests, 1.0);
     }
 
+    #[test]
+    fn the_largest_load_that_can_be_reported_does_not_overflow() {
+        let now = BootInstant::now();
+        let upstream = upstream(now);
+        let hall = "a".parse().unwrap();
+        upstream.set_load(u32::MAX, u32::MAX, vec![], now);
+        let most = 2.0 * f64::from(u32::MAX);
+        assert_eq!(upstream.snapshot(&hall, now).requests, most);
+    }
+
     #[test]
     fn the_breaker_opens_tries_once_and_closes() {
         let now = BootInstant::now();
