Serve: gossip a bounded number of an upstream's versions

What callers saw: nothing on a sound fleet. One upstream whose load report states thousands of versions took all the room for loads and tallies in the gossip of the VM that polls it, so that other VMs chose among that data hall's replicas, and shared organisations' limits, by old figures.

Cause: every version of the report was gossiped, and a message that is too long drops other loads and tallies until it fits.

Price: of a replica with more than 32 versions loaded, VMs other than the one that polls it take the later ones for not loaded.

Evidence: before, a_report_of_many_versions_leaves_room_for_other_loads failed ("24722 bytes" for the load of one upstream, where a datagram has 1400); it passes now.

--- a/src/api/load.rs
+++ b/src/api/load.rs
@@ -89,3 +89,6 @@
         .await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/api/view.rs
+++ b/src/api/view.rs
@@ -37,6 +37,10 @@
 /// Loads of upstreams in other halls older than this are not gossiped on.
 const REMOTE_MAX_AGE: Duration = Duration::from_secs(30);
 
+/// Maximum number of an upstream's versions that are gossiped on, so that its
+/// load leaves room for those of others in a datagram.
+const MAX_GOSSIPED_VERSIONS: usize = 32;
+
 /// A listed entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -484,6 +488,8 @@
         return None;
     }
     let saturate = |value: u32| value.min(u16::MAX.into()) as u16;
+    let mut versions = load.versions;
+    versions.truncate(MAX_GOSSIPED_VERSIONS);
     Some(LoadEntry {
         upstream: upstream.short_hash,
         age_ms: age.as_millis() as u16,
@@ -491,7 +497,7 @@
         waiting: saturate(load.waiting),
         slots: upstream.record.slots,
         leaving: upstream.is_leaving(),
-        versions: load.versions,
+        versions,
     })
 }
 
