Serve: apply the configuration changes before one that cannot be read

What callers saw: with one change in the store's chain that cannot be read (deeply nested, a number too large, cut off), or one other key below `config/`, a VM that started got no configuration at all unless another VM still had one, and served nobody. Running VMs kept what they had, but said that the store does not answer (E020).

Cause: a read of the chain failed as a whole if one batch or key in it could not be decoded, and such an error counted as one of the store.

Now the changes before it are applied, E013 states it (once, quoting a bounded part), and the chain is read again with the usual backoff; no proof of freshness is recorded meanwhile, so E011 follows. Keys that are no batches of the chain are passed over. Claims still stop at a batch that cannot be read: one that is passed over could let a request run twice.

--- a/src/api/platform_list.rs
+++ b/src/api/platform_list.rs
@@ -17,6 +17,7 @@
 use crate::{
     chains::store::split_url,
     error::{Error, ErrorKind},
+    event::shortened,
     http_client::{Call, HttpClient},
     id::{DataHallId, ModelId, ServiceId, UpstreamId, VmId},
     placing::upstream::{Serves, UpstreamRecord},
@@ -30,9 +31,6 @@
 /// Maximum number of unreadable entries of a list that are described.
 const MAX_DESCRIBED: usize = 20;
 
-/// Maximum length of a text that is quoted in a description, in characters.
-const MAX_QUOTED_CHARS: usize = 120;
-
 /// The state of a VM according to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -233,7 +231,8 @@
     pub fn parse(body: &[u8]) -> Result<VmList, String> {
         // Only the entry that has them is affected by bytes that are no text.
         let text = String::from_utf8_lossy(body);
-        serde_json::from_str(&text).map_err(|error| cut(&error.to_string()))
+        serde_json::from_str(&text)
+            .map_err(|error| shortened(&error.to_string()))
     }
 
     /// Returns one entry for each name: one that is in service rather than
@@ -305,8 +304,10 @@
         if self.unreadable.len() >= MAX_DESCRIBED {
             return;
         }
-        let described =
-            UnreadableEntry { entry: cut(entry), reason: cut(reason) };
+        let described = UnreadableEntry {
+            entry: shortened(entry),
+            reason: shortened(reason),
+        };
         if !self.unreadable.contains(&described) {
             self.unreadable.push(described);
         }
@@ -346,14 +347,6 @@
     }
 }
 
-/// Shortens a text for a log line.
-fn cut(text: &str) -> String {
-    match text.char_indices().nth(MAX_QUOTED_CHARS) {
-        Some((end, _)) => format!("{}...", &text[..end]),
-        None => text.to_owned(),
-    }
-}
-
 /// Which unreadable entries of the list have been reported.
 #[derive(Debug, Default)]
 pub(crate) struct ReportedEntries {
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -396,3 +396,6 @@
         .context(error.to_string())
         .context(format!("cannot bind {socket}"))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/chains/chain.rs
+++ b/src/chains/chain.rs
@@ -9,8 +9,9 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::chains::store::{
-    Condition, PutOutcome, Store, StoreEntry, StoreError, list_all,
+use crate::{
+    chains::store::{Condition, PutOutcome, Store, StoreError, list_all},
+    event::shortened,
 };
 
 /// Attempts to write a batch before its outcome is reported as unknown.
@@ -52,9 +53,11 @@
     format!("{prefix}/{index:016}")
 }
 
-/// Returns the index in a key made by [`key`].
-pub(crate) fn index(key: &str) -> Option<u64> {
-    key.rsplit('/').next()?.parse().ok()
+/// Returns the index in a key made by [`key`]; `None` for any other.
+pub(crate) fn index(text: &str) -> Option<u64> {
+    let (prefix, digits) = text.rsplit_once('/')?;
+    let index = digits.parse().ok()?;
+    (key(prefix, index) == text).then_some(index)
 }
 
 /// Appends a batch at `index`, which must follow the last batch that the
@@ -110,11 +113,54 @@
     Err(in_doubt.unwrap_or_else(unknown))
 }
 
-/// Reads the batches of a chain after the index `after`, in order.
+/// The batches that were read of a chain.
+#[derive(Debug)]
+pub struct ChainPart<T> {
+    /// The batches with their indices, in order, up to the first that cannot
+    /// be read.
+    pub batches: Vec<(u64, Batch<T>)>,
+    /// Why the batch after them cannot be read, if there is one.
+    pub unreadable: Option<StoreError>,
+}
+
+/// Reads the batches of a chain after the index `after`, in order, up to the
+/// first that cannot be read. Other keys below the prefix are ignored.
 ///
 /// # Errors
 ///
 /// A [`StoreError`] of the read.
+pub async fn read_part_after<T>(
+    store: &dyn Store,
+    prefix: &str,
+    after: u64,
+) -> Result<ChainPart<T>, StoreError>
+where
+    T: DeserializeOwned,
+{
+    let folder = format!("{prefix}/");
+    let entries = list_all(store, &folder, &key(prefix, after)).await?;
+    let mut batches = Vec::new();
+    for entry in &entries {
+        let suffix = entry.key.strip_prefix(&folder);
+        let is_batch = suffix.is_some_and(|suffix| !suffix.contains('/'));
+        let Some(index) = index(&entry.key).filter(|_| is_batch) else {
+            continue;
+        };
+        match decode(&entry.value) {
+            Ok(batch) => batches.push((index, batch)),
+            Err(error) => {
+                return Ok(ChainPart { batches, unreadable: Some(error) });
+            }
+        }
+    }
+    Ok(ChainPart { batches, unreadable: None })
+}
+
+/// Reads the batches of a chain after the index `after`, in order.
+///
+/// # Errors
+///
+/// A [`StoreError`] of the read, or that one of the batches cannot be read.
 pub async fn read_after<T>(
     store: &dyn Store,
     prefix: &str,
@@ -123,9 +169,8 @@
 where
     T: DeserializeOwned,
 {
-    let entries =
-        list_all(store, &format!("{prefix}/"), &key(prefix, after)).await?;
-    entries.iter().map(decode_entry).collect()
+    let part = read_part_after(store, prefix, after).await?;
+    part.unreadable.map_or(Ok(part.batches), Err)
 }
 
 /// Reads the batch at `index`. Returns `None` if the chain ends before it.
@@ -164,19 +209,6 @@
     }
 }
 
-fn decode_entry<T>(entry: &StoreEntry) -> Result<(u64, Batch<T>), StoreError>
-where
-    T: DeserializeOwned,
-{
-    let index = index(&entry.key).ok_or_else(|| {
-        StoreError::OutcomeUnknown(format!(
-            "`{}` is not a key of a chain",
-            entry.key
-        ))
-    })?;
-    Ok((index, decode(&entry.value)?))
-}
-
 pub(crate) fn encode<T: Serialize>(value: &T) -> Result<String, StoreError> {
     serde_json::to_string(value)
         .map_err(|e| StoreError::NotApplied(e.to_string()))
@@ -186,8 +218,10 @@
 where
     T: DeserializeOwned,
 {
-    serde_json::from_str(text)
-        .map_err(|e| StoreError::OutcomeUnknown(format!("unreadable: {e}")))
+    serde_json::from_str(text).map_err(|error| {
+        let reason = shortened(&error.to_string());
+        StoreError::OutcomeUnknown(format!("unreadable: {reason}"))
+    })
 }
 
 #[cfg(test)]
--- a/src/chains/configuration_sync.rs
+++ b/src/chains/configuration_sync.rs
@@ -6,12 +6,12 @@
 //! announced them. A VM starts from the store or, if that is unavailable, from
 //! another VM.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use crate::{
     api::{view::Peer, vm::Vm},
     chains::{
-        chain::{self, AppendOutcome, Batch, WriteId},
+        chain::{self, AppendOutcome, Batch, ChainPart, WriteId},
         configuration::{Change, Configuration, Edit, Expected},
         store::{Backoff, Condition, StoreError},
     },
@@ -45,12 +45,44 @@
 /// without reading the chain first.
 const MAX_EDIT_PROOF_AGE: Duration = Duration::from_secs(1);
 
+/// Why the chain cannot be followed for the moment.
+#[derive(Debug)]
+enum FollowError {
+    /// The store could not be read.
+    Store(StoreError),
+    /// The change that follows the configuration in force cannot be read.
+    Unreadable(StoreError),
+}
+
+impl FollowError {
+    fn event(&self) -> Event {
+        match self {
+            FollowError::Store(_) => Event::StoreLost,
+            FollowError::Unreadable(_) => Event::ConfigurationBroken,
+        }
+    }
+}
+
+impl fmt::Display for FollowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (FollowError::Store(error) | FollowError::Unreadable(error)) =
+            self;
+        error.fmt(f)
+    }
+}
+
+impl From<StoreError> for FollowError {
+    fn from(error: StoreError) -> FollowError {
+        FollowError::Store(error)
+    }
+}
+
 /// Follows the chain and applies its changes; runs until it is dropped.
 pub(crate) async fn follow_loop(vm: Arc<Vm>) {
     let mut backoff =
         Backoff::new(Duration::from_millis(100), Duration::from_secs(3));
     let mut must_catch_up = true;
-    let mut is_store_lost = false;
+    let mut reported = None;
     loop {
         let outcome = match must_catch_up {
             true => catch_up(&vm).await,
@@ -60,17 +92,17 @@
             Ok(()) => {
                 must_catch_up = false;
                 backoff.reset();
-                if is_store_lost {
-                    is_store_lost = false;
+                if reported.take().is_some() {
                     Event::StoreBack
                         .log("the configuration chain can be read again");
                 }
             }
             Err(error) => {
                 must_catch_up = true;
-                if !is_store_lost {
-                    is_store_lost = true;
-                    Event::StoreLost.log(&error);
+                let event = error.event();
+                if reported != Some(event) {
+                    reported = Some(event);
+                    event.log(&error);
                 }
                 if vm.configuration.proof_age(vm.clock.now()).is_none() {
                     start_from_peer(&vm).await;
@@ -93,7 +125,7 @@
 
 /// Waits for the next change and applies it. Records a proof of freshness
 /// either way.
-async fn watch(vm: &Arc<Vm>) -> Result<(), StoreError> {
+async fn watch(vm: &Arc<Vm>) -> Result<(), FollowError> {
     let revision = vm.configuration.current().revision();
     let key = chain::key(PREFIX, revision.next().0);
     let limit = vm.settings.store.watch;
@@ -101,7 +133,8 @@
     let found = vm.store.wait(&key, limit).await?;
     match found {
         Some(stored) => {
-            let batch: Batch<Change> = chain::decode(&stored.value)?;
+            let batch: Batch<Change> = chain::decode(&stored.value)
+                .map_err(FollowError::Unreadable)?;
             apply(vm, &[batch.content]);
             vm.configuration.record_proof(sent_at);
         }
@@ -113,18 +146,28 @@
 }
 
 /// Reads all changes after the current revision; reads the snapshot first if
-/// there are none or if they don't follow the current revision.
-async fn catch_up(vm: &Arc<Vm>) -> Result<(), StoreError> {
+/// there are none or if they don't follow the current revision. Changes before
+/// one that cannot be read are applied.
+async fn catch_up(vm: &Arc<Vm>) -> Result<(), FollowError> {
     let sent_at = vm.clock.now();
     let before = vm.configuration.current().revision();
-    let mut changes = read_changes(vm, before).await?;
-    let has_gap = changes.first().is_some_and(|c| c.revision != before.next());
-    if has_gap || changes.is_empty() {
+    let mut part = read_changes(vm, before).await?;
+    let has_gap = part
+        .batches
+        .first()
+        .is_some_and(|(_, batch)| batch.content.revision != before.next());
+    if has_gap || part.batches.is_empty() {
         load_snapshot(vm).await?;
         let snapshot_revision = vm.configuration.current().revision();
-        changes = read_changes(vm, snapshot_revision).await?;
+        part = read_changes(vm, snapshot_revision).await?;
     }
+    let batches = part.batches.into_iter();
+    let changes: Vec<Change> =
+        batches.map(|(_, batch)| batch.content).collect();
     apply(vm, &changes);
+    if let Some(error) = part.unreadable {
+        return Err(FollowError::Unreadable(error));
+    }
     vm.configuration.record_proof(sent_at);
     vm.mark_ready();
     Ok(())
@@ -133,10 +176,8 @@
 async fn read_changes(
     vm: &Arc<Vm>,
     after: Revision,
-) -> Result<Vec<Change>, StoreError> {
-    let batches: Vec<(u64, Batch<Change>)> =
-        chain::read_after(&*vm.store, PREFIX, after.0).await?;
-    Ok(batches.into_iter().map(|(_, batch)| batch.content).collect())
+) -> Result<ChainPart<Change>, StoreError> {
+    chain::read_part_after(&*vm.store, PREFIX, after.0).await
 }
 
 async fn load_snapshot(vm: &Arc<Vm>) -> Result<(), StoreError> {
@@ -252,7 +293,11 @@
     let age = vm.configuration.proof_age(now);
     if age.is_none_or(|age| age > MAX_EDIT_PROOF_AGE) {
         let read = catch_up(vm).await;
-        read.map_err(|error| store_error(&error))?;
+        read.map_err(|error| match error {
+            FollowError::Store(error) | FollowError::Unreadable(error) => {
+                store_error(&error)
+            }
+        })?;
     }
     for _ in 0..MAX_EDIT_ATTEMPTS {
         let current = vm.configuration.current();
--- a/src/event.rs
+++ b/src/event.rs
@@ -12,6 +12,9 @@
 use log::Level;
 use serde_json::Value;
 
+/// Maximum length of a foreign text that an event quotes, in characters.
+const MAX_QUOTED_CHARS: usize = 120;
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident,
         $meaning:literal;)*) => {
@@ -307,6 +310,14 @@
     }
 }
 
+/// Shortens a foreign text that an event quotes.
+pub(crate) fn shortened(text: &str) -> String {
+    match text.char_indices().nth(MAX_QUOTED_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
+
 /// Returns the table of all events in Markdown, for `docs/EVENTS.md`.
 pub fn catalogue() -> String {
     let mut table = String::from(
