Serve: take a change for unreadable that states another revision

What callers saw: nothing at first. A configuration change stored under the key of another revision was fetched again and again without a pause, by every VM, up to its rate limit for reads; with a higher revision each read logged E013 as well, and each counted as a proof that the configuration is current.

Cause: such a change was left out when changes were applied, which is right for what gossip repeats, and the watch of the next key, which exists, returned at once.

Now it counts as unreadable: E013 once, the usual backoff, no proof.

Evidence: before, changes_under_the_key_of_another_are_not_applied failed ("0: 50 reads" within 300 ms, fewer than 10 are allowed); it passes now.

--- a/src/api/server/tests.rs
+++ b/src/api/server/tests.rs
@@ -208,6 +208,27 @@
     }
 }
 
+#[test]
+fn changes_under_the_key_of_another_are_not_applied() {
+    for revision in [0, 1, 2, 4, u64::MAX] {
+        let platform =
+            Platform::new(vec![(key(1), change(1)), (key(2), change(2))]);
+        let server = start(&platform);
+        let configuration = &server.0.vm.configuration;
+        let in_force = || configuration.current().revision();
+        assert!(wait_until(|| in_force() == Revision(2)));
+        let odd = (key(3), change(revision));
+        platform.changes.lock().unwrap().push(odd);
+        let before = platform.reads.load(Ordering::Relaxed);
+        thread::sleep(SEVERAL_POLLS);
+        assert_eq!(in_force(), Revision(2), "{revision}");
+        let reads = platform.reads.load(Ordering::Relaxed) - before;
+        assert!(reads < 10, "{revision}: {reads} reads");
+        platform.changes.lock().unwrap()[2].1 = change(3);
+        assert!(wait_until(|| in_force() == Revision(3)), "{revision}");
+    }
+}
+
 #[test]
 fn keys_that_are_no_changes_are_passed_over() {
     let platform = Platform::new(vec![
--- a/src/chains/configuration_sync.rs
+++ b/src/chains/configuration_sync.rs
@@ -11,7 +11,7 @@
 use crate::{
     api::{view::Peer, vm::Vm},
     chains::{
-        chain::{self, AppendOutcome, Batch, ChainPart, WriteId},
+        chain::{self, AppendOutcome, Batch, WriteId},
         configuration::{Change, Configuration, Edit, Expected},
         store::{Backoff, Condition, StoreError},
     },
@@ -127,15 +127,17 @@
 /// either way.
 async fn watch(vm: &Arc<Vm>) -> Result<(), FollowError> {
     let revision = vm.configuration.current().revision();
-    let key = chain::key(PREFIX, revision.next().0);
+    let next = revision.next();
+    let key = chain::key(PREFIX, next.0);
     let limit = vm.settings.store.watch;
     let sent_at = vm.clock.now();
     let found = vm.store.wait(&key, limit).await?;
     match found {
         Some(stored) => {
-            let batch: Batch<Change> = chain::decode(&stored.value)
+            let change = chain::decode::<Batch<Change>>(&stored.value)
+                .and_then(|batch| change_at(next.0, batch))
                 .map_err(FollowError::Unreadable)?;
-            apply(vm, &[batch.content]);
+            apply(vm, &[change]);
             vm.configuration.record_proof(sent_at);
         }
         // The service has confirmed that the key did not exist until the limit
@@ -151,21 +153,16 @@
 async fn catch_up(vm: &Arc<Vm>) -> Result<(), FollowError> {
     let sent_at = vm.clock.now();
     let before = vm.configuration.current().revision();
-    let mut part = read_changes(vm, before).await?;
-    let has_gap = part
-        .batches
-        .first()
-        .is_some_and(|(_, batch)| batch.content.revision != before.next());
-    if has_gap || part.batches.is_empty() {
+    let mut read = read_changes(vm, before).await?;
+    let first = read.changes.first();
+    let has_gap = first.is_some_and(|c| c.revision != before.next());
+    if has_gap || read.changes.is_empty() {
         load_snapshot(vm).await?;
         let snapshot_revision = vm.configuration.current().revision();
-        part = read_changes(vm, snapshot_revision).await?;
+        read = read_changes(vm, snapshot_revision).await?;
     }
-    let batches = part.batches.into_iter();
-    let changes: Vec<Change> =
-        batches.map(|(_, batch)| batch.content).collect();
-    apply(vm, &changes);
-    if let Some(error) = part.unreadable {
+    apply(vm, &read.changes);
+    if let Some(error) = read.unreadable {
         return Err(FollowError::Unreadable(error));
     }
     vm.configuration.record_proof(sent_at);
@@ -173,11 +170,40 @@
     Ok(())
 }
 
+/// The changes that were read of the chain.
+struct ReadChanges {
+    /// The changes, in order, up to the first that cannot be read.
+    changes: Vec<Change>,
+    /// Why the change after them cannot be read, if there is one.
+    unreadable: Option<StoreError>,
+}
+
 async fn read_changes(
     vm: &Arc<Vm>,
     after: Revision,
-) -> Result<ChainPart<Change>, StoreError> {
-    chain::read_part_after(&*vm.store, PREFIX, after.0).await
+) -> Result<ReadChanges, StoreError> {
+    let part = chain::read_part_after(&*vm.store, PREFIX, after.0).await?;
+    let mut changes = Vec::new();
+    for (index, batch) in part.batches {
+        match change_at(index, batch) {
+            Ok(change) => changes.push(change),
+            Err(error) => {
+                return Ok(ReadChanges { changes, unreadable: Some(error) });
+            }
+        }
+    }
+    Ok(ReadChanges { changes, unreadable: part.unreadable })
+}
+
+/// Returns the change in the batch at `index`, which is its revision.
+fn change_at(index: u64, batch: Batch<Change>) -> Result<Change, StoreError> {
+    let revision = batch.content.revision;
+    match revision == Revision(index) {
+        true => Ok(batch.content),
+        false => Err(StoreError::OutcomeUnknown(format!(
+            "the change at {index} states revision {revision}"
+        ))),
+    }
 }
 
 async fn load_snapshot(vm: &Arc<Vm>) -> Result<(), StoreError> {
