Serve: count the epochs and renewals of a lease without overflow

What callers saw: nothing directly. A lease record with an epoch or renewal at the end of 64 bits ended the task that takes the lease where overflow is checked (debug builds), so that the VM was never steward again; in release builds the epoch began at 0 again, and upstreams that check it reject the orders.

Now a lease at the last epoch is not taken, and renewals wrap, since they must only differ.

Evidence: before, numbers_at_their_ends_in_a_record_do_not_overflow failed ("attempt to add with overflow"); it passes now.

--- a/src/chains/lease.rs
+++ b/src/chains/lease.rs
@@ -184,7 +184,7 @@
         let record = LeaseRecord {
             holder: None,
             epoch: observed.record.epoch,
-            renewal: observed.record.renewal + 1,
+            renewal: observed.record.renewal.wrapping_add(1),
         };
         self.put(store, &record, Condition::VersionIs(observed.version))
             .await?;
@@ -259,7 +259,8 @@
             return wanted.then_some((first, Condition::Absent));
         };
         let condition = Condition::VersionIs(observed.version);
-        let renewal = observed.record.renewal + 1;
+        // A renewal must only differ from the one before.
+        let renewal = observed.record.renewal.wrapping_add(1);
         if self.held_since.is_some() {
             let record = self.record(observed.record.epoch, renewal);
             return Some((record, condition));
@@ -268,7 +269,7 @@
             now.saturating_duration_since(observed.unchanged_since);
         let is_free = observed.record.holder.is_none()
             || unchanged_for >= self.takeover_wait;
-        let next = Epoch(observed.record.epoch.0 + 1);
+        let next = Epoch(observed.record.epoch.0.checked_add(1)?);
         (wanted && is_free).then(|| (self.record(next, renewal), condition))
     }
 
@@ -346,6 +347,31 @@
         });
     }
 
+    #[test]
+    fn numbers_at_their_ends_in_a_record_do_not_overflow() {
+        let start = BootInstant::now();
+        let at = |s: u64| move || start + Duration::from_secs(s);
+        let last = u64::MAX;
+        for (epoch, renewal, is_usable) in
+            [(last, 1, false), (1, last, true), (last, last, false)]
+        {
+            let store = MemoryStore::default();
+            let mut lease = lease("vm-a");
+            let text = format!(
+                r#"{{"holder":null,"epoch":{epoch},"renewal":{renewal}}}"#
+            );
+            block_on(async {
+                let absent = Condition::Absent;
+                store.put("lease/x", &text, absent).await.unwrap();
+                for second in [0, 4, 8] {
+                    lease.step(&store, &at(second), true).await.unwrap();
+                }
+                let taken = is_usable.then_some(Epoch(2));
+                assert_eq!(lease.epoch(at(8)()), taken);
+            });
+        }
+    }
+
     fn fault() -> impl Strategy<Value = Fault> {
         prop_oneof![
             4 => Just(Fault::None),
