Store: an item that cannot be decoded no longer stops VMs

Callers saw VMs that never became ready, or that went by an old list of upstreams and routes: with one item in the platform's store whose value is no base64, whose revision is no whole number of 64 bits, that lacks a field or whose key holds a lone surrogate, each page and each watch that holds it failed as a whole, and again at every try.

Answers are now split into their items, which are decoded one by one. A value that cannot be decoded counts as an empty one, which no document is. An item without a version counts as a removal of its key, so that VMs that watch and VMs that read agree; one without a key is left out, and the next page starts after the last key that can be read. All are counted and logged (E049), with the key and reason cut to 200 characters, since both may quote the value.

--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -38,6 +38,17 @@
 /// has one; returns the settings of a VM that uses it.
 fn start_store(
     answer: impl Fn(&str) -> (u16, Option<u64>, Value) + Send + 'static,
+) -> GatewaySettings {
+    start_text_store(move |path| {
+        let (status, era, body) = answer(path);
+        (status, era, body.to_string())
+    })
+}
+
+/// Starts such a store whose answers need not be valid JSON. The replacement
+/// character is sent as a byte that is not UTF-8.
+fn start_text_store(
+    answer: impl Fn(&str) -> (u16, Option<u64>, String) + Send + 'static,
 ) -> GatewaySettings {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
@@ -52,16 +63,17 @@
             }
             let path = request.split(' ').nth(1).unwrap_or("").to_owned();
             let (status, era, body) = answer(&path);
-            let body = body.to_string();
             let era = era
                 .map_or(String::new(), |era| format!("Store-Era: {era}\r\n"));
-            // Fails only if the VM has given up.
-            let _ = write!(
-                &stream,
+            let parts = body.split('\u{fffd}').map(str::as_bytes);
+            let body = parts.collect::<Vec<_>>().join(&0xff);
+            let head = format!(
                 "HTTP/1.1 {status} x\r\ncontent-length: {}\r\n{era}\
-                 connection: close\r\n\r\n{body}",
+                 connection: close\r\n\r\n",
                 body.len()
             );
+            // Fails only if the VM has given up.
+            let _ = (&stream).write_all(&[head.into_bytes(), body].concat());
         }
     });
     let settings = MINIMAL_SETTINGS.replace("127.0.0.1:5", &address);
@@ -115,7 +127,7 @@
     });
     let gateway = Gateway::new(settings, Arc::new(SystemClock));
     let as_of = StorePosition { era: StoreEra(2), version: StoreVersion(30) };
-    let known = StoreItems { items: Vec::new(), as_of };
+    let known = StoreItems { as_of, ..StoreItems::default() };
     gateway.knowledge.apply_snapshot(known, gateway.clock.now());
     task::block_on(revalidate(&gateway)).unwrap();
     assert_eq!(gateway.knowledge.as_of().era, StoreEra(3));
@@ -136,7 +148,7 @@
     });
     let gateway = Gateway::new(settings, Arc::new(SystemClock));
     let as_of = StorePosition { era: StoreEra(2), version: StoreVersion(30) };
-    let known = StoreItems { items: Vec::new(), as_of };
+    let known = StoreItems { as_of, ..StoreItems::default() };
     gateway.knowledge.apply_snapshot(known, gateway.clock.now());
     assert!(task::block_on(revalidate(&gateway)).is_err());
     let now = gateway.clock.now();
@@ -179,6 +191,7 @@
             version: StoreVersion(1),
         }],
         as_of: StorePosition { era: StoreEra(0), version: StoreVersion(1) },
+        ..StoreItems::default()
     };
     let now = gateway.clock.now();
     gateway.knowledge.apply_snapshot(known, now);
@@ -204,3 +217,118 @@
     assert!("1.5".parse::<StoreEra>().is_err());
     assert_eq!(" 7 ".parse::<StoreEra>().ok(), Some(StoreEra(7)));
 }
+
+/// Returns items that cannot be decoded, each under a key that sorts between
+/// `servers/i-1` and `servers/i-3`.
+fn odd_items() -> Vec<String> {
+    let good = item("servers/i-2", &upstream("ready"), 8).to_string();
+    let value = "\"value\":";
+    let (before, _) = good.split_once(value).expect("it has a value");
+    let with_value = |odd: &str| format!("{before}{value}{odd}}}");
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let revision = |odd: &str| {
+        good.replace("\"revision\":8", &format!("\"revision\":{odd}"))
+    };
+    let key = |odd: &str| good.replace("\"servers/i-2\"", odd);
+    vec![
+        good.replace(value, "\"value\":\"%\",\"other\":"),
+        good.replace(value, "\"other\":"),
+        with_value("7"),
+        with_value(&deep),
+        with_value("\"\\ud800\""),
+        with_value("\"e30=\",\"revision\":8"),
+        good.replace(value, "\"deleted\":\"no\",\"value\":"),
+        good.replace(value, "\"value\":\"e30=\",\"value\":"),
+        revision("-8"),
+        revision("8.5"),
+        revision("1e999"),
+        revision("99999999999999999999"),
+        revision("null"),
+        key("\"servers/i-2\\ud800\""),
+        key("\"servers/i-2\u{fffd}\""),
+        key("7"),
+        key("null"),
+        "{}".to_owned(),
+        "null".to_owned(),
+        deep,
+    ]
+}
+
+fn known_upstreams(gateway: &Gateway) -> Vec<bool> {
+    let is_known = |id: &str| {
+        let id: UpstreamId = id.parse().unwrap();
+        gateway.pool.member(&id).is_some()
+    };
+    ["i-1", "i-2", "i-3"].map(is_known).to_vec()
+}
+
+/// Guards against VMs that no longer follow the store while one item of it
+/// cannot be decoded.
+#[test]
+fn an_odd_item_does_not_stop_a_vm_from_following_the_store() {
+    let text = |number| {
+        let key = format!("servers/i-{number}");
+        item(&key, &upstream("ready"), number).to_string()
+    };
+    for odd in odd_items() {
+        let (listed, changed) = (odd.clone(), odd.clone());
+        let settings = start_text_store(move |path| {
+            let body = match path.split('?').next() {
+                Some("/lupinseam/kv-watch") => {
+                    let events = format!("{changed},{}", text(3));
+                    format!("{{\"events\":[{events}],\"timestamp\":9}}")
+                }
+                _ => {
+                    let entries = format!("{},{listed}", text(1));
+                    format!("{{\"entries\":[{entries}],\"timestamp\":2}}")
+                }
+            };
+            (200, None, body)
+        });
+        let gateway = Gateway::new(settings, Arc::new(SystemClock));
+        let now = gateway.clock.now();
+        let read = read_everything(&gateway, Consistency::Linearizable, now);
+        let odd = odd.chars().take(200).collect::<String>();
+        let read = task::block_on(read);
+        assert!(read.is_ok(), "{read:?} with {odd}");
+        assert_eq!(known_upstreams(&gateway), [true, false, false], "{odd}");
+        let changes = task::block_on(revalidate(&gateway));
+        assert!(changes.is_ok(), "{changes:?} with {odd}");
+        assert_eq!(known_upstreams(&gateway), [true, false, true], "{odd}");
+        assert_eq!(gateway.knowledge.as_of().version, StoreVersion(9));
+        assert!(gateway.metrics.entries_unreadable.get() > 0, "{odd}");
+    }
+}
+
+/// The next page starts after the last key that can be read.
+#[test]
+fn an_odd_item_at_the_end_of_a_page_hides_no_later_page() {
+    for odd in odd_items() {
+        let shown = odd.chars().take(200).collect::<String>();
+        let settings = start_text_store(move |path| {
+            let good = |number| {
+                let key = format!("servers/i-{number}");
+                item(&key, &upstream("ready"), number).to_string()
+            };
+            let (entries, has_more) = match path.split_once("revision=") {
+                None => (format!("{},{odd}", good(1)), true),
+                Some((_, "servers/i-2")) => (good(3), false),
+                Some((_, "servers/i-1")) => {
+                    (format!("{odd},{}", good(3)), false)
+                }
+                Some((_, other)) => panic!("a page after {other}"),
+            };
+            let body = format!(
+                "{{\"entries\":[{entries}],\"has_more\":{has_more},\
+                 \"timestamp\":9}}"
+            );
+            (200, None, body)
+        });
+        let gateway = Gateway::new(settings, Arc::new(SystemClock));
+        let now = gateway.clock.now();
+        let read = read_everything(&gateway, Consistency::Linearizable, now);
+        let read = task::block_on(read);
+        assert!(read.is_ok(), "{read:?} with {shown}");
+        assert_eq!(known_upstreams(&gateway), [true, false, true], "{shown}");
+    }
+}
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -488,7 +488,8 @@
         value: Some(item.value),
         version: StoreVersion(item.version),
     });
-    let all = StoreItems { items: items.collect(), as_of };
+    let items = items.collect();
+    let all = StoreItems { items, as_of, ..StoreItems::default() };
     let now = gateway.clock.now();
     let applied = gateway.knowledge.apply_snapshot(all, now);
     if applied.is_outdated {
@@ -535,7 +536,9 @@
                     value: item.value,
                     version: StoreVersion(item.version),
                 });
-                let changes = StoreItems { items: items.collect(), as_of };
+                let items = items.collect();
+                let changes =
+                    StoreItems { items, as_of, ..StoreItems::default() };
                 // If changes are missing, the next heartbeat shows it.
                 let applied =
                     self.knowledge.merge_peer_changes(digest_before, changes);
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -110,12 +110,24 @@
 /// A value that could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unreadable {
-    /// The key.
+    /// The key, cut to a length for a log line; empty if it is unknown.
     pub key: String,
-    /// Description of the decoding error.
+    /// Description of the decoding error, cut likewise.
     pub reason: String,
 }
 
+impl Unreadable {
+    /// Largest number of characters of each part: both may quote the value.
+    const MAX_CHARS: usize = 200;
+
+    /// Creates a description of a value under `key`.
+    pub fn new(key: &str, reason: &str) -> Unreadable {
+        let cut =
+            |text: &str| text.chars().take(Unreadable::MAX_CHARS).collect();
+        Unreadable { key: cut(key), reason: cut(reason) }
+    }
+}
+
 /// Result of applying items of the store.
 #[derive(Debug, Default)]
 pub struct AppliedItems {
@@ -298,7 +310,7 @@
             true => mirror.as_of(),
             false => changes.as_of,
         };
-        mirror.apply_changes(StoreItems { items: changes.items, as_of })
+        mirror.apply_changes(StoreItems { as_of, ..changes })
     }
 
     /// Applies a snapshot of the whole store, and removes the keys that it
--- a/src/store_sync/knowledge/tests.rs
+++ b/src/store_sync/knowledge/tests.rs
@@ -26,7 +26,8 @@
 }
 
 fn items_of_era(era: u64, items: Vec<StoreItem>, as_of: u64) -> StoreItems {
-    StoreItems { items, as_of: position(era, as_of) }
+    let as_of = position(era, as_of);
+    StoreItems { items, as_of, ..StoreItems::default() }
 }
 
 fn position(era: u64, version: u64) -> StorePosition {
@@ -115,7 +116,8 @@
         .map(|mirrored| {
             item(&mirrored.key, Some(mirrored.value), mirrored.version)
         });
-    let all = StoreItems { items: all.collect(), as_of };
+    let items = all.collect();
+    let all = StoreItems { items, as_of, ..StoreItems::default() };
     other.apply_snapshot(all, BootInstant::now());
     assert_eq!(one.digest(), other.digest());
 }
--- a/src/store_sync/mirror.rs
+++ b/src/store_sync/mirror.rs
@@ -75,6 +75,7 @@
         for item in changes.items {
             self.apply(item, &mut applied);
         }
+        applied.unreadable.extend(changes.unreadable);
         self.as_of = self.as_of.max(changes.as_of);
         applied
     }
@@ -98,6 +99,7 @@
         for item in self.changes_in(&all).items {
             self.apply(item, &mut applied);
         }
+        applied.unreadable.extend(all.unreadable);
         self.as_of = all.as_of;
         applied
     }
@@ -117,7 +119,7 @@
         });
         let written = all.items.iter().filter(|item| self.is_new(item));
         let items = removed.chain(written.cloned()).collect();
-        StoreItems { items, as_of: all.as_of }
+        StoreItems { items, as_of: all.as_of, ..StoreItems::default() }
     }
 
     /// Replaces this copy by the first snapshot of a new era.
@@ -143,6 +145,7 @@
             let own = believed.remove(&item.key);
             self.adopt(item.key, value, item.version, own, now, &mut applied);
         }
+        applied.unreadable.extend(all.unreadable);
         for (key, value) in believed {
             let held_for = older_copy::hold_of_missing(&key);
             applied.updates.extend(older_copy::update_of_missing(&key));
@@ -281,10 +284,8 @@
         value: Vec<u8>,
         own: Option<&[u8]>,
     ) -> Result<(Vec<u8>, Option<StoreUpdate>), Unreadable> {
-        let update =
-            document::decode_update(key, &value).map_err(|error| {
-                Unreadable { key: key.to_owned(), reason: error.to_string() }
-            })?;
+        let update = document::decode_update(key, &value)
+            .map_err(|error| Unreadable::new(key, &error.to_string()))?;
         if let Some(StoreUpdate::Configuration(table)) = &update {
             let version = table.version();
             match own {
