--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -4,10 +4,12 @@
 use std::{
     io::{BufRead, BufReader, Write},
     net::TcpListener,
+    sync::atomic::{AtomicUsize, Ordering},
     thread,
 };
 
 use data_encoding::BASE64;
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
 
 use super::*;
@@ -332,3 +334,73 @@
         assert_eq!(known_upstreams(&gateway), [true, false, true], "{shown}");
     }
 }
+
+/// Guards against a read that asks for the same page for ever, or for another
+/// one, where the last key of a page has a meaning in a URL.
+#[test]
+fn the_last_key_of_a_page_is_encoded_in_the_query() {
+    for last in ["a b", "a&b=c", "a#b", "a%41", "a+b", "a\nb", "ä€"] {
+        let calls = Arc::new(AtomicUsize::new(0));
+        let counted = calls.clone();
+        let settings = start_store(move |path| {
+            if counted.fetch_add(1, Ordering::Relaxed) > 8 {
+                return (503, None, json!({}));
+            }
+            let query = path.split('#').next().unwrap_or("");
+            let after = query.split_once("&since_revision=");
+            let after = after.and_then(|(_, rest)| rest.split('&').next());
+            let decoded = percent_decode_str(after.unwrap_or(""));
+            let is_last = decoded.decode_utf8_lossy() == last;
+            let key = if is_last { "servers/i-1" } else { last };
+            let entries = [item(key, &upstream("ready"), 1)];
+            let page = json!({
+                "entries": entries, "has_more": !is_last, "timestamp": 9,
+            });
+            (200, None, page)
+        });
+        let gateway = Gateway::new(settings, Arc::new(SystemClock));
+        let now = gateway.clock.now();
+        let read = read_everything(&gateway, Consistency::Linearizable, now);
+        let read = task::block_on(read);
+        assert!(read.is_ok(), "{read:?} after {last:?}");
+        assert_eq!(calls.load(Ordering::Relaxed), 2, "after {last:?}");
+        assert_eq!(known_upstreams(&gateway), [true, false, false]);
+    }
+}
+
+#[test]
+fn a_read_whose_pages_do_not_advance_fails() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = calls.clone();
+    let settings = start_store(move |_| {
+        let number = counted.fetch_add(1, Ordering::Relaxed);
+        let key = if number % 2 == 0 { "a" } else { "b" };
+        let entries = [item(key, &json!({}), 1)];
+        let has_more = number < 20;
+        let page = json!({
+            "entries": entries, "has_more": has_more, "timestamp": 9,
+        });
+        (200, None, page)
+    });
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    let now = gateway.clock.now();
+    let read = read_everything(&gateway, Consistency::Linearizable, now);
+    assert!(task::block_on(read).is_err());
+    assert!(calls.load(Ordering::Relaxed) < 5);
+}
+
+/// What a page without any readable key leaves out is unknown.
+#[test]
+fn a_full_page_without_a_readable_key_is_an_error() {
+    let settings = start_store(|_| {
+        let page = json!({
+            "entries": [{"key_file": 7}], "has_more": true, "timestamp": 9,
+        });
+        (200, None, page)
+    });
+    let gateway = Gateway::new(settings, Arc::new(SystemClock));
+    let now = gateway.clock.now();
+    let read = read_everything(&gateway, Consistency::Linearizable, now);
+    assert!(task::block_on(read).is_err());
+    assert!(!gateway.knowledge.is_read());
+}
