--- a/src/rollouts/comparison.rs
+++ b/src/rollouts/comparison.rs
@@ -113,6 +113,12 @@
 }
 
 impl AnswerCounts {
+    /// Returns the sum of all counts.
+    pub(crate) fn total(&self) -> u64 {
+        let counts = [self.sent, self.complete, self.bad, self.lost];
+        counts.into_iter().map(u64::from).sum::<u64>() + self.times.total()
+    }
+
     /// Returns the share of lost answers among all.
     fn lost_share(self) -> f64 {
         f64::from(self.lost) / f64::from((self.complete + self.lost).max(1))
--- a/src/rollouts/time_histogram.rs
+++ b/src/rollouts/time_histogram.rs
@@ -40,6 +40,11 @@
         self.0.iter().sum()
     }
 
+    /// Returns the sum of all counts, however large they are.
+    pub(super) fn total(&self) -> u64 {
+        self.0.iter().copied().map(u64::from).sum()
+    }
+
     /// Returns, summed over the answers of the new version, which this is, the
     /// number of the old one's answers whose time each clearly exceeds.
     pub(super) fn exceeded(&self, old: &TimeHistogram) -> u64 {
--- a/src/store_sync/route.rs
+++ b/src/store_sync/route.rs
@@ -89,8 +89,8 @@
     /// Returns the service of the target that `draw`, in `0..1`, selects in
     /// proportion to the weights.
     pub fn target(&self, draw: f64) -> &ServiceId {
-        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.targets.iter().map(|t| f64::from(t.weight));
+        let mut remaining = draw * weights.sum::<f64>();
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
