Store: refuse revisions that no store counts to

A value whose revision is at the end of 64 bits was never replaced: all later writes of its key are older. Such an item now counts as one without a version.

--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -245,6 +245,7 @@
         revision("8.5"),
         revision("1e999"),
         revision("99999999999999999999"),
+        revision("18446744073709551615"),
         revision("null"),
         key("\"servers/i-2\\ud800\""),
         key("\"servers/i-2\u{fffd}\""),
