Store sync: bound what one odd value costs other VMs and the log

* An upstream whose entry cannot be decoded in an older copy of the store stayed in use for ever; it is gone once the held update is due, as with any other unreadable entry.
(Failed before: no UpstreamUnreadable among the updates.)
* Each write of a value that stays unreadable was a log line.
E049 is logged again only after the key held a readable value; the counter counts all.
(Failed before: (1, 0), not (0, 1).)

--- a/src/event.rs
+++ b/src/event.rs
@@ -147,7 +147,7 @@
         "The operator withdrew the order that the upstreams of a data hall get no requests.";
     /// A value in the store cannot be decoded.
     EntryUnreadable = 49, Warn,
-        "A value in the platform's store cannot be decoded; `key` is empty if not even its key can be. If it was an upstream's entry, the upstream gets no new requests until it can be; everything else keeps its last known value. Of many at once only the first twenty are logged, the last with the number `left_out`.";
+        "A value in the platform's store cannot be decoded; `key` is empty if not even its key can be. If it was an upstream's entry, the upstream gets no new requests until it can be; everything else keeps its last known value. A key that held such a value before is not logged again. Of many at once only the first twenty are logged, the last with the number `left_out`.";
     /// This VM took over a claim slot.
     SlotTaken = 50, Info, "This VM took over a claim slot.";
     /// Another VM took over a claim slot of this VM.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,7 +60,7 @@
     rollouts::registry::Rollouts,
     scheduling::organisation_requests::OrganisationRequests,
     store_sync::{
-        knowledge::{AppliedItems, Knowledge, StoreUpdate, Unreadable},
+        knowledge::{AppliedItems, Knowledge, StoreUpdate},
         learned_by::LearnedBy,
         peers::{Peers, WatchRole},
     },
@@ -403,7 +403,7 @@
 
     /// Updates the state of this VM by items of the store.
     pub(crate) fn apply_items(&self, applied: AppliedItems, by: LearnedBy) {
-        self.record_unreadable(&applied.unreadable);
+        self.record_unreadable(&applied);
         if applied.begins_era {
             self.begin_store_era(applied.held);
         }
@@ -433,9 +433,10 @@
     }
 
     /// Counts values that cannot be read, and logs the first few of them.
-    fn record_unreadable(&self, unreadable: &[Unreadable]) {
-        let count = u64::try_from(unreadable.len()).unwrap_or(u64::MAX);
-        self.metrics.entries_unreadable.inc_by(count);
+    fn record_unreadable(&self, applied: &AppliedItems) {
+        let unreadable = &applied.unreadable;
+        let count = unreadable.len() + applied.still_unreadable;
+        self.metrics.entries_unreadable.inc_by(count as u64);
         let omitted = unreadable.len().saturating_sub(MAX_UNREADABLE_LOGGED);
         for (number, value) in
             unreadable.iter().take(MAX_UNREADABLE_LOGGED).enumerate()
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -135,6 +135,8 @@
     pub updates: Vec<StoreUpdate>,
     /// Values that could not be decoded.
     pub unreadable: Vec<Unreadable>,
+    /// Number of further ones, whose keys held such values before.
+    pub still_unreadable: usize,
     /// Whether the items were ignored since they belong to another era of the
     /// store, or are older than this VM's copy.
     pub is_outdated: bool,
--- a/src/store_sync/knowledge/tests.rs
+++ b/src/store_sync/knowledge/tests.rs
@@ -3,7 +3,10 @@
 use serde_json::json;
 
 use super::*;
-use crate::{platform::document, store_sync::store_position::StoreEra};
+use crate::{
+    frame::FrameCodec, platform::document, rendezvous,
+    store_sync::store_position::StoreEra,
+};
 
 fn configuration(version: u64) -> Vec<u8> {
     json!({
@@ -437,3 +440,139 @@
         ended.expect("the threads wait for each other");
     }
 }
+
+/// Sends changes to another VM in a frame, as a push does.
+fn push(to: &Knowledge, digest_before: u64, changes: &StoreItems) {
+    let codec = FrameCodec::new(&"1".repeat(64).parse().unwrap());
+    let items = changes.items.iter().map(|item| ChangedItem {
+        key: item.key.clone(),
+        value: item.value.clone(),
+        version: item.version.0,
+    });
+    let sent: Vec<ChangedItem> = items.collect();
+    let received: Vec<ChangedItem> = codec.open(&codec.seal(&sent)).unwrap();
+    let items = received
+        .into_iter()
+        .map(|changed| item(&changed.key, changed.value, changed.version));
+    let items = items.collect();
+    let as_of = changes.as_of;
+    let changes = StoreItems { items, as_of, ..StoreItems::default() };
+    to.merge_peer_changes(digest_before, changes);
+}
+
+/// Returns the copy of a VM that starts from the snapshot of another one.
+fn started_from(other: &Knowledge) -> Option<Knowledge> {
+    let (as_of, packed) = other.packed();
+    let items = knowledge_pack::unpack(&packed)?.into_iter();
+    let items = items.map(|mirrored| {
+        item(&mirrored.key, Some(mirrored.value), mirrored.version)
+    });
+    let items = items.collect();
+    let started = Knowledge::default();
+    let all = StoreItems { items, as_of, ..StoreItems::default() };
+    started.apply_snapshot(all, BootInstant::now());
+    Some(started)
+}
+
+/// Guards against VMs that ask each other for snapshots for ever, since one
+/// has left out what another one holds.
+#[test]
+fn vms_agree_on_values_that_they_cannot_decode() {
+    let start = items(vec![item("servers/i-1", upstream("ready"), 1)], 1);
+    for odd in [
+        Some(Vec::new()),
+        Some(b"[".repeat(100_000)),
+        Some(br#"{"capacity":70000}"#.to_vec()),
+        Some(b"\xff".to_vec()),
+        None,
+    ] {
+        let changes = items(
+            vec![
+                item("servers/i-1", odd, 5),
+                item("servers/i-2", upstream("ready"), 6),
+            ],
+            6,
+        );
+        let [watching, pushed, reading] =
+            std::array::from_fn(|_| Knowledge::default());
+        for knowledge in [&watching, &pushed] {
+            knowledge.apply_snapshot(start.clone(), BootInstant::now());
+        }
+        push(&pushed, watching.digest(), &changes);
+        watching.apply_changes(changes.clone());
+        let present =
+            changes.items.into_iter().filter(|item| item.value.is_some());
+        let all = items(present.collect(), 6);
+        reading.apply_snapshot(all, BootInstant::now());
+        let started = started_from(&watching).expect("a snapshot");
+        for other in [&pushed, &reading, &started] {
+            assert_eq!(other.digest(), watching.digest());
+            assert_eq!(other.as_of(), position(0, 6));
+            assert!(other.version_of("servers/i-2").is_some());
+        }
+    }
+}
+
+/// Guards against a snapshot that other VMs cannot unpack, for one value that
+/// no VM uses.
+#[test]
+fn a_large_value_of_another_writer_is_not_in_snapshots() {
+    let random = (0..9_u64 << 20).map(|n| rendezvous::mix(n, 7) as u8);
+    let knowledge = Knowledge::default();
+    let all = vec![
+        item("notes/of-others", Some(random.collect()), 1),
+        item("servers/i-1", upstream("ready"), 2),
+    ];
+    knowledge.apply_snapshot(items(all, 2), BootInstant::now());
+    let started = started_from(&knowledge).expect("it can be unpacked");
+    assert_eq!(started.digest(), knowledge.digest());
+}
+
+#[test]
+fn an_upstream_that_an_older_copy_states_unreadably_is_gone_when_due() {
+    let now = BootInstant::now();
+    let knowledge = known();
+    let mut copy = older_copy();
+    copy.items.push(item("servers/i-3", Some(b"[".to_vec()), 44));
+    let applied = knowledge.apply_snapshot(copy, now);
+    assert_eq!(applied.unreadable.len(), 1);
+    let due = knowledge.take_due(now + Duration::from_secs(6));
+    let is_unreadable = |update: &StoreUpdate| {
+        matches!(update, StoreUpdate::UpstreamUnreadable(id)
+            if id.as_str() == "i-3")
+    };
+    assert!(due.updates.iter().any(is_unreadable), "{due:?}");
+}
+
+/// Guards against a log line at each write of a writer that goes on.
+#[test]
+fn a_key_that_stays_unreadable_is_reported_once() {
+    let knowledge = Knowledge::default();
+    let put = |value: Option<Vec<u8>>, version| {
+        let item = item("servers/i-1", value, version);
+        let applied = knowledge.apply_changes(items(vec![item], version));
+        (applied.unreadable.len(), applied.still_unreadable)
+    };
+    let odd = || Some(format!("{{\"{}\":", "x".repeat(9_000)).into_bytes());
+    assert_eq!(put(odd(), 1), (1, 0));
+    assert_eq!(put(odd(), 2), (0, 1));
+    assert_eq!(put(upstream("ready"), 3), (0, 0));
+    assert_eq!(put(odd(), 4), (1, 0));
+}
+
+/// Guards against log lines of the size of a value.
+#[test]
+fn the_description_of_an_unreadable_value_is_short() {
+    let knowledge = Knowledge::default();
+    let mut entry: serde_json::Value =
+        serde_json::from_slice(&upstream("ready").unwrap()).unwrap();
+    entry["state"] = "x".repeat(1 << 20).into();
+    let value = Some(entry.to_string().into_bytes());
+    let item = item("servers/i-1", value, 1);
+    let applied = knowledge.apply_changes(items(vec![item], 1));
+    let [unreadable] = applied.unreadable.as_slice() else {
+        panic!("{applied:?}");
+    };
+    assert_eq!(unreadable.key, "servers/i-1");
+    assert!(unreadable.reason.len() <= 200);
+}
--- a/src/store_sync/mirror.rs
+++ b/src/store_sync/mirror.rs
@@ -233,7 +233,10 @@
             }
             Err(error) => {
                 applied.updates.extend(document::unreadable_update(&item.key));
-                applied.unreadable.push(error);
+                match own.is_some_and(|own| own.is_empty()) {
+                    true => applied.still_unreadable += 1,
+                    false => applied.unreadable.push(error),
+                }
                 // Other VMs cannot decode it either, and it may be large.
                 Vec::new()
             }
@@ -266,7 +269,9 @@
             match self.items.get(&key) {
                 Some((value, _)) => {
                     let update = document::decode_update(&key, value);
-                    applied.updates.extend(update.ok().flatten());
+                    let update = update
+                        .unwrap_or_else(|_| document::unreadable_update(&key));
+                    applied.updates.extend(update);
                 }
                 None => {
                     applied.updates.extend(document::removal_update(&key));
@@ -295,7 +300,9 @@
                 _ => self.configuration = Some(version),
             }
         }
-        Ok((value, update))
+        // Values that no VM uses may be large, and need not be passed on.
+        let kept = if update.is_some() { value } else { Vec::new() };
+        Ok((kept, update))
     }
 }
 
