Stop: wait for the connections that other VMs have through this one

Callers of a VM that is partitioned from upstreams got half of a stream: it ran through another VM, and that one stopped. `stop` waits until its own callers' connections are closed, here none, and the process exits under the connections that it relays.

The stop now waits for these as well, within the same grace period. Once its own callers are gone, it opens no more of them: a new one would hold up the exit, and might be cut at its end. Until now the process had exited at that moment, so nobody loses a path by it. A relayed connection serves one request and is in no pool, so none is open without a request.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! * [`settings`]: the settings of the VM.
 //! * [`upstream_signals`]: applies what upstreams report about themselves.
+//! * [`relays`]: counts the connections to upstreams for other VMs.
 //! * [`vm_registration`]: keeps the VMs registered in the store.
 //! * [`model_choice`]: collects what the choice of a model depends on.
 //! * [`server`]: runs the VM from its start to a graceful shutdown.
@@ -77,6 +78,7 @@
 mod limit_permits;
 pub(crate) mod model_choice;
 pub(crate) mod relay_events;
+pub(crate) mod relays;
 pub mod request_head;
 pub(crate) mod trace;
 pub(crate) mod upstream_signals;
@@ -89,6 +91,7 @@
 pub(crate) mod store_watch;
 pub(crate) mod vm_registration;
 
+use relays::Relays;
 use settings::GatewaySettings;
 use slot_client::SlotClient;
 use slot_coordinator::SlotCoordinator;
@@ -160,6 +163,7 @@
     pub(crate) in_flight: InFlightCount,
     /// The open connections of callers.
     pub(crate) connections: InFlightCount,
+    pub(crate) relays: Relays,
     pub(crate) intake: IntakeControl,
     /// The snapshots that are being fetched from other VMs.
     pub(crate) snapshot_fetches: InFlightCount,
@@ -219,6 +223,7 @@
             metrics,
             in_flight: InFlightCount::default(),
             connections: InFlightCount::default(),
+            relays: Relays::default(),
             snapshot_fetches: InFlightCount::default(),
             intake: IntakeControl::new(ConnectionCapacity::new(
                 settings.memory,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -125,7 +125,8 @@
     format!("{a:?}") == format!("{b:?}")
 }
 
-/// Waits until all connections of callers are closed, within the grace period.
+/// Waits until all connections of callers, and then those for other VMs, are
+/// closed, within the grace period.
 ///
 /// A connection outlives its last request, since the response has to be
 /// written to a caller that may read slowly.
@@ -146,7 +147,9 @@
     // another VM.
     callers.cancel().await;
     close.close();
-    while gateway.connections.count() > 0 && gateway.clock.now() < ends_at {
+    while (gateway.connections.count() > 0 || gateway.relays.close() > 0)
+        && gateway.clock.now() < ends_at
+    {
         task::sleep(CHECK_INTERVAL).await;
     }
     let cut = gateway.in_flight.count();
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -585,8 +585,11 @@
         self: Arc<Gateway>,
         upstream: ShortHash,
     ) -> Result<RelayedUpstream, String> {
+        let Some(relay) = self.relays.enter() else {
+            return Err("this VM only waits for open connections".to_owned());
+        };
         let stream = connect_for_peer(&*self, upstream).await?;
-        let guard = Box::new(self.in_flight.enter());
+        let guard = Box::new((relay, self.in_flight.enter()));
         Ok(RelayedUpstream { stream, _guard: guard })
     }
 }
--- a/standins/tests/partitioned_vms.rs
+++ b/standins/tests/partitioned_vms.rs
@@ -4,14 +4,20 @@
 //! Each VM has a store of its own, which lists the same upstreams: at their
 //! addresses for one VM, and behind proxies for the partitioned one.
 
-use std::{net::TcpStream, path::PathBuf, thread, time::Duration};
+use std::{
+    net::TcpStream,
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
 
 use rustix::process::Signal;
 use standins::{
     gateway_site::{
-        MODELS, PLAIN, Site, configuration, request, stream_request,
+        MODELS, PLAIN, Site, configuration, exchange, request, stream_request,
         upstream_record, wait_until,
     },
+    http_raw::RawRequest,
     platform_store::PlatformStore,
     proxy::{Mode, Proxy},
     scripted::{Streamed, Upstream, always_responds, streams},
@@ -123,6 +129,15 @@
         assert_eq!(self.served("after"), REQUESTS);
     }
 
+    /// Returns what upstreams have received with this attempt id.
+    fn received<'a>(
+        &'a self,
+        id: &'a str,
+    ) -> impl Iterator<Item = RawRequest> + 'a {
+        let received = self.upstreams.iter().flat_map(Upstream::received);
+        received.filter(move |r| r.header("lupinseam-attempt-id") == id)
+    }
+
     /// Returns how often upstreams have received each request at most.
     fn most_runs(&self) -> usize {
         let received = self.upstreams.iter().flat_map(|u| u.received());
@@ -165,3 +180,34 @@
     thread::sleep(Duration::from_millis(200));
     assert_eq!(partition.served("during"), REQUESTS);
 }
+
+/// Guards against a VM that stops and ends under the streams that it relays.
+#[test]
+fn a_relayed_stream_outlasts_the_stop_of_the_vm_that_relays_it() {
+    const LAST_EVENT: u64 = 16;
+    const PAUSE: Duration = Duration::from_millis(250);
+    let mut partition = Partition::start();
+    for upstream in &partition.upstreams[2..] {
+        upstream.set_script(streams(|_| Streamed {
+            last: LAST_EVENT,
+            pause: PAUSE,
+            ..Streamed::default()
+        }));
+    }
+    partition.set_mode(Mode::Gone);
+    let callers = partition.site.vms[0].callers;
+    let asked = thread::spawn(move || {
+        exchange(callers, stream_request("/write/x", "long").as_bytes())
+    });
+    wait_until("the stream has begun", || {
+        partition.received("long").count() > 0
+    });
+    let stopped_at = Instant::now();
+    partition.site.vms[1].signal(Signal::TERM);
+    let got = asked.join().unwrap();
+    assert_eq!((got.status, got.whole), (200, true), "{got:?}");
+    assert_eq!(partition.received("long").count(), 1, "it ran twice");
+    wait_until("the VM has ended", || partition.site.vms[1].has_ended());
+    // Its grace period is longer.
+    assert!(stopped_at.elapsed() < Duration::from_secs(5));
+}
