Stop of the own interface: wait until answers are written

A caller that reads slowly got part of its answer when its VM stopped: `Server::stop` waited for requests in flight, and a request counts until it is settled, which is before its answer is written. Then the process hands over claims and bills and exits, whatever is left.

The stop now waits for the connections of callers first, as the HTTP library offers it, within the same part of the grace period, then for requests that outlive their caller and for outcomes. Connections at rest are closed at once by the library and hold up nothing. Price: a caller that has sent half of a request head holds the stop for three quarters of the grace period, since the library sets no time limit for a head.

--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -185,8 +185,9 @@
         configuration_sync::wait_ready(&self.0.vm, limit).await
     }
 
-    /// Stops gracefully: accepts no new requests, waits for those in flight,
-    /// hands over claims and bills, and then ends all tasks.
+    /// Stops gracefully: accepts no new requests, waits for those in flight
+    /// and until their answers are written, hands over claims and bills, and
+    /// then ends all tasks.
     pub async fn stop(self) -> StopReport {
         let Running { vm, callers, operators, tasks, .. } = self.0;
         let began_at = vm.clock.now();
@@ -195,9 +196,8 @@
         Event::Stopping.log(format_args!("{} in flight", vm.in_flight()));
         Gossiper::gossip_to_hall(&vm).await;
         task::sleep(READINESS_DELAY.min(grace)).await;
-        callers.stopper().stop();
         let drain = grace.mul_f64(DRAIN_SHARE);
-        let cut = wait_for_requests(&vm, grace - drain).await;
+        let cut = wait_for_requests(&vm, &callers, grace - drain).await;
         vm.steward.release(&vm).await;
         vm.claims.hand_over_all().await;
         let lost_bills = Ledger::drain(&vm, drain).await;
@@ -213,13 +213,22 @@
     }
 }
 
-/// Waits for at most `limit` until no request is in flight and all outcomes
-/// of claims are recorded.
+/// Accepts no more connections, and waits for at most `limit` until those of
+/// callers are closed, no request is in flight and all outcomes of claims are
+/// recorded.
+///
+/// A connection outlives its last request, since the answer has to be written
+/// to a caller that may read slowly; a request may outlive its connection.
 ///
 /// Returns the number of requests that are still in flight.
-async fn wait_for_requests(vm: &Arc<Vm>, limit: Duration) -> usize {
+async fn wait_for_requests(
+    vm: &Arc<Vm>,
+    callers: &ServerHandle,
+    limit: Duration,
+) -> usize {
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     let wait = async {
+        callers.stop().await;
         while vm.in_flight() > 0 {
             task::sleep(POLL_INTERVAL).await;
         }
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -3,7 +3,11 @@
 
 mod common;
 
-use std::{io::Write, net::TcpStream, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
 
 use common::*;
 use hyper::Method;
@@ -291,6 +295,56 @@
     });
 }
 
+/// Guards against a process that ends before it has written an answer that
+/// its caller reads slowly.
+#[test]
+fn an_answer_that_is_still_written_at_a_stop_is_whole() {
+    /// Tokens of an answer that does not fit in the buffers of a connection.
+    const TOKENS: u64 = 1_300_000;
+    run(async {
+        let mut fleet = start(1, |mut plan| {
+            for engine in &mut plan.engines {
+                engine.token_ms = 0;
+            }
+            plan
+        })
+        .await;
+        let key = bearer_key("collectif");
+        let body = json!({
+            "model": "writer", "max_tokens": TOKENS,
+            "messages": [{ "role": "user", "content": "nonce=1" }],
+        })
+        .to_string();
+        let length = body.len();
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n\
+             Authorization: Bearer {key}\r\nContent-Length: {length}\r\n\
+             Connection: close\r\n\r\n{body}"
+        );
+        let address = fleet.vms[VM].callers;
+        // Leaves an idle connection, which does not hold up the stop.
+        fleet.get(address, "/healthz").await.unwrap();
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        // The answer has begun.
+        assert!(stream.peek(&mut [0]).unwrap() > 0);
+        let vm = fleet.vms.get_mut(VM).unwrap();
+        let mut process = vm.process.take().unwrap();
+        process.terminate();
+        Timer::after(Duration::from_secs(3)).await;
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        let answer = String::from_utf8(answer).unwrap();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        let body = serde_json::from_str::<Value>(body);
+        assert!(body.is_ok(), "{} bytes of: {head}", answer.len());
+        // Well within the grace period, which is a minute.
+        assert_eq!(process.wait(Duration::from_secs(20)).await, Some(0));
+    });
+}
+
 #[test]
 fn a_vm_starts_from_a_peer_during_a_store_outage() {
     run(async {
