Gateway: answer a request whose handling panics

A caller whose request ran into a panic saw its connection closed without an answer, and the request's line said `caller_left`: the executor catches a panic of a connection's task and drops the task.

A panic in `handle` is now caught and answered with 500 `internal`, of which the outcome is unknown, and the connection is closed after it. E006 (error) states the request and the panic's text, and the request's line has the code `internal`. A panic while the body of a stream is relayed still cuts it, since its head has been sent; its line has the code as well.

The test provokes the panic by a lock whose holder panicked.

--- a/src/event.rs
+++ b/src/event.rs
@@ -59,9 +59,9 @@
     /// A planned stop reached its time limit.
     StopCut = 5, Error,
         "The planned stop reached `stop.grace_s` with requests still in flight.";
-    /// A background task ended unexpectedly.
+    /// A task ended unexpectedly.
     TaskFailed = 6, Error,
-        "A background task failed, which is a bug in this program.";
+        "A task failed, which is a bug in this program; states the request that it handled, if it did, which is answered with 500 `internal`, and the reason.";
     /// The settings file was read again.
     Reloaded = 7, Info,
         "The settings file was read again; states whether anything in it has changed.";
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1278,6 +1278,12 @@
         answer.code,
         error.to_string(),
     ));
+    error_reply(id, error)
+}
+
+/// Returns the error response to the request with this id.
+pub(crate) fn error_reply(id: &str, error: &Error) -> Reply {
+    let answer = error.kind().answer();
     let mut headers = headers::local_response_headers(id);
     if let Some(wait) = error.retry_after() {
         let wait_s = format!("{:.3}", wait.as_secs_f64());
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -6,7 +6,9 @@
 //! `hyper`.
 
 use std::{
+    any::Any,
     convert::Infallible,
+    panic::AssertUnwindSafe,
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -15,7 +17,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     Request, Response,
@@ -24,6 +26,7 @@
     server::conn::http1,
     service::service_fn,
 };
+use serde_json::json;
 use smol::{
     channel::Receiver,
     net::{TcpListener, TcpStream},
@@ -32,9 +35,10 @@
 
 use crate::{
     error::{Error, ErrorKind},
+    event::Event,
     gateway::{
-        Gateway,
-        forward::{Job, Reply, ReplyBody, reject},
+        Gateway, fields,
+        forward::{Job, Reply, ReplyBody, error_reply, reject},
         limit_log::LimitLog,
         relay_events::{self, StreamAborted},
         request_head::{RequestHead, RequestedModel},
@@ -200,7 +204,7 @@
         if !is_first.swap(false, Ordering::Relaxed) {
             gateway.intake.record_request(gateway.clock.now());
         }
-        async move { Ok::<_, Infallible>(handle(gateway, request).await) }
+        async move { Ok::<_, Infallible>(answer(gateway, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -227,6 +231,32 @@
     }
 }
 
+/// Handles a request, and answers it also if that panics: the panic would end
+/// the task of the connection, and so close it without an answer.
+async fn answer(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let id = headers::request_id(request.headers()).to_owned();
+    let handling = AssertUnwindSafe(handle(gateway.clone(), request));
+    handling.catch_unwind().await.unwrap_or_else(|panic| {
+        let reason = panic_message(&*panic);
+        let line = json!({ "id": id, "reason": reason });
+        Event::TaskFailed.record(fields(line));
+        let error = Error::new(ErrorKind::Internal)
+            .context("a bug in the router ended the request");
+        into_response(&gateway, error_reply(&id, &error), true)
+    })
+}
+
+/// Returns the text with which a panic was raised.
+fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let literal = panic.downcast_ref::<&str>().copied();
+    literal
+        .or_else(|| panic.downcast_ref::<String>().map(String::as_str))
+        .unwrap_or("no text")
+}
+
 async fn handle(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
--- a/src/gateway/ingress/tests.rs
+++ b/src/gateway/ingress/tests.rs
@@ -1,9 +1,14 @@
-//! Which connections a VM accepts.
+//! Which connections a VM accepts, and that it answers each request on them.
+
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
 use super::*;
 use crate::{
     clock::SystemClock,
-    gateway::{settings::GatewaySettings, tests::MINIMAL_SETTINGS},
+    gateway::{
+        settings::GatewaySettings, slot_test_site, tests::MINIMAL_SETTINGS,
+    },
+    store_sync::route::{InputLimits, Repeat, TableVersion},
 };
 
 /// Time within which a VM reacts.
@@ -101,3 +106,47 @@
         vm.wait_until_accepting().await;
     });
 }
+
+/// Makes each request panic that is admitted, by a lock whose holder panicked.
+fn poison(gateway: &Arc<Gateway>) {
+    let gateway = gateway.clone();
+    let holder = std::thread::spawn(move || {
+        let _held = gateway.retry_budgets.lock();
+        panic!("poisons the lock");
+    });
+    assert!(holder.join().is_err());
+}
+
+/// Guards against a request that ends in a panic and gets no answer, and whose
+/// line says that its caller left.
+#[test]
+fn a_request_that_panics_is_answered() {
+    task::block_on(async {
+        let vm = Accepting::start("[listen]").await;
+        let gateway = &vm.gateway;
+        let route = slot_test_site::route(Repeat::Any);
+        gateway.knowledge.install(RouteTable::new(
+            TableVersion(1),
+            vec![route],
+            Vec::new(),
+            None,
+            InputLimits::default(),
+        ));
+        gateway.knowledge.prove(gateway.clock.now());
+        poison(gateway);
+        let mut stream = TcpStream::connect(vm.address).await.unwrap();
+        let request = "GET /read/x HTTP/1.1\r\nHost: site.example\r\n\
+                       Lupinseam-Attempt-Id: r-1\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer);
+        task::within(TIMEOUT, read).await.unwrap().unwrap();
+        assert!(answer.starts_with("HTTP/1.1 500"), "{answer:?}");
+        assert!(answer.contains("lupinseam-attempt-id: r-1"), "{answer}");
+        assert!(answer.contains(r#""run":"outcome_unknown""#), "{answer}");
+        assert_eq!(gateway.in_flight.count(), 0);
+        let metrics = gateway.metrics.text();
+        assert!(metrics.contains(r#"code="internal""#));
+        assert!(!metrics.contains(r#"code="caller_left""#));
+    });
+}
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -1,9 +1,10 @@
 //! The trace of one request: what decided its route, its attempts and its end.
 //!
 //! A trace writes one log line when its request ends. If it is dropped before,
-//! the caller has closed the connection, and the line says so.
+//! the caller has closed the connection, or handling the request has panicked,
+//! and the line says so.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use serde_json::{Map, Value, json};
 
@@ -106,6 +107,8 @@
     Aborted(String),
     /// Its caller closed the connection.
     CallerLeft,
+    /// Handling it panicked.
+    Panicked,
 }
 
 /// Collects the trace of one request and logs it at its end.
@@ -418,6 +421,7 @@
                 put("reason", json!(reason));
             }
             RequestEnd::CallerLeft => put("code", json!("caller_left")),
+            RequestEnd::Panicked => put("code", json!("internal")),
         }
         let event = match end {
             RequestEnd::Answered(_) => Event::RequestEnded,
@@ -432,6 +436,7 @@
             RequestEnd::Rejected(_, code, _) => code,
             RequestEnd::Aborted(_) => "broken_off",
             RequestEnd::CallerLeft => "caller_left",
+            RequestEnd::Panicked => "internal",
         };
         let organisation = self.organisation.as_ref();
         let organisation = organisation.map_or(OTHER, |o| o.as_str());
@@ -452,7 +457,10 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         if !self.is_written {
-            self.write(RequestEnd::CallerLeft);
+            self.write(match thread::panicking() {
+                true => RequestEnd::Panicked,
+                false => RequestEnd::CallerLeft,
+            });
         }
     }
 }
--- a/src/request_timeline.rs
+++ b/src/request_timeline.rs
@@ -254,6 +254,7 @@
         "deadline_exceeded" => "its deadline passed",
         "broken_off" => "its answer was cut off, and the caller could see it",
         "caller_left" => "its caller disconnected before the end",
+        "internal" => "unknown outcome: a bug in the VM ended it",
         "unauthorized" => "not run: its key is unknown",
         "not_found" => "not run: no route matches it",
         _ => "see docs/ANSWERS.md",
