Soak: items of the store that are malformed themselves

The stand-in store can serve an item with any value in a field, and decodes the parameters of queries. Other writers in a soak leave such items and keys with characters that URLs use; the promises checked are the same.

--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -14,6 +14,7 @@
 };
 
 use data_encoding::BASE64;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use crate::http_raw::{RawRequest, answer, read_request};
@@ -65,6 +66,9 @@
     /// What operators and upstreams have written last under each key; `None`
     /// if they removed it.
     written: BTreeMap<String, Option<String>>,
+    /// A field of the items with these versions that does not hold what the
+    /// store states, and what it holds.
+    odd_fields: BTreeMap<u64, (&'static str, Value)>,
     /// Key, document (`None` when deleted) and version of each change.
     events: Vec<(String, Option<String>, u64)>,
     version: u64,
@@ -129,6 +133,16 @@
         self.content.1.notify_all();
     }
 
+    /// Writes a malformed document whose item in addition holds this value in
+    /// a field, such as a `value` that is not Base64.
+    pub fn put_odd(&self, key: &str, field: &'static str, value: Value) {
+        let mut content = self.content.0.lock().unwrap();
+        content.write_outside(key, Some("[]".to_owned()));
+        let version = content.version;
+        content.odd_fields.insert(version, (field, value));
+        self.content.1.notify_all();
+    }
+
     /// Removes a document.
     pub fn remove(&self, key: &str) {
         let mut content = self.content.0.lock().unwrap();
@@ -163,6 +177,7 @@
         content.items =
             kept.map(|(key, item)| (key.clone(), item.clone())).collect();
         content.version = copy.version;
+        content.odd_fields.retain(|version, _| *version <= copy.version);
         content.events.retain(|(_, _, version)| *version <= copy.version);
         content.era += 1;
         self.content.1.notify_all();
@@ -272,11 +287,11 @@
 
     fn key(&self, request: &RawRequest) -> (u16, Value) {
         let content = self.content.0.lock().unwrap();
-        let key = request.parameter("key_file");
-        match content.items.get(key) {
+        let key = parameter(request, "key_file");
+        match content.items.get(&key) {
             None => (404, json!({"timestamp": content.version})),
             Some(Item { text, version, .. }) => {
-                let mut item = item(key, Some(text), *version);
+                let mut item = content.item(&key, Some(text), *version);
                 item["timestamp"] = content.version.into();
                 (200, item)
             }
@@ -287,8 +302,8 @@
         // Small pages, so that tests cover the reading of a next page.
         const PAGE_ENTRIES: usize = 3;
         let content = self.content.0.lock().unwrap();
-        let prefix = request.parameter("path_prefix");
-        let after = request.parameter("since_revision");
+        let prefix = parameter(request, "path_prefix");
+        let after = parameter(request, "since_revision");
         let is_stale = request.parameter("serializable") == "1";
         let follower = content.late_follower.as_ref();
         let follower = follower.filter(|_| is_stale && !after.is_empty());
@@ -298,13 +313,15 @@
         };
         let matching: Vec<_> = items
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
-            .filter(|(key, _)| key.as_str() > after)
+            .filter(|(key, _)| key.starts_with(&prefix))
+            .filter(|(key, _)| **key > after)
             .collect();
         let entries: Vec<Value> = matching
             .iter()
             .take(PAGE_ENTRIES)
-            .map(|(key, found)| item(key, Some(&found.text), found.version))
+            .map(|(key, found)| {
+                content.item(key, Some(&found.text), found.version)
+            })
             .collect();
         let body = json!({
             "entries": entries,
@@ -329,7 +346,7 @@
                 .events
                 .iter()
                 .filter(|(_, _, version)| *version > since)
-                .map(|(key, text, at)| item(key, text.as_ref(), *at))
+                .map(|(key, text, at)| content.item(key, text.as_ref(), *at))
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -375,6 +392,15 @@
 }
 
 impl Content {
+    /// Returns an item as answers hold it.
+    fn item(&self, key: &str, text: Option<&String>, version: u64) -> Value {
+        let mut item = item(key, text, version);
+        if let Some((field, value)) = self.odd_fields.get(&version) {
+            item[field] = value.clone();
+        }
+        item
+    }
+
     /// Writes on behalf of an operator or an upstream.
     fn write_outside(&mut self, key: &str, text: Option<String>) {
         self.written.insert(key.to_owned(), text.clone());
@@ -399,6 +425,12 @@
     }
 }
 
+/// Returns a parameter of the query, decoded; empty when absent.
+fn parameter(request: &RawRequest, name: &str) -> String {
+    let encoded = percent_decode_str(request.parameter(name));
+    encoded.decode_utf8_lossy().into_owned()
+}
+
 fn item(key: &str, text: Option<&String>, version: u64) -> Value {
     match text {
         Some(text) => json!({
--- a/standins/src/soak/upstreams.rs
+++ b/standins/src/soak/upstreams.rs
@@ -283,16 +283,24 @@
     }
 
     /// Writes a malformed record under the ID [`UNREADABLE`]: a field has the
-    /// wrong type or an unknown value, or the record is no object at all.
+    /// wrong type or an unknown value, the record is no object at all, or its
+    /// item in the store is malformed itself. Some go under a key that no
+    /// router uses.
     pub fn record_unreadable(&self, store: &PlatformStore, kind: u64) {
         let address = self.proxy.address;
         let mut record =
             upstream_record(address, self.service, &self.software, "ready");
         let key = format!("servers/{UNREADABLE}");
-        match kind % 3 {
+        match kind % 9 {
             0 => record["capacity"] = json!("many"),
             1 => record["state"] = json!("resting"),
-            _ => record = json!([address.to_string()]),
+            2 => record["address"] = json!("127.0.0.1:0"),
+            3 => record["warmup_left_ms"] = json!(null),
+            4 => record = json!([address.to_string()]),
+            5 => return store.put_odd(&key, "value", json!("%")),
+            6 => return store.put_odd(&key, "revision", json!(-1)),
+            7 => return store.put_odd(&key, "key_file", json!(null)),
+            _ => return store.put(&format!("{key} &#%+\u{e9}"), &record),
         }
         store.put(&key, &record);
     }
