Tests: VMs start and follow the store beside odd items

With real processes: items whose value or revision is odd, or without a key, and keys with characters that URLs use, at the ends of small pages and in changes. Beside it two lints.

--- a/src/gateway/store_watch/tests.rs
+++ b/src/gateway/store_watch/tests.rs
@@ -389,7 +389,7 @@
     let counted = calls.clone();
     let settings = start_store(move |_| {
         let number = counted.fetch_add(1, Ordering::Relaxed);
-        let key = if number % 2 == 0 { "a" } else { "b" };
+        let key = if number.is_multiple_of(2) { "a" } else { "b" };
         let entries = [item(key, &json!({}), 1)];
         let has_more = number < 20;
         let page = json!({
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -836,6 +836,34 @@
     assert!(leaving.received().is_empty());
 }
 
+/// Another writer leaves items that cannot be decoded, each the last of a page
+/// or in the change that a watch brings.
+#[test]
+fn vms_start_and_follow_the_store_beside_odd_items() {
+    let _guard = lock_site();
+    let one = Upstream::start("i-1", always_responds(200, "hello"));
+    let two = Upstream::start("i-2", always_responds(200, "hello"));
+    let mut site = site(REVOKE_MS);
+    site.register(&one, PLAIN, "v1");
+    for number in 0..4 {
+        let key = |kind: &str| format!("servers/i-1-{kind}-{number}");
+        site.store.put_odd(&key("value"), "value", json!("%"));
+        site.store.put_odd(&key("revision"), "revision", json!(1e300));
+        site.store.put(&format!("a &#%+\u{e9}{number}"), &json!({}));
+    }
+    site.store.put_odd("servers/i-1-key", "key_file", json!(7));
+    site.start_vm();
+    wait_for_record(&site.vms[0], &one.id, false);
+    site.store.put_odd("servers/i-0", "value", json!([]));
+    site.register(&two, PLAIN, "v1");
+    wait_for_record(&site.vms[0], &two.id, false);
+    site.register_as(&one, PLAIN, "v1", "draining");
+    wait_for_record(&site.vms[0], &one.id, true);
+    let got = site.vms[0].ask(&request("GET", "/read/x", "r-1", ""));
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(two.received().len(), 1);
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_new_requests() {
     let _guard = lock_site();
