Requests without a complete answer: one line each, with the cause

Callers saw a connection that ended without an answer, and the log could not say why. A trace that was dropped said caller_left whoever had closed the connection; a request that the end of the process cut had no line at all; and a request whose answer was not written out counted as answered, since its line was written as soon as this VM had the answer.

A trace is now completed only once the HTTP library has flushed the whole response: the transport of the connection sees the flush, and keeps the first cause that ended the connection. Whatever drops a trace before writes its line, E101, with that cause, what the request was waiting for, the silence of its upstream and the configuration at the end if it is another one. At the end of the grace period a stopping VM cuts its connections itself, so that the requests in flight are logged, a hundred at most; the wait for these lines is 0.1 s at most, within the reserve for the exit. lupinseam_unanswered_total counts them by cause.

--- a/src/event.rs
+++ b/src/event.rs
@@ -247,7 +247,7 @@
         "A request ended with an upstream's answer; one line with all its attempts.";
     /// A request was rejected or failed.
     RequestFailed = 101, Warn,
-        "A request was rejected or failed; one line with all its attempts and the reason.";
+        "A request was rejected, failed, or got no complete answer; one line with all its attempts and the reason. Of the requests that a planned stop cuts off, only the first hundred are logged.";
     /// This VM reaches upstreams only through other VMs.
     UpstreamsUnreachable = 102, Warn,
         "This VM cannot connect to upstreams that other VMs reach; until it can, its requests go through those.";
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,7 +24,7 @@
         relay_events::EventRelay,
         request_head::{AttemptHead, RequestHead},
         slot_client::{GrantedUpstream, SlotTicket},
-        trace::{AttemptNumber, RequestEnd, Trace},
+        trace::{AttemptNumber, EndedTrace, RequestEnd, Trace},
     },
     http_client::{Call, Exchange, Reuse, SendError},
     id::{ModelId, ServiceId, VersionId},
@@ -148,15 +148,15 @@
 pub(crate) struct Reply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: ReplyBody,
+    pub(crate) body: Bytes,
 }
 
-/// The body of a response.
-pub(crate) enum ReplyBody {
-    /// The whole body.
-    Whole(Bytes),
-    /// Server-sent events, relayed as they arrive.
-    Events(Box<EventRelay>),
+/// What a caller gets.
+pub(crate) enum Answer {
+    /// A whole response, with the trace of its request.
+    Whole(Reply, EndedTrace),
+    /// A head, followed by server-sent events, relayed as they arrive.
+    Events(Reply, Box<EventRelay>),
 }
 
 /// An attempt at one upstream, counted as in flight there while it lives.
@@ -321,7 +321,7 @@
 
 impl Job {
     /// Forwards the request and returns the response for its caller.
-    pub(crate) async fn run(mut self, mut trace: Trace) -> Reply {
+    pub(crate) async fn run(mut self, mut trace: Trace) -> Answer {
         self.gateway.count_request(&self.service);
         loop {
             let now = self.gateway.clock.now();
@@ -347,13 +347,14 @@
             };
             let error = match self.route.is_stream {
                 true => match self.fetch_stream(attempt, &mut trace).await {
-                    Ok(opened) => return opened.into_reply(self, trace),
+                    Ok(opened) => return opened.into_answer(self, trace),
                     Err(error) => error,
                 },
                 false => match self.fetch_whole(&attempt, &mut trace).await {
                     Ok(reply) => {
-                        trace.end(RequestEnd::Answered(reply.status.as_u16()));
-                        return reply;
+                        let status = reply.status.as_u16();
+                        let trace = trace.end(RequestEnd::Answered(status));
+                        return Answer::Whole(reply, trace);
                     }
                     Err(error) => {
                         self.record_error(&attempt, &error);
@@ -974,7 +975,7 @@
         if status.is_success() {
             self.record_completion(attempt, is_framed);
         }
-        let body = ReplyBody::Whole(answer.body);
+        let body = answer.body;
         let reply = Reply { status, headers, body };
         if status.is_server_error() {
             return Err(AttemptError::Failed(Box::new(reply)));
@@ -1202,11 +1203,11 @@
         if may_retry { Ok(()) } else { Err(failure) }
     }
 
-    fn fail(self, failure: FinalFailure, trace: Trace) -> Reply {
+    fn fail(self, failure: FinalFailure, trace: Trace) -> Answer {
         match failure {
             FinalFailure::Failed(reply) => {
-                trace.end(RequestEnd::Answered(reply.status.as_u16()));
-                *reply
+                let end = RequestEnd::Answered(reply.status.as_u16());
+                Answer::Whole(*reply, trace.end(end))
             }
             FinalFailure::NotRun(reason) => {
                 let now = self.gateway.clock.now();
@@ -1224,14 +1225,14 @@
         }
     }
 
-    fn reject(self, trace: Trace, kind: ErrorKind, reason: &str) -> Reply {
+    fn reject(self, trace: Trace, kind: ErrorKind, reason: &str) -> Answer {
         let error = Error::new(kind).context(reason.to_owned());
         self.reject_with(trace, error)
     }
 
     /// Rejects the request. An error that tells the caller that the request
     /// did not run is replaced if an upstream may have executed it.
-    fn reject_with(self, trace: Trace, error: Error) -> Reply {
+    fn reject_with(self, trace: Trace, error: Error) -> Answer {
         let claims_not_run =
             error.kind().answer().run == crate::error::Run::NotRun;
         let error = match claims_not_run && self.may_have_run {
@@ -1271,14 +1272,14 @@
 }
 
 /// Ends the trace of a request and returns the error response to it.
-pub(crate) fn reject(id: &str, trace: Trace, error: &Error) -> Reply {
+pub(crate) fn reject(id: &str, trace: Trace, error: &Error) -> Answer {
     let answer = error.kind().answer();
-    trace.end(RequestEnd::Rejected(
+    let trace = trace.end(RequestEnd::Rejected(
         answer.status,
         answer.code,
         error.to_string(),
     ));
-    error_reply(id, error)
+    Answer::Whole(error_reply(id, error), trace)
 }
 
 /// Returns the error response to the request with this id.
@@ -1300,6 +1301,6 @@
         status: StatusCode::from_u16(answer.status)
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
         headers,
-        body: ReplyBody::Whole(Bytes::from(body)),
+        body: Bytes::from(body),
     }
 }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -20,7 +20,7 @@
 use futures_lite::{FutureExt, future};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
-    Request, Response,
+    Method, Request, Response, StatusCode,
     body::{Body, Incoming},
     header::{CONNECTION, HeaderValue, TRANSFER_ENCODING},
     server::conn::http1,
@@ -37,8 +37,11 @@
     error::{Error, ErrorKind},
     event::Event,
     gateway::{
-        Gateway, fields,
-        forward::{Job, Reply, ReplyBody, error_reply, reject},
+        Gateway,
+        answer_loss::AnswerLoss,
+        caller_connection::{CallerConnection, CallerStream, WholeBody},
+        fields,
+        forward::{Answer, Job, Reply, error_reply, reject},
         limit_log::LimitLog,
         relay_events::{self, StreamAborted},
         request_head::{RequestHead, RequestedModel},
@@ -199,53 +202,68 @@
     let _ = stream.set_nodelay(true);
     let limits = gateway.knowledge.table().unwrap_or_default().limits();
     let is_first = AtomicBool::new(true);
+    let caller = Arc::new(CallerConnection::default());
     let service = service_fn(|request| {
-        let gateway = gateway.clone();
+        let (gateway, caller) = (gateway.clone(), caller.clone());
         if !is_first.swap(false, Ordering::Relaxed) {
             gateway.intake.record_request(gateway.clock.now());
         }
-        async move { Ok::<_, Infallible>(answer(gateway, request).await) }
+        let handling = answer(gateway, caller, request);
+        async move { Ok::<_, Infallible>(handling.await) }
     });
+    let stream = CallerStream::new(stream, caller.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.idle_time + IDLE_GRACE)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let ended = future::or(
-        async {
-            // The library answers malformed requests itself, and a caller
-            // that has closed the connection needs no response.
-            let _ = connection.as_mut().await;
-            true
-        },
-        async {
+    let serving = async {
+        let served = connection.as_mut();
+        let ended = future::or(async { Some(served.await) }, async {
             let _ = closing.recv().await;
-            false
-        },
-    )
-    .await;
-    if !ended {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
+            None
+        })
+        .await;
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        // The library answers malformed requests itself, and a caller that
+        // has closed the connection needs no response.
+        if let Err(error) = ended {
+            let reason = error.to_string();
+            caller.end().record(AnswerLoss::ClosedHere, &reason);
+        }
+    };
+    let cut = async {
+        gateway.cut().await;
+        caller.end().record(AnswerLoss::Stopped, "");
+    };
+    future::or(serving, cut).await;
 }
 
 /// Handles a request, and answers it also if that panics: the panic would end
 /// the task of the connection, and so close it without an answer.
 async fn answer(
     gateway: Arc<Gateway>,
+    caller: Arc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let id = headers::request_id(request.headers()).to_owned();
-    let handling = AssertUnwindSafe(handle(gateway.clone(), request));
+    let handling = AssertUnwindSafe(handle(gateway, caller, request));
     handling.catch_unwind().await.unwrap_or_else(|panic| {
         let reason = panic_message(&*panic);
         let line = json!({ "id": id, "reason": reason });
         Event::TaskFailed.record(fields(line));
         let error = Error::new(ErrorKind::Internal)
             .context("a bug in the router ended the request");
-        into_response(&gateway, error_reply(&id, &error), true)
+        let mut reply = error_reply(&id, &error);
+        let body = without_trace(std::mem::take(&mut reply.body));
+        closing_after(with_body(reply, body))
     })
 }
 
@@ -259,14 +277,17 @@
 
 async fn handle(
     gateway: Arc<Gateway>,
+    caller: Arc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     // By RFC 9112, a connection must be closed after a request with both
     // `Content-Length` and `Transfer-Encoding`. The library hides the former,
     // so every connection is closed after a chunked request.
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
+    let is_head_only = request.method() == Method::HEAD;
     let _in_flight = gateway.in_flight.enter();
-    let (reply, must_close) = match read_request(&gateway, request).await {
+    let read = read_request(&gateway, &caller, request).await;
+    let (answer, must_close) = match read {
         Ok((job, trace)) => (job.run(trace).await, false),
         Err(rejection) => *rejection,
     };
@@ -275,15 +296,20 @@
         || must_close
         || gateway.is_stopping()
         || gateway.intake.must_close_after_response(open);
-    into_response(&gateway, reply, must_close_after)
+    let response = into_response(&gateway, caller, answer, is_head_only);
+    match must_close_after {
+        true => closing_after(response),
+        false => response,
+    }
 }
 
 /// An error response, and whether the connection is closed after it.
-type Rejection = Box<(Reply, bool)>;
+type Rejection = Box<(Answer, bool)>;
 
 /// Reads a request and admits it, or returns the response that rejects it.
 async fn read_request(
     gateway: &Arc<Gateway>,
+    caller: &CallerConnection,
     request: Request<Incoming>,
 ) -> Result<(Job, Trace), Rejection> {
     let started_at = gateway.clock.now();
@@ -291,6 +317,7 @@
     let trace = |id: &str| {
         let clock = gateway.clock.clone();
         Trace::new(id, clock, gateway.metrics.clone())
+            .received(gateway.clone(), caller.end().clone())
     };
     let request = match headers::read_request(&head) {
         Ok(request) => request,
@@ -317,6 +344,7 @@
             return Err(Box::new((reply, true)));
         }
     };
+    trace.record_read();
     let route = admitted.route;
     let time =
         request.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.time_limit);
@@ -437,30 +465,62 @@
     read.unwrap_or_else(|| Err(incomplete("timed out".to_owned())))
 }
 
+/// Builds the response, whose request is logged once it is written.
 fn into_response(
-    gateway: &Arc<Gateway>,
-    reply: Reply,
-    must_close_after: bool,
+    gateway: &Gateway,
+    caller: Arc<CallerConnection>,
+    answer: Answer,
+    is_head_only: bool,
 ) -> Response<AnswerBody> {
-    let body = match reply.body {
-        ReplyBody::Whole(bytes) => Full::new(bytes)
-            .map_err(|never: Infallible| match never {})
-            .boxed_unsync(),
-        ReplyBody::Events(relay) => {
+    let (head, body) = match answer {
+        Answer::Whole(mut reply, trace) => {
+            let bytes = std::mem::take(&mut reply.body);
+            // The library never reads a body that it does not send.
+            let is_sent = !is_head_only
+                && !bytes.is_empty()
+                && reply.status != StatusCode::NO_CONTENT
+                && reply.status != StatusCode::NOT_MODIFIED;
+            let body = match is_sent {
+                true => WholeBody::new(bytes, trace, caller).boxed_unsync(),
+                false => {
+                    caller.record_buffered(trace);
+                    without_trace(bytes)
+                }
+            };
+            (reply, body)
+        }
+        Answer::Events(head, relay) if is_head_only => {
+            if let Some(trace) = relay.end_at_head() {
+                caller.record_buffered(trace);
+            }
+            (head, without_trace(Bytes::new()))
+        }
+        Answer::Events(head, relay) => {
             let guard = gateway.in_flight.enter();
-            let events = relay_events::into_body(relay, guard);
-            BodyExt::boxed_unsync(StreamBody::new(events))
+            let events = relay_events::into_body(relay, guard, caller);
+            (head, BodyExt::boxed_unsync(StreamBody::new(events)))
         }
     };
+    with_body(head, body)
+}
+
+fn with_body(head: Reply, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
-    *response.status_mut() = reply.status;
-    *response.headers_mut() = reply.headers;
-    if must_close_after {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
     response
 }
 
+/// Returns the response, after which the connection is closed.
+fn closing_after(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
+fn without_trace(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,8 @@
 //! platform, and the state that its tasks and listeners share.
 //!
 //! * [`settings`]: the settings of the VM.
+//! * [`trace`]: writes the line of each request.
+//! * [`caller_connection`]: what a connection has written, and why it ended.
 //! * [`upstream_signals`]: applies what upstreams report about themselves.
 //! * [`relays`]: counts the connections to upstreams for other VMs.
 //! * [`vm_registration`]: keeps the VMs registered in the store.
@@ -17,6 +19,7 @@
 
 use std::{
     collections::HashMap,
+    convert::Infallible,
     net::SocketAddr,
     sync::{
         Arc, Mutex, OnceLock,
@@ -26,6 +29,7 @@
 };
 
 use serde_json::{Map, Value, json};
+use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
     chains::store::StoreVersion,
@@ -71,6 +75,8 @@
 
 pub mod settings;
 
+pub(crate) mod answer_loss;
+pub(crate) mod caller_connection;
 pub(crate) mod engine_memory;
 pub(crate) mod forward;
 pub(crate) mod ingress;
@@ -179,6 +185,9 @@
     store_failed_at: Mutex<Option<BootInstant>>,
     is_stopping: AtomicBool,
     stop_ends_at: OnceLock<BootInstant>,
+    /// Closed when the connections of callers are cut off.
+    cut: (Sender<Infallible>, Receiver<Infallible>),
+    cut_requests: AtomicUsize,
     was_fresh: AtomicBool,
 }
 
@@ -240,6 +249,8 @@
             store_failed_at: Mutex::new(None),
             is_stopping: AtomicBool::new(false),
             stop_ends_at: OnceLock::new(),
+            cut: bounded(1),
+            cut_requests: AtomicUsize::new(0),
             was_fresh: AtomicBool::new(false),
             settings,
             clock,
@@ -265,6 +276,27 @@
         self.stop_ends_at.get().copied()
     }
 
+    /// Cuts off the connections of callers.
+    pub(crate) fn cut_connections(&self) {
+        self.cut.1.close();
+    }
+
+    /// Waits until the connections of callers are cut off.
+    pub(crate) async fn cut(&self) {
+        // Nothing is ever sent, so this returns once the channel is closed.
+        let _ = self.cut.1.recv().await;
+    }
+
+    /// Counts a request that is cut off; returns how many were before.
+    pub(crate) fn count_cut_request(&self) -> usize {
+        self.cut_requests.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns how many requests were cut off.
+    pub(crate) fn cut_requests(&self) -> usize {
+        self.cut_requests.load(Ordering::Relaxed)
+    }
+
     /// Whether this VM accepts requests.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -8,7 +8,7 @@
 //! accepted the rest, since it may still go on. If no upstream can continue,
 //! the response is aborted so that the caller cannot take it for complete.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_lite::{FutureExt, future};
@@ -16,12 +16,13 @@
 use crate::{
     clock::BootInstant,
     gateway::{
+        answer_loss::AnswerLoss,
+        caller_connection::CallerConnection,
         forward::{
-            Attempt, AttemptError, Job, NoAttempt, PendingHead, Reply,
-            ReplyBody, SILENCE_CHECK_INTERVAL, SendResult, UnknownCause,
-            silence_limit,
+            Answer, Attempt, AttemptError, Job, NoAttempt, PendingHead, Reply,
+            SILENCE_CHECK_INTERVAL, SendResult, UnknownCause, silence_limit,
         },
-        trace::{RequestEnd, Trace},
+        trace::{EndedTrace, RequestEnd, Trace},
     },
     http_client::Exchange,
     id::ModelId,
@@ -321,7 +322,7 @@
         let head = Reply {
             status: hyper::StatusCode::OK,
             headers,
-            body: ReplyBody::Whole(Bytes::new()),
+            body: Bytes::new(),
         };
         Ok(OpenedStream { source, head, first, last_event, ended })
     }
@@ -349,7 +350,7 @@
         }
         let status = hyper::StatusCode::from_u16(status)
             .unwrap_or(hyper::StatusCode::BAD_GATEWAY);
-        let body = ReplyBody::Whole(answer.body);
+        let body = answer.body;
         AttemptError::Failed(Box::new(Reply { status, headers, body }))
     }
 
@@ -377,7 +378,7 @@
 
 impl OpenedStream {
     /// Returns the response whose body relays the events as they arrive.
-    pub(crate) fn into_reply(self, job: Job, trace: Trace) -> Reply {
+    pub(crate) fn into_answer(self, job: Job, trace: Trace) -> Answer {
         let relay = EventRelay {
             job,
             trace: Some(trace),
@@ -388,8 +389,9 @@
             last_event: self.last_event,
             failure: String::new(),
             ended: self.ended,
+            ended_trace: None,
         };
-        Reply { body: ReplyBody::Events(Box::new(relay)), ..self.head }
+        Answer::Events(self.head, Box::new(relay))
     }
 }
 
@@ -412,6 +414,8 @@
     /// Why the last upstream that failed did.
     failure: String,
     ended: bool,
+    /// The trace, once all events have been read.
+    ended_trace: Option<EndedTrace>,
 }
 
 /// An upstream that was asked for the rest of a stream and has not accepted it.
@@ -526,11 +530,17 @@
             source.exchange.finish();
             if let Some(mut trace) = self.trace.take() {
                 trace.end_attempt_of(source.attempt.number, "answered", "");
-                trace.end(RequestEnd::Answered(200));
+                self.ended_trace = Some(trace.end(RequestEnd::Answered(200)));
             }
         }
     }
 
+    /// Ends a stream of which the caller has asked for the head alone.
+    pub(crate) fn end_at_head(mut self) -> Option<EndedTrace> {
+        let trace = self.trace.take();
+        trace.map(|trace| trace.end(RequestEnd::Answered(200)))
+    }
+
     /// Whether more may come from a silent upstream.
     fn may_wait(&self) -> bool {
         let now = self.job.gateway.clock.now();
@@ -671,30 +681,40 @@
             return Ok(false);
         }
         if let Some(trace) = self.trace.take() {
-            let reason = std::mem::take(&mut self.failure);
-            trace.end(RequestEnd::Aborted(reason));
+            let now = self.job.gateway.clock.now();
+            let loss = match self.job.time_left(now).is_zero() {
+                true => AnswerLoss::TimedOut,
+                false => AnswerLoss::StreamLost,
+            };
+            trace.lose(loss, std::mem::take(&mut self.failure));
         }
         Err(StreamAborted)
     }
 }
 
-/// Turns the relay into the body of an HTTP response. `guard` counts the
-/// request as in flight until the body ends.
+/// Turns the relay into the body of an HTTP response on this connection.
+/// `guard` counts the request as in flight until the body ends.
 pub(crate) fn into_body(
     relay: Box<EventRelay>,
     guard: crate::gateway::RequestGuard,
+    connection: Arc<CallerConnection>,
 ) -> impl futures_lite::Stream<
     Item = Result<hyper::body::Frame<Bytes>, StreamAborted>,
 > + Send {
-    let state = Some((relay, guard));
+    let state = Some((relay, guard, connection));
     futures_lite::stream::unfold(state, |state| async move {
-        let (mut relay, guard) = state?;
+        let (mut relay, guard, connection) = state?;
         match relay.next().await {
             Ok(Some(events)) => {
                 let frame = hyper::body::Frame::data(events);
-                Some((Ok(frame), Some((relay, guard))))
+                Some((Ok(frame), Some((relay, guard, connection))))
+            }
+            Ok(None) => {
+                if let Some(trace) = relay.ended_trace.take() {
+                    connection.record_buffered(trace);
+                }
+                None
             }
-            Ok(None) => None,
             Err(broken) => {
                 // If the error came in the same poll as the last events, the
                 // HTTP library would drop those events unsent.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -43,6 +43,9 @@
 /// exit.
 const FINAL_RESERVE: Duration = Duration::from_millis(700);
 
+/// Longest wait until the requests that are cut off are logged.
+const CUT_TIME: Duration = Duration::from_millis(100);
+
 /// Interval between two checks of the requests in flight.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -152,7 +155,12 @@
     {
         task::sleep(CHECK_INTERVAL).await;
     }
-    let cut = gateway.in_flight.count();
+    gateway.cut_connections();
+    let cut_by = gateway.clock.now() + CUT_TIME;
+    while gateway.connections.count() > 0 && gateway.clock.now() < cut_by {
+        task::sleep(CHECK_INTERVAL).await;
+    }
+    let cut = gateway.cut_requests().max(gateway.in_flight.count());
     let event = match cut {
         0 => Event::Stopped,
         _ => Event::StopCut,
--- a/src/gateway/slot_test_site.rs
+++ b/src/gateway/slot_test_site.rs
@@ -20,7 +20,7 @@
     clock::{BootInstant, SharedClock, SystemClock},
     gateway::{
         Gateway,
-        forward::{Job, Reply},
+        forward::{Answer, Job, Reply},
         request_head::RequestHead,
         settings::GatewaySettings,
         slot_coordinator,
@@ -406,7 +406,13 @@
 /// Forwards a request, and returns its response.
 pub(crate) async fn run(job: Job) -> Reply {
     let trace = trace(&job.gateway);
-    job.run(trace).await
+    match job.run(trace).await {
+        Answer::Whole(reply, trace) => {
+            trace.complete();
+            reply
+        }
+        Answer::Events(head, _) => head,
+    }
 }
 
 /// Returns how many decisions on slots a VM has counted like this.
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -1,8 +1,8 @@
 //! The trace of one request: what decided its route, its attempts and its end.
 //!
-//! A trace writes one log line when its request ends. If it is dropped before,
-//! the caller has closed the connection, or handling the request has panicked,
-//! and the line says so.
+//! A trace writes one log line: once the connection has taken the whole
+//! response, or when it is dropped before, with the reason why the request got
+//! no complete answer.
 
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
@@ -12,7 +12,10 @@
     clock::{BootInstant, SharedClock},
     crashes::subject::Subject,
     event::Event,
-    gateway::request_head::RequestHead,
+    gateway::{
+        Gateway, answer_loss::AnswerLoss, caller_connection::ConnectionEnd,
+        request_head::RequestHead,
+    },
     id::{ModelId, OrganisationId},
     metrics::{Metrics, OTHER},
     placing::{
@@ -32,6 +35,9 @@
 /// Maximum number of prompt segments in the line of a request.
 const MAX_SEGMENTS_LOGGED: usize = 16;
 
+/// Maximum number of lines of requests that the end of the process cuts off.
+const MAX_CUT_LOGGED: usize = 100;
+
 /// The position of an attempt in the trace of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AttemptNumber(usize);
@@ -103,12 +109,14 @@
     Answered(u16),
     /// With a response of the router: status, error code and reason.
     Rejected(u16, &'static str, String),
-    /// Its response was aborted, for this reason.
-    Aborted(String),
-    /// Its caller closed the connection.
-    CallerLeft,
-    /// Handling it panicked.
-    Panicked,
+    /// Without a complete answer: why, and what is known beyond that.
+    Lost(AnswerLoss, String),
+}
+
+/// Where a request has come from.
+struct Origin {
+    gateway: Arc<Gateway>,
+    connection_end: Arc<ConnectionEnd>,
 }
 
 /// Collects the trace of one request and logs it at its end.
@@ -138,9 +146,29 @@
     last_part_ms: Option<u64>,
     longest_pause_ms: u64,
     attempts: Vec<AttemptTrace>,
+    origin: Option<Origin>,
+    /// Whether the body of the request has been read.
+    is_read: bool,
+    /// How the request ended, and after which time, once its response is
+    /// decided.
+    end: Option<(RequestEnd, u64)>,
     is_written: bool,
 }
 
+/// The trace of a request whose response is decided but not written yet.
+/// Unless it is completed, its line says that the response was lost.
+#[must_use]
+pub(crate) struct EndedTrace(Box<Trace>);
+
+impl EndedTrace {
+    /// Logs the request, whose whole response the connection has taken.
+    pub(crate) fn complete(mut self) {
+        if let Some((end, passed_ms)) = self.0.end.take() {
+            self.0.write(end, passed_ms);
+        }
+    }
+}
+
 impl Trace {
     /// Begins the trace of the request with this id.
     pub(crate) fn new(
@@ -168,10 +196,29 @@
             last_part_ms: None,
             longest_pause_ms: 0,
             attempts: Vec::new(),
+            origin: None,
+            is_read: false,
+            end: None,
             is_written: false,
         }
     }
 
+    /// Says that the request has come to this VM, on a connection whose end
+    /// will be known there.
+    pub(crate) fn received(
+        mut self,
+        gateway: Arc<Gateway>,
+        connection_end: Arc<ConnectionEnd>,
+    ) -> Trace {
+        self.origin = Some(Origin { gateway, connection_end });
+        self
+    }
+
+    /// Records that the whole request has been read.
+    pub(crate) fn record_read(&mut self) {
+        self.is_read = true;
+    }
+
     /// Records the configuration in force and the age of its proof of
     /// freshness.
     pub(crate) fn record_configuration(
@@ -356,9 +403,52 @@
         self.last_part_ms = Some(elapsed_ms);
     }
 
-    /// Ends the trace and logs it.
-    pub(crate) fn end(mut self, end: RequestEnd) {
-        self.write(end);
+    /// Ends the trace, which is logged once the response is written.
+    pub(crate) fn end(mut self, end: RequestEnd) -> EndedTrace {
+        self.end = Some((end, self.elapsed_ms()));
+        EndedTrace(Box::new(self))
+    }
+
+    /// Logs that the request gets no complete answer.
+    pub(crate) fn lose(mut self, loss: AnswerLoss, reason: String) {
+        self.write_loss(loss, reason);
+    }
+
+    /// Returns what the request was waiting for.
+    fn phase(&self) -> &'static str {
+        let is_running = |attempt: &AttemptTrace| attempt.ended_ms.is_none();
+        if self.end.is_some() || self.first_part_ms.is_some() {
+            "answer"
+        } else if self.attempts.iter().any(is_running) {
+            "upstream"
+        } else if self.is_read {
+            "slot"
+        } else {
+            "request"
+        }
+    }
+
+    /// Returns for how long nothing has come from the upstream of the request,
+    /// if its answer is not whole.
+    fn upstream_silence_ms(&self) -> Option<u64> {
+        let asked_ms = self.attempts.last()?.began_ms;
+        let heard_ms = self.last_part_ms.unwrap_or(0).max(asked_ms);
+        let is_answered = self.end.is_some();
+        (!is_answered).then(|| self.elapsed_ms().saturating_sub(heard_ms))
+    }
+
+    /// Returns the version of the configuration that is in force by now, if
+    /// the request was judged by another one.
+    fn later_table(&self) -> Option<TableVersion> {
+        let origin = self.origin.as_ref()?;
+        let now = origin.gateway.knowledge.table()?.version();
+        (self.table? != now).then_some(now)
+    }
+
+    fn write_loss(&mut self, loss: AnswerLoss, reason: String) {
+        self.metrics.unanswered.with_label_values(&[loss.label()]).inc();
+        let passed_ms = self.elapsed_ms();
+        self.write(RequestEnd::Lost(loss, reason), passed_ms);
     }
 
     fn elapsed_ms(&self) -> u64 {
@@ -366,9 +456,16 @@
         now.saturating_duration_since(self.started_at).as_millis() as u64
     }
 
-    fn write(&mut self, end: RequestEnd) {
+    fn write(&mut self, end: RequestEnd, passed_ms: u64) {
         self.is_written = true;
-        self.update_metrics(&end);
+        self.update_metrics(&end, passed_ms);
+        let is_cut = matches!(end, RequestEnd::Lost(AnswerLoss::Stopped, _));
+        if is_cut
+            && let Some(origin) = &self.origin
+            && origin.gateway.count_cut_request() >= MAX_CUT_LOGGED
+        {
+            return;
+        }
         let mut fields = Map::new();
         fields.insert("id".into(), self.id.as_str().into());
         let mut put = |name: &str, value: Value| {
@@ -403,7 +500,7 @@
             put("first_model_net", json!(rounded(first)));
             put("smallest_model_net", json!(rounded(smallest)));
         }
-        put("passed_ms", json!(self.elapsed_ms()));
+        put("passed_ms", json!(passed_ms));
         put("first_part_ms", json!(self.first_part_ms));
         let pause_ms = Some(self.longest_pause_ms).filter(|ms| *ms > 0);
         put("longest_pause_ms", json!(pause_ms));
@@ -416,12 +513,23 @@
                 put("code", json!(code));
                 put("reason", json!(reason));
             }
-            RequestEnd::Aborted(reason) => {
-                put("code", json!("broken_off"));
+            RequestEnd::Lost(loss, reason) => {
+                put("code", json!(loss.label()));
+                let reason = Some(reason).filter(|text| !text.is_empty());
                 put("reason", json!(reason));
+                put("phase", json!(self.phase()));
+                put("upstream_silent_ms", json!(self.upstream_silence_ms()));
+                let later_table = self.later_table();
+                put("table_at_end", json!(later_table.map(|table| table.0)));
+                let lost = self.end.as_ref().map(|(end, _)| end);
+                if let Some(
+                    RequestEnd::Answered(status)
+                    | RequestEnd::Rejected(status, ..),
+                ) = lost
+                {
+                    put("status", json!(status));
+                }
             }
-            RequestEnd::CallerLeft => put("code", json!("caller_left")),
-            RequestEnd::Panicked => put("code", json!("internal")),
         }
         let event = match end {
             RequestEnd::Answered(_) => Event::RequestEnded,
@@ -430,13 +538,11 @@
         event.record(fields);
     }
 
-    fn update_metrics(&self, end: &RequestEnd) {
+    fn update_metrics(&self, end: &RequestEnd, passed_ms: u64) {
         let code = match end {
             RequestEnd::Answered(_) => "answered",
             RequestEnd::Rejected(_, code, _) => code,
-            RequestEnd::Aborted(_) => "broken_off",
-            RequestEnd::CallerLeft => "caller_left",
-            RequestEnd::Panicked => "internal",
+            RequestEnd::Lost(loss, _) => loss.label(),
         };
         let organisation = self.organisation.as_ref();
         let organisation = organisation.map_or(OTHER, |o| o.as_str());
@@ -444,8 +550,8 @@
         let labels = &[organisation, class];
         let metrics = &self.metrics;
         metrics.requests.with_label_values(&[organisation, class, code]).inc();
-        let elapsed_s = self.elapsed_ms() as f64 / 1000.0;
-        metrics.latency_s.with_label_values(labels).observe(elapsed_s);
+        let passed_s = passed_ms as f64 / 1000.0;
+        metrics.latency_s.with_label_values(labels).observe(passed_s);
         if let Some(first_part_ms) = self.first_part_ms {
             let first_part_s = first_part_ms as f64 / 1000.0;
             let metric = metrics.first_token_s.with_label_values(labels);
@@ -456,12 +562,16 @@
 
 impl Drop for Trace {
     fn drop(&mut self) {
-        if !self.is_written {
-            self.write(match thread::panicking() {
-                true => RequestEnd::Panicked,
-                false => RequestEnd::CallerLeft,
-            });
+        if self.is_written {
+            return;
         }
+        let origin = self.origin.as_ref();
+        let cause = match thread::panicking() {
+            true => Some((AnswerLoss::Panicked, String::new())),
+            false => origin.and_then(|origin| origin.connection_end.cause()),
+        };
+        let (loss, reason) = cause.unwrap_or_default();
+        self.write_loss(loss, reason);
     }
 }
 
@@ -541,3 +651,6 @@
 fn rounded(amount: f64) -> f64 {
     (amount * 1e6).round() / 1e6
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -37,6 +37,8 @@
     pub quality: HistogramVec,
     /// Requests, by organisation, class and answer code.
     pub requests: IntCounterVec,
+    /// Requests that were read and got no complete answer, by cause.
+    pub unanswered: IntCounterVec,
     /// Attempts at upstreams, by outcome.
     pub attempts: IntCounterVec,
     /// Retries before the platform that the retry budget allowed, by reason.
@@ -164,6 +166,11 @@
                 "Requests by answer code.",
                 &["organisation", "class", "code"],
             ),
+            unanswered: r.counters(
+                "lupinseam_unanswered_total",
+                "Requests before the platform whose connection ended without a complete answer, by cause: caller_left, broken_off, timed_out, cut_by_stop, write_failed, closed_here.",
+                &["cause"],
+            ),
             attempts: r.counters(
                 "lupinseam_attempts_total",
                 "Attempts at upstreams by outcome.",
@@ -394,6 +401,7 @@
         self.own_delay_s.with_label_values(&[""]);
         self.requests.with_label_values(&["", "", ""]);
         for family in [
+            &self.unanswered,
             &self.attempts,
             &self.retries,
             &self.cascade_decisions,
