Stops: answer requests that have no answer yet before the process ends

A caller whose request waited for a slot or for the response head of its upstream when the grace period of a stop ended got a closed connection: the process ended under it, although there was time left to answer.

At the end of the wait (0.7 s before the end of stop.grace_s, as before) requests without a response are answered now, and the connections have 0.2 s of that reserve until they are cut: 503 if no attempt was under way and none may have run, else 502 upstream_failed. An attempt counts as under way from before its first byte; one that only connects gives 502 too. The attempts run beside the signal in Job::run, so that every wait in them ends with it, and a response that is there in the same moment goes first. Streams that have begun go on until the cut.

Evidence: requests_at_a_silent_upstream_are_answered_before_the_process_ends failed before (left: (0, false), right: (502, true)) and passes; a_stop_waits_for_upstreams_until_shortly_before_its_end (an answer 0.8 s before the end of the grace period) passed before and passes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,7 +21,7 @@
     error::{Error, ErrorKind},
     gateway::{
         Gateway,
-        relay_events::EventRelay,
+        relay_events::{EventRelay, OpenedStream},
         request_head::{AttemptHead, RequestHead},
         slot_client::{GrantedUpstream, SlotTicket},
         trace::{AttemptNumber, EndedTrace, RequestEnd, Trace},
@@ -139,6 +139,9 @@
     pub(crate) sent: u32,
     /// Whether any upstream may have executed the request.
     pub(crate) may_have_run: bool,
+    /// Whether an attempt is under way of which it is not known yet whether
+    /// its upstream has executed the request.
+    pub(crate) is_sending: bool,
     /// What a crash under the request may be attributed to; computed on first
     /// use.
     pub(crate) subjects: OnceLock<Vec<Subject>>,
@@ -320,50 +323,74 @@
 }
 
 impl Job {
-    /// Forwards the request and returns the response for its caller.
+    /// Forwards the request and returns the response for its caller. If this
+    /// VM stops before an upstream answers, the response says so.
     pub(crate) async fn run(mut self, mut trace: Trace) -> Answer {
         self.gateway.count_request(&self.service);
+        let gateway = self.gateway.clone();
+        let forwarding = async { Some(self.forward(&mut trace).await) };
+        let stopping = async {
+            gateway.answers_due().await;
+            None
+        };
+        match forwarding.or(stopping).await {
+            Some(Outcome::Whole(reply)) => {
+                let end = RequestEnd::Answered(reply.status.as_u16());
+                Answer::Whole(reply, trace.end(end))
+            }
+            Some(Outcome::Opened(opened)) => opened.into_answer(self, trace),
+            Some(Outcome::Rejected(error)) => self.reject_with(trace, error),
+            Some(Outcome::Failed(failure)) => self.fail(failure, trace),
+            None => {
+                self.may_have_run |= self.is_sending;
+                self.reject_with(trace, stops_first())
+            }
+        }
+    }
+
+    /// Makes attempts until one gives a response, or none may be made.
+    async fn forward(&mut self, trace: &mut Trace) -> Outcome {
         loop {
+            if self.gateway.are_answers_due() {
+                return Outcome::Rejected(stops_first());
+            }
             let now = self.gateway.clock.now();
             if self.time_left(now) < MIN_TIME_LEFT {
-                return self.reject(trace, ErrorKind::DeadlineExceeded, "");
+                let error = Error::new(ErrorKind::DeadlineExceeded);
+                return Outcome::Rejected(error.context(String::new()));
             }
-            let granted = match self.acquire_slot(&mut trace).await {
+            let granted = match self.acquire_slot(trace).await {
                 Ok(granted) => granted,
-                Err(error) => return self.reject_with(trace, error),
+                Err(error) => return Outcome::Rejected(error),
             };
             // The request may have waited for a slot, which is released with
             // the grant.
             if let Err(error) = self.check_time_to_send() {
-                return self.reject_with(trace, error);
+                return Outcome::Rejected(error);
             }
             let began = match granted {
-                Some(granted) => self.begin_granted(granted, &mut trace),
-                None => self.begin_own_or_permitted(&mut trace).await,
+                Some(granted) => self.begin_granted(granted, trace),
+                None => self.begin_own_or_permitted(trace).await,
             };
             let attempt = match began {
                 Ok(attempt) => attempt,
-                Err(error) => return self.reject_with(trace, error),
+                Err(error) => return Outcome::Rejected(error),
             };
             let error = match self.route.is_stream {
-                true => match self.fetch_stream(attempt, &mut trace).await {
-                    Ok(opened) => return opened.into_answer(self, trace),
+                true => match self.fetch_stream(attempt, trace).await {
+                    Ok(opened) => return Outcome::Opened(Box::new(opened)),
                     Err(error) => error,
                 },
-                false => match self.fetch_whole(&attempt, &mut trace).await {
-                    Ok(reply) => {
-                        let status = reply.status.as_u16();
-                        let trace = trace.end(RequestEnd::Answered(status));
-                        return Answer::Whole(reply, trace);
-                    }
+                false => match self.fetch_whole(&attempt, trace).await {
+                    Ok(reply) => return Outcome::Whole(reply),
                     Err(error) => {
                         self.record_error(&attempt, &error);
                         error
                     }
                 },
             };
-            if let Err(failure) = self.prepare_retry(error, &mut trace) {
-                return self.fail(failure, trace);
+            if let Err(failure) = self.prepare_retry(error, trace) {
+                return Outcome::Failed(failure);
             }
         }
     }
@@ -796,8 +823,11 @@
         trace: &mut Trace,
     ) -> Result<(Exchange, ResponseHead), AttemptError> {
         let mut pending = self.begin_send(attempt, resume_after, max_wait);
+        self.is_sending = true;
         let sent = pending.wait(self).await;
-        self.receive_head(attempt, sent, trace)
+        let received = self.receive_head(attempt, sent, trace);
+        self.is_sending = false;
+        received
     }
 
     /// Begins to send an attempt. After `max_wait` without a response head,
@@ -1258,6 +1288,20 @@
     max_silence.mul_f64(wait_factor) + prefill.min(MAX_PREFILL_PATIENCE)
 }
 
+/// Returns the error for a request whose VM stops before it has an answer.
+fn stops_first() -> Error {
+    Error::new(ErrorKind::NotReady)
+        .context("this VM stops before an upstream has answered")
+}
+
+/// What came of forwarding a request.
+enum Outcome {
+    Whole(Reply),
+    Opened(Box<OpenedStream>),
+    Rejected(Error),
+    Failed(FinalFailure),
+}
+
 /// How a request fails when no further attempt is made.
 enum FinalFailure {
     NotRun(String),
@@ -1304,3 +1348,6 @@
         body: Bytes::from(body),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -365,6 +365,7 @@
         tried: Vec::new(),
         sent: 0,
         may_have_run: false,
+        is_sending: false,
         subjects: OnceLock::new(),
     };
     if leaves_choice && let Some(first) = job.first_model(started_at) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -185,6 +185,9 @@
     store_failed_at: Mutex<Option<BootInstant>>,
     is_stopping: AtomicBool,
     stop_ends_at: OnceLock<BootInstant>,
+    /// Closed when requests that wait for an upstream are answered, in a
+    /// graceful shutdown.
+    answers_due: (Sender<Infallible>, Receiver<Infallible>),
     /// Closed when the connections of callers are cut off.
     cut: (Sender<Infallible>, Receiver<Infallible>),
     cut_requests: AtomicUsize,
@@ -249,6 +252,7 @@
             store_failed_at: Mutex::new(None),
             is_stopping: AtomicBool::new(false),
             stop_ends_at: OnceLock::new(),
+            answers_due: bounded(1),
             cut: bounded(1),
             cut_requests: AtomicUsize::new(0),
             was_fresh: AtomicBool::new(false),
@@ -276,6 +280,23 @@
         self.stop_ends_at.get().copied()
     }
 
+    /// Has all requests answered that wait for an upstream.
+    pub(crate) fn answer_waiting_requests(&self) {
+        self.answers_due.1.close();
+    }
+
+    /// Whether requests are no longer sent to upstreams, since this VM stops.
+    pub(crate) fn are_answers_due(&self) -> bool {
+        self.answers_due.1.is_closed()
+    }
+
+    /// Waits until a request that waits for an upstream has to be answered
+    /// since this VM stops.
+    pub(crate) async fn answers_due(&self) {
+        // Nothing is ever sent, so this returns once the channel is closed.
+        let _ = self.answers_due.1.recv().await;
+    }
+
     /// Cuts off the connections of callers.
     pub(crate) fn cut_connections(&self) {
         self.cut.1.close();
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -20,7 +20,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::{
-    clock::SystemClock,
+    clock::{BootInstant, SystemClock},
     crashes::persistence,
     event::Event,
     gateway::{
@@ -43,6 +43,10 @@
 /// exit.
 const FINAL_RESERVE: Duration = Duration::from_millis(700);
 
+/// Time in which requests that have no answer yet are answered before the
+/// connections of callers are cut off; part of the reserve.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Longest wait until the requests that are cut off are logged.
 const CUT_TIME: Duration = Duration::from_millis(100);
 
@@ -150,16 +154,13 @@
     // another VM.
     callers.cancel().await;
     close.close();
-    while (gateway.connections.count() > 0 || gateway.relays.close() > 0)
-        && gateway.clock.now() < ends_at
-    {
-        task::sleep(CHECK_INTERVAL).await;
-    }
+    wait_for_connections(gateway, ends_at).await;
+    gateway.answer_waiting_requests();
+    let now = gateway.clock.now();
+    wait_for_connections(gateway, now + ANSWER_TIME).await;
     gateway.cut_connections();
-    let cut_by = gateway.clock.now() + CUT_TIME;
-    while gateway.connections.count() > 0 && gateway.clock.now() < cut_by {
-        task::sleep(CHECK_INTERVAL).await;
-    }
+    let now = gateway.clock.now();
+    wait_for_connections(gateway, now + CUT_TIME).await;
     let cut = gateway.cut_requests().max(gateway.in_flight.count());
     let event = match cut {
         0 => Event::Stopped,
@@ -174,6 +175,16 @@
     task::sleep(CHECK_INTERVAL).await;
 }
 
+/// Waits until all connections of callers, and then those for other VMs, are
+/// closed, until a time.
+async fn wait_for_connections(gateway: &Gateway, until: BootInstant) {
+    while (gateway.connections.count() > 0 || gateway.relays.close() > 0)
+        && gateway.clock.now() < until
+    {
+        task::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Serves the readiness check of the platform and the metrics.
 async fn serve_status(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
--- a/src/gateway/slot_test_site.rs
+++ b/src/gateway/slot_test_site.rs
@@ -394,6 +394,7 @@
         tried: Vec::new(),
         sent: 0,
         may_have_run: false,
+        is_sending: false,
         subjects: OnceLock::new(),
     }
 }
