Requests: take back the later decision on silent upstreams

Reverts the change of the code in (whether another upstream can be asked is decided when a silent one would be given up).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -227,8 +227,11 @@
     sending: Pin<Box<dyn Future<Output = SendResult> + Send>>,
     member: Arc<Member>,
     since: BootInstant,
-    /// Wait after which another upstream is asked, if one can be.
-    max_wait: Duration,
+    /// Silence after which the upstream is given up; `None` if no other one
+    /// could be asked.
+    max_silence: Option<Duration>,
+    /// Longest wait since `since`.
+    limit: Duration,
 }
 
 pub(crate) type SendResult = Result<Exchange, SendError>;
@@ -237,8 +240,13 @@
     /// Waits for the head; returns `None` if the upstream is given up before.
     pub(crate) async fn wait(&mut self, job: &Job) -> Option<SendResult> {
         let silent = async {
-            job.wait_for_silence(&self.member, self.since, self.max_wait)
-                .await;
+            job.wait_for_silence(
+                &self.member,
+                self.since,
+                self.max_silence,
+                self.limit,
+            )
+            .await;
             None
         };
         let answered = async { Some(self.sending.as_mut().await) };
@@ -819,10 +827,10 @@
         &mut self,
         attempt: &Attempt,
         resume_after: Option<u64>,
-        max_wait: Duration,
+        limit: Duration,
         trace: &mut Trace,
     ) -> Result<(Exchange, ResponseHead), AttemptError> {
-        let mut pending = self.begin_send(attempt, resume_after, max_wait);
+        let mut pending = self.begin_send(attempt, resume_after, limit);
         self.is_sending = true;
         let sent = pending.wait(self).await;
         let received = self.receive_head(attempt, sent, trace);
@@ -830,13 +838,13 @@
         received
     }
 
-    /// Begins to send an attempt. After `max_wait` without a response head,
-    /// another upstream is asked if one can be.
+    /// Begins to send an attempt whose response head is waited for at most
+    /// `limit`.
     pub(crate) fn begin_send(
         &self,
         attempt: &Attempt,
         resume_after: Option<u64>,
-        max_wait: Duration,
+        limit: Duration,
     ) -> PendingHead {
         let reuse = match self.route.repeat {
             Repeat::Any => Reuse::Pooled,
@@ -850,7 +858,8 @@
             sending: Box::pin(async move { http.send(call, reuse).await }),
             member: attempt.member.clone(),
             since: attempt.began_at,
-            max_wait,
+            max_silence: self.can_replace_attempt().then_some(SILENCE_TIMEOUT),
+            limit,
         }
     }
 
@@ -929,40 +938,33 @@
         rollouts.record_sent(&self.service, software, &self.route.name);
     }
 
-    /// Waits until the response of an upstream, awaited since `since`, is
-    /// given up: at the deadline, when the upstream has been replaced by a
-    /// later incarnation, or after `max_wait` or a long silence, as soon as
-    /// another upstream can be asked. While the upstream is busy with long
-    /// prefills, the allowed silence is longer.
-    ///
-    /// Whether another one can be asked is checked then: the retry budget may
-    /// have been spent since the request was sent, and the response may still
-    /// arrive.
+    /// Waits until `limit` has passed since `since`, until the upstream has
+    /// been replaced by a later incarnation, or until it has been silent for
+    /// `max_silence`. While the upstream is busy with long prefills, the
+    /// allowed silence is longer. Without `max_silence`, silence does not end
+    /// the wait.
     pub(crate) async fn wait_for_silence(
         &self,
         member: &Member,
         since: BootInstant,
-        max_wait: Duration,
+        max_silence: Option<Duration>,
+        limit: Duration,
     ) {
-        let pool = &self.gateway.pool;
+        let gateway = &self.gateway;
         loop {
-            let now = self.gateway.clock.now();
-            let left = self.time_left(now);
-            if left.is_zero() || member.is_superseded() {
+            let now = gateway.clock.now();
+            let waited = now.saturating_duration_since(since);
+            if waited >= limit || member.is_superseded() {
                 return;
             }
-            let waited = now.saturating_duration_since(since);
-            let max_silence = silence_limit(member, SILENCE_TIMEOUT, now);
-            let is_overdue = waited >= max_wait
-                || pool.seems_dead(member, waited, max_silence, now);
-            if is_overdue && self.can_replace_attempt(now) {
+            let is_dead = max_silence.is_some_and(|max_silence| {
+                let max_silence = silence_limit(member, max_silence, now);
+                gateway.pool.seems_dead(member, waited, max_silence, now)
+            });
+            if is_dead {
                 return;
             }
-            let wait = match max_wait.saturating_sub(waited) {
-                Duration::ZERO => SILENCE_CHECK_INTERVAL,
-                wait => wait.min(SILENCE_CHECK_INTERVAL),
-            };
-            task::sleep(wait.min(left)).await;
+            task::sleep((limit - waited).min(SILENCE_CHECK_INTERVAL)).await;
         }
     }
 
@@ -977,8 +979,8 @@
                 .mul_f64(attempt.member.wait_factor(attempt.began_at));
         let max_wait =
             self.route.latency_target.mul_f64(RETRY_AIM_FRACTION) + queue_wait;
-        let sent = self.send(attempt, None, max_wait, trace).await?;
-        let (mut exchange, _) = sent;
+        let limit = self.attempt_timeout(attempt, max_wait);
+        let (mut exchange, _) = self.send(attempt, None, limit, trace).await?;
         exchange.allow_end_at_close();
         let is_framed = exchange.is_framed();
         let headers = headers::response_headers(&exchange.headers);
@@ -1036,13 +1038,27 @@
     }
 
     /// Returns how long to wait for the response head of a stream before
-    /// another upstream is asked, if one can be: a response can get lost
-    /// although the upstream is healthy.
+    /// another upstream is asked, since a response can get lost although the
+    /// upstream is healthy. If no other can be asked, it is all the time left.
     pub(crate) fn head_timeout(&self, attempt: &Attempt) -> Duration {
         let busy = attempt.max_prefill_before + attempt.expected_prefill;
         let max_wait = MIN_HEAD_TIMEOUT + busy.mul_f64(HEAD_TIMEOUT_FACTOR);
         let wait_factor = attempt.member.wait_factor(attempt.began_at);
-        max_wait.mul_f64(wait_factor)
+        self.attempt_timeout(attempt, max_wait.mul_f64(wait_factor))
+    }
+
+    /// Returns how long to wait for the response of an attempt: `max_wait` if
+    /// another attempt could replace it, else all the time left.
+    fn attempt_timeout(
+        &self,
+        attempt: &Attempt,
+        max_wait: Duration,
+    ) -> Duration {
+        let left = self.time_left(attempt.began_at);
+        match self.can_replace_attempt() {
+            true => max_wait.min(left),
+            false => left,
+        }
     }
 
     /// Returns how long to wait for the rest of a response whose head has
@@ -1059,12 +1075,12 @@
         patience.max(left.div_f64(2.0)).min(left)
     }
 
-    /// Whether another upstream can be asked now in place of the current one.
-    fn can_replace_attempt(&self, now: BootInstant) -> bool {
+    /// Whether another attempt could be made if the current one failed.
+    pub(crate) fn can_replace_attempt(&self) -> bool {
         self.route.repeat == Repeat::Any
             && self.sent + 1 < self.route.attempts
             && self.gateway.can_retry(&self.service)
-            && self.can_pick_other(now)
+            && self.has_other_upstream()
     }
 
     /// Whether an available upstream has not been tried yet. Without one,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -169,6 +169,7 @@
     pub(crate) in_flight: InFlightCount,
     /// The open connections of callers.
     pub(crate) connections: InFlightCount,
+    /// The open connections to upstreams for other VMs.
     pub(crate) relays: Relays,
     pub(crate) intake: IntakeControl,
     /// The snapshots that are being fetched from other VMs.
--- a/src/gateway/relay_events.rs
+++ b/src/gateway/relay_events.rs
@@ -243,8 +243,8 @@
         attempt: Attempt,
         trace: &mut Trace,
     ) -> Result<OpenedStream, AttemptError> {
-        let max_wait = self.head_timeout(&attempt);
-        let sent = self.send(&attempt, None, max_wait, trace).await;
+        let limit = self.head_timeout(&attempt);
+        let sent = self.send(&attempt, None, limit, trace).await;
         let (exchange, head) = match sent {
             Ok(sent) => sent,
             Err(error) => {
@@ -624,8 +624,8 @@
             self.keep_version();
             return Ok(false);
         }
-        let max_wait = self.job.head_timeout(&attempt);
-        let head = self.job.begin_send(&attempt, self.last_event, max_wait);
+        let limit = self.job.head_timeout(&attempt);
+        let head = self.job.begin_send(&attempt, self.last_event, limit);
         self.successor = Some(Successor { attempt, head });
         Ok(true)
     }
