Store sync: say how old a VM's copy is when it learns or chooses

A request that reaches an upstream after it has left may have been sent by a VM that learned late, by one that was told otherwise by a later write, or in time. No line told these apart: proof_age_ms is of the configuration alone, and is renewed by VMs that know of other changes.

Two metrics have the age, and the age when changes are learned. No decision depends on it.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -609,7 +609,9 @@
         now: BootInstant,
     ) -> Attempt {
         let model = self.model.clone();
-        let number = trace.begin_attempt(&member, model.clone(), now);
+        let copy_age = self.gateway.knowledge.copy_age(now);
+        let number =
+            trace.begin_attempt(&member, model.clone(), copy_age, now);
         trace.record_version(version);
         self.tried.push(member.upstream.short_hash);
         let session = self.begin_session(&member.entry.software, now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -466,11 +466,32 @@
         if applied.begins_era {
             self.begin_store_era(applied.held);
         }
+        if !applied.updates.is_empty()
+            && let Some(age) = self.knowledge.copy_age(self.clock.now())
+        {
+            let ages = &self.metrics.change_age_s;
+            let ages = ages.with_label_values(&[by.label()]);
+            ages.observe(age.as_secs_f64());
+        }
         for update in applied.updates {
             self.apply_update(update, by);
         }
     }
 
+    /// Adds to the fields of a log line on a change in the store how this VM
+    /// has learned of it, up to which version of the store its copy is
+    /// complete, and within what time the change was made.
+    fn change_fields(&self, by: LearnedBy, line: Value) -> Map<String, Value> {
+        let age = self.knowledge.copy_age(self.clock.now());
+        let mut line = fields(line);
+        line.insert("learned_by".into(), by.label().into());
+        let as_of = self.knowledge.as_of().version.0;
+        line.insert("as_of".into(), as_of.into());
+        let age_ms = age.map(|age| age.as_millis() as u64);
+        line.insert("copy_age_ms".into(), age_ms.into());
+        line
+    }
+
     /// Applies the updates of an older copy of the store that are due.
     pub(crate) fn apply_due_updates(&self) {
         let applied = self.knowledge.take_due(self.clock.now());
@@ -518,24 +539,28 @@
                 let warm_ups = table.warm_ups();
                 if self.knowledge.install(table) {
                     self.pool.set_warm_ups(warm_ups);
-                    Event::ConfigurationInForce.record(fields(json!({
-                        "table": version.0,
-                        "routes": routes,
-                        "learned_by": by.label(),
-                    })));
+                    Event::ConfigurationInForce.record(self.change_fields(
+                        by,
+                        json!({
+                            "table": version.0,
+                            "routes": routes,
+                        }),
+                    ));
                 }
             }
             StoreUpdate::Upstream(entry) => {
-                Event::UpstreamListed.record(fields(json!({
-                    "upstream": entry.id,
-                    "service": entry.service,
-                    "software": entry.software,
-                    "leaving": entry.state == UpstreamState::Leaving,
-                    "cold_ms": entry.warm_up_left.as_millis() as u64,
-                    "started": entry.started,
-                    "begins": self.pool.set(entry.clone(), now),
-                    "learned_by": by.label(),
-                })));
+                Event::UpstreamListed.record(self.change_fields(
+                    by,
+                    json!({
+                        "upstream": entry.id,
+                        "service": entry.service,
+                        "software": entry.software,
+                        "leaving": entry.state == UpstreamState::Leaving,
+                        "cold_ms": entry.warm_up_left.as_millis() as u64,
+                        "started": entry.started,
+                        "begins": self.pool.set(entry.clone(), now),
+                    }),
+                ));
             }
             // An entry that cannot be read gives no address to send to,
             // whoever wrote it. Requests in flight run to their end.
@@ -544,11 +569,13 @@
             }
             StoreUpdate::UpstreamGone(id) => {
                 let is_sure = self.is_store_healthy(now);
-                Event::UpstreamGone.record(fields(json!({
-                    "upstream": id,
-                    "sure": is_sure,
-                    "learned_by": by.label(),
-                })));
+                Event::UpstreamGone.record(self.change_fields(
+                    by,
+                    json!({
+                        "upstream": id,
+                        "sure": is_sure,
+                    }),
+                ));
                 self.pool.remove(&id, is_sure, now);
             }
             StoreUpdate::RolloutOrdered(service, order) => {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -223,7 +223,11 @@
             let limit = gateway.intake.limit();
             let limit = limit.map_or(-1, |(rate_per_s, _)| rate_per_s as i64);
             gateway.metrics.connection_limit.set(limit);
-            let uneven = gateway.pool.uneven_count(gateway.clock.now());
+            let now = gateway.clock.now();
+            let age = gateway.knowledge.copy_age(now);
+            let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+            gateway.metrics.copy_age_ms.set(age_ms);
+            let uneven = gateway.pool.uneven_count(now);
             gateway.metrics.upstreams_uneven.set(uneven as i64);
             let changed = gateway.pool.take_choices_changed_by_pauses();
             gateway.metrics.choices_changed_by_pauses.inc_by(changed);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -52,6 +52,8 @@
     model: Option<ModelId>,
     requests_there: u32,
     prefill_there_ms: u64,
+    /// Age of the copy of the store by which the upstream was chosen.
+    copy_age: Option<Duration>,
     /// How slow the upstream was taken to be, in percent of the others.
     slowness_percent: u32,
     began_ms: u64,
@@ -289,6 +291,7 @@
         &mut self,
         member: &Member,
         model: Option<ModelId>,
+        copy_age: Option<Duration>,
         now: BootInstant,
     ) -> AttemptNumber {
         let number = AttemptNumber(self.attempts.len());
@@ -299,6 +302,7 @@
             model,
             requests_there: member.requests(now),
             prefill_there_ms: member.prefill_backlog(now).as_millis() as u64,
+            copy_age,
             slowness_percent: (member.slowness(now) * 100.0).round() as u32,
             began_ms: self.elapsed_ms(),
             ended_ms: None,
@@ -594,6 +598,10 @@
         fields.insert("requests_there".into(), self.requests_there.into());
         let prefill_ms = self.prefill_there_ms;
         fields.insert("reading_there_ms".into(), prefill_ms.into());
+        if let Some(age) = self.copy_age {
+            let age_ms = age.as_millis() as u64;
+            fields.insert("copy_age_ms".into(), age_ms.into());
+        }
         if self.slowness_percent != 100 {
             fields.insert("slowness".into(), self.slowness_percent.into());
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -17,6 +17,9 @@
     12.0, 30.0, 60.0, 120.0,
 ];
 
+const AGE_BUCKETS_S: &[f64] =
+    &[0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.2, 1.4, 1.6, 1.8, 2.0, 2.5, 3.0, 5.0];
+
 const COST_BUCKETS: &[f64] =
     &[1e-5, 1e-4, 3e-4, 1e-3, 3e-3, 1e-2, 3e-2, 0.1, 0.3, 1.0];
 
@@ -72,6 +75,11 @@
     /// Age of the last proof that the configuration is current; -1 without
     /// one.
     pub configuration_age_ms: IntGauge,
+    /// Age of the last proof that this VM's copy of the platform's store is
+    /// current; -1 without one.
+    pub copy_age_ms: IntGauge,
+    /// This age when this VM learned of a change, by how it did.
+    pub change_age_s: HistogramVec,
     /// Age of the platform's list of VMs; -1 without one.
     pub list_age_ms: IntGauge,
     /// Requests in flight.
@@ -249,6 +257,19 @@
                 "Age of the last proof that the configuration is current; \
                  -1 without one.",
             ),
+            copy_age_ms: r.gauge(
+                "lupinseam_copy_age_milliseconds",
+                "Age of the last proof that this VM's copy of the platform's \
+                 store is current; -1 without one.",
+            ),
+            change_age_s: r.histogram(
+                "lupinseam_change_age_seconds",
+                "Age of this VM's copy of the platform's store when it \
+                 learned of changes, by how it did: watch, poll, read, push, \
+                 snapshot.",
+                &["learned_by"],
+                AGE_BUCKETS_S,
+            ),
             list_age_ms: r.gauge(
                 "lupinseam_list_age_milliseconds",
                 "Age of the platform's list of VMs; -1 without one.",
@@ -399,6 +420,7 @@
         }
         self.slot_wait_s.with_label_values(&[""]);
         self.own_delay_s.with_label_values(&[""]);
+        self.change_age_s.with_label_values(&[""]);
         self.requests.with_label_values(&["", "", ""]);
         for family in [
             &self.unanswered,
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -146,12 +146,20 @@
     pub held: usize,
 }
 
+/// Latest times at which a copy of the store was proven current.
+#[derive(Clone, Copy, Debug, Default)]
+struct Proofs {
+    /// For the configuration.
+    configuration: Option<BootInstant>,
+    /// For all keys.
+    copy: Option<BootInstant>,
+}
+
 /// This VM's copy of the platform's store.
 #[derive(Debug, Default)]
 pub struct Knowledge {
     table: RwLock<Option<Arc<RouteTable>>>,
-    /// Latest time at which this copy was proven current.
-    proven_at: Mutex<Option<BootInstant>>,
+    proofs: Mutex<Proofs>,
     mirror: Mutex<Mirror>,
     /// Cached packed snapshot, with the digest that it was made from.
     packed: Mutex<Option<(u64, Arc<[u8]>)>>,
@@ -185,17 +193,34 @@
     /// Records that this copy was current at `at`; an earlier time than the
     /// latest one recorded has no effect.
     pub fn prove(&self, at: BootInstant) {
-        let mut proven_at = self.proven_at.lock().expect("proof lock");
-        *proven_at = Some(proven_at.map_or(at, |current| current.max(at)));
+        let mut proofs = self.proofs.lock().expect("proof lock");
+        proofs.copy = proofs.copy.max(Some(at));
+        proofs.configuration = proofs.configuration.max(Some(at));
+    }
+
+    /// Records that the configuration was current at `at`, like
+    /// [`Knowledge::prove`].
+    pub fn prove_configuration(&self, at: BootInstant) {
+        let mut proofs = self.proofs.lock().expect("proof lock");
+        proofs.configuration = proofs.configuration.max(Some(at));
     }
 
-    /// Returns the time since this copy was last proven current, or `None` if
-    /// it never was.
+    /// Returns the time since the configuration was last proven current, or
+    /// `None` if it never was.
     pub fn proof_age(&self, now: BootInstant) -> Option<Duration> {
-        let proven_at = *self.proven_at.lock().expect("proof lock");
+        let proofs = *self.proofs.lock().expect("proof lock");
+        let proven_at = proofs.configuration;
         proven_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// Returns the time since all of this copy was last proven current, or
+    /// `None` if it never was. A change that this VM does not know of was
+    /// made within this time.
+    pub fn copy_age(&self, now: BootInstant) -> Option<Duration> {
+        let proofs = *self.proofs.lock().expect("proof lock");
+        proofs.copy.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns the position of the store up to which every change is known.
     pub fn as_of(&self) -> StorePosition {
         self.mirror.lock().expect("mirror lock").as_of()
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -781,7 +781,7 @@
             && knowledge.table_version()
                 == Some(TableVersion(heartbeat.configuration_version))
         {
-            knowledge.prove(proven_at);
+            knowledge.prove_configuration(proven_at);
         }
         let table = knowledge.table_version().unwrap_or_default();
         let is_ahead = heartbeat.digest != knowledge.digest()
