--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -7,7 +7,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -87,6 +87,8 @@
     pub address: SocketAddr,
     content: Arc<(Mutex<Content>, Condvar)>,
     is_rejecting: Arc<AtomicBool>,
+    /// Number of watches that were asked for at this address.
+    watches: Arc<AtomicUsize>,
 }
 
 impl PlatformStore {
@@ -114,8 +116,12 @@
             .expect("a loopback port can be bound");
         let address =
             listener.local_addr().expect("a bound listener has an address");
-        let is_rejecting = Arc::default();
-        let store = PlatformStore { address, content, is_rejecting };
+        let store = PlatformStore {
+            address,
+            content,
+            is_rejecting: Arc::default(),
+            watches: Arc::default(),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -219,6 +225,11 @@
         self.content.1.notify_all();
     }
 
+    /// Returns how often this address was asked for changes.
+    pub fn watches(&self) -> usize {
+        self.watches.load(Ordering::Relaxed)
+    }
+
     /// Returns the path and query of each call, in order of arrival.
     pub fn calls(&self) -> Vec<String> {
         self.content.0.lock().unwrap().calls.clone()
@@ -265,7 +276,10 @@
         let (status, body) = match path {
             "/lupinseam/kv-key" => self.key(request),
             "/lupinseam/kv-range" => self.range(request),
-            "/lupinseam/kv-watch" => self.watch(request),
+            "/lupinseam/kv-watch" => {
+                self.watches.fetch_add(1, Ordering::Relaxed);
+                self.watch(request)
+            }
             "/lupinseam/kv-txn" => self.transact(request),
             "/lupinseam/kv-lease" => {
                 (200, json!({"lease_id": 7, "ttl_ms": 600_000}))
