Store sync: one bound for the age of a VM's copy of the store

Callers' requests ran at upstreams for up to 2.5 s after the store had taken that they leave, and on routes for up to 2.1 s after they were dropped, where operators state 2 s for both.

A few VMs follow the store and tell the others. If they were lost at the moment of a change, the others went by what they had been told until a constant of their own ran out: 2.6 s after the last agreement with a watcher, or when the proof of the configuration was 2.3 to 2.8 s old, fractions of the time for revoked keys. None knew of the shorter bounds, and the proof was renewed by VMs that knew of other changes, as long as the configuration was the same.

Now there is one question, how long ago all of a VM's copy was proven current, whoever proved it, and one answer: StalenessBound, from the strictest of the times that operators state (changes.apply_ms, changes.drain_ms, 2 s by default, and keys.revoke_ms). A heartbeat proves a copy only if it has every change that the sender's had. The first VM of a data hall renews its proof at 0.35 to 0.45 of the bound and tells the others at once; each next one waits a little longer in case it does, none beyond 0.7. What freshness counted besides is gone, but for a poll that was asked for and a VM that is known to be behind (CatchUp).

--- a/src/crashes/persistence.rs
+++ b/src/crashes/persistence.rs
@@ -67,7 +67,7 @@
     if !gateway.crashes.has_quarantined() {
         return Vec::new();
     }
-    let own_proof = gateway.knowledge.proof_age(now);
+    let own_proof = gateway.knowledge.copy_age(now);
     if !gateway.peers.is_steward(own_proof, now) {
         return Vec::new();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -343,12 +343,8 @@
             return WatchRole::Watch;
         }
         let now = self.clock.now();
-        let proof_age = self.knowledge.proof_age(now);
-        self.peers.watch_role(
-            proof_age,
-            self.settings.key_revocation_limit,
-            now,
-        )
+        let copy_age = self.knowledge.copy_age(now);
+        self.peers.watch_role(copy_age, self.settings.staleness_bound, now)
     }
 
     /// Whether the proof of freshness is recent enough to accept keys.
--- a/src/gateway/rollout_status.rs
+++ b/src/gateway/rollout_status.rs
@@ -85,7 +85,7 @@
     gateway: &Gateway,
     now: BootInstant,
 ) -> Vec<PendingStatus> {
-    let own_proof = gateway.knowledge.proof_age(now);
+    let own_proof = gateway.knowledge.copy_age(now);
     let is_steward = gateway.peers.is_steward(own_proof, now);
     let in_flight_at_others = |service: &_, target: &_| {
         gateway.in_flight_at_other_versions(service, target)
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -20,6 +20,7 @@
     settings::{
         SettingKey, SettingsError, SettingsReader, read_file, read_ini,
     },
+    store_sync::staleness::StalenessBound,
     unit::{Mbps, Megabytes, MilliCores},
 };
 
@@ -114,6 +115,18 @@
         None,
         "Time after which a revoked key must be rejected.",
     ),
+    key(
+        "changes",
+        "apply_ms",
+        Some("2000"),
+        "Time after which a changed configuration must be in force.",
+    ),
+    key(
+        "changes",
+        "drain_ms",
+        Some("2000"),
+        "Time after which an upstream that leaves must get no more requests.",
+    ),
     key(
         "keys",
         "fail_closed",
@@ -251,6 +264,9 @@
     pub heartbeat_interval: Duration,
     /// The time after which a revoked key must be rejected.
     pub key_revocation_limit: Duration,
+    /// The time within which this VM must act on any change in the store: the
+    /// shortest that the operators state.
+    pub(crate) staleness_bound: StalenessBound,
     /// Whether every key is rejected once this VM cannot tell any more which
     /// ones were revoked.
     pub fail_closed: bool,
@@ -325,6 +341,8 @@
     let seeds = read_seeds(r, peer_address);
     let heartbeat_interval = r.millis("peers", "beat_ms");
     let key_revocation_limit = r.millis("keys", "revoke_ms");
+    let apply_limit = r.millis("changes", "apply_ms");
+    let drain_limit = r.millis("changes", "drain_ms");
     let fail_closed = r.value("keys", "fail_closed");
     let retry_bound = read_retries(r);
     let warm_up_slack = read_warm_up_slack(r);
@@ -354,6 +372,11 @@
         seeds: seeds?,
         heartbeat_interval: heartbeat_interval?,
         key_revocation_limit: key_revocation_limit?,
+        staleness_bound: StalenessBound::strictest([
+            apply_limit?,
+            drain_limit?,
+            key_revocation_limit?,
+        ]),
         fail_closed: fail_closed?,
         retry_bound: retry_bound?,
         warm_up_slack: warm_up_slack?,
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -48,19 +48,6 @@
 /// Interval between two checks of whether this VM has to watch.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Age of the proof of freshness from which a VM renews it, as a fraction of
-/// the time after which a revoked key must be rejected. The first VM to renew
-/// it notifies the others, so one call serves all.
-const REVALIDATE_FRACTION: f64 = 0.2;
-
-/// The same fraction for a VM that is not the first of its data hall: the
-/// first one renews the proof for all, and the others only if it does not.
-const REVALIDATE_FRACTION_STANDBY: f64 = 0.46;
-
-/// Largest random addition to either fraction, so that VMs rarely ask at the
-/// same time.
-const REVALIDATE_JITTER: f64 = 0.1;
-
 /// First and longest wait after the proof could not be renewed.
 const MIN_REVALIDATE_WAIT: Duration = Duration::from_millis(300);
 const MAX_REVALIDATE_WAIT: Duration = Duration::from_millis(900);
@@ -136,15 +123,9 @@
         let asked_at = gateway.clock.now();
         read_everything(gateway, consistency, asked_at).await?;
         match consistency {
-            Consistency::Linearizable => {}
-            // Before the operators' first configuration there is nothing to
-            // prove, and all VMs of a new fleet are in that state.
-            Consistency::Stale if gateway.knowledge.is_empty() => {
-                gateway.peers.record_poll(asked_at);
-            }
-            Consistency::Stale => revalidate(gateway).await?,
+            Consistency::Linearizable => Ok(()),
+            Consistency::Stale => revalidate(gateway).await,
         }
-        Ok(())
     }
 
     /// Watches the store and applies its changes, until the store no longer
@@ -248,14 +229,10 @@
     let mut failed_at = None;
     loop {
         let now = gateway.clock.now();
-        let base = match gateway.peers.is_first_of_hall(now) {
-            true => REVALIDATE_FRACTION,
-            false => REVALIDATE_FRACTION_STANDBY,
-        };
-        let fraction = base + REVALIDATE_JITTER * rand::random::<f64>();
-        let max_age = gateway.settings.key_revocation_limit.mul_f64(fraction);
-        let age = gateway.knowledge.proof_age(now);
-        match age {
+        let rank = gateway.peers.renewal_rank(now);
+        let (age, spread) = gateway.settings.staleness_bound.renewal(rank);
+        let max_age = age + spread.mul_f64(rand::random());
+        match gateway.knowledge.copy_age(now) {
             // The first read of the whole store brings the first proof.
             None => task::sleep(max_age).await,
             Some(age) if age < max_age => task::sleep(max_age - age).await,
@@ -273,6 +250,8 @@
                 failed_at = late_at.or(failed_at);
                 if renewed.is_ok() {
                     backoff.reset();
+                    // Saves the others their own calls.
+                    gateway.early_heartbeat.wake();
                     if failed_at.take().is_some() {
                         gateway.peers.set_store_failure(None);
                     }
@@ -332,7 +311,7 @@
     match store.watch(ALL_KEYS, since, Duration::ZERO).await? {
         WatchOutcome::Changes(changes) => {
             apply_changes(gateway, changes, LearnedBy::Poll, asked_at);
-            gateway.peers.record_poll(asked_at);
+            gateway.peers.record_poll();
             Ok(())
         }
         WatchOutcome::HistoryLost => {
@@ -370,7 +349,7 @@
     gateway.apply_items(applied, LearnedBy::Read);
     if consistency == Consistency::Linearizable {
         gateway.knowledge.prove(asked_at);
-        gateway.peers.record_poll(asked_at);
+        gateway.peers.record_poll();
     }
     match begins_era {
         true => gossip::push_snapshot(gateway),
--- a/src/message.rs
+++ b/src/message.rs
@@ -288,8 +288,8 @@
     pub digest: u64,
     /// The version of the configuration that it has in force.
     pub configuration_version: u64,
-    /// The age of the last proof that this configuration is current, in
-    /// milliseconds; `None` without any.
+    /// The age of the last proof that all that it has read from the store is
+    /// current, in milliseconds; `None` without any.
     pub proof_age_ms: Option<u32>,
     /// Whether it can reach the platform's store, as far as it knows.
     pub can_watch: bool,
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -2,7 +2,7 @@
 //! changes and snapshots of the store over connections.
 //!
 //! A heartbeat reports the VM's requests in flight, its observations of
-//! rollouts, and the age of its proof of the configuration. Since it echoes
+//! rollouts, and the age of the proof of its copy. Since it echoes
 //! the receiver's last heartbeat, the receiver knows that it was made after
 //! that one was sent, however long the network delayed it.
 
@@ -71,10 +71,6 @@
 /// for 80 ms.
 const FETCH_SPREAD: Duration = Duration::from_millis(100);
 
-/// Proof age from which a VM fetches snapshots from others; below it, its own
-/// polls or watch keep it up to date.
-const FETCH_MIN_PROOF_AGE: Duration = Duration::from_millis(1500);
-
 /// Largest values that are pushed together, in bytes before compression. A
 /// configuration may have hundreds of routes; VMs pull larger ones as a
 /// snapshot, which is packed once for all of them.
@@ -195,7 +191,8 @@
     let in_flight = |service: &_, target: &_| {
         gateway.in_flight_at_other_versions(service, target)
     };
-    let age = gateway.knowledge.proof_age(now);
+    // Taken before the position, so that the proof is never of less.
+    let age = gateway.knowledge.copy_age(now);
     Heartbeat {
         vm: peers.vm().to_owned(),
         data_hall: gateway.settings.data_hall.clone(),
@@ -315,8 +312,10 @@
     gateway.peers.record_behind(now);
     // No push brings this VM into a new era of the store.
     let is_new_era = heartbeat.as_of.era > gateway.knowledge.as_of().era;
-    let age = gateway.knowledge.proof_age(now);
-    let is_due = is_new_era || age.is_none_or(|age| age > FETCH_MIN_PROOF_AGE);
+    let age = gateway.knowledge.copy_age(now);
+    // Below that age, this VM's own calls keep it up to date.
+    let overdue_age = gateway.settings.staleness_bound.overdue_age();
+    let is_due = is_new_era || age.is_none_or(|age| age > overdue_age);
     if is_due && gateway.snapshot_fetches.count() == 0 {
         let fetching = gateway.snapshot_fetches.enter();
         let (gateway, from) = (gateway.clone(), heartbeat.peer_address);
@@ -417,7 +416,7 @@
 async fn wait_for_proof(gateway: &Gateway) {
     let proven = async {
         while gateway.knowledge.is_empty()
-            || gateway.knowledge.proof_age(gateway.clock.now()).is_none()
+            || gateway.knowledge.copy_age(gateway.clock.now()).is_none()
         {
             task::sleep(PROOF_POLL_INTERVAL).await;
         }
@@ -499,7 +498,7 @@
     let age = Duration::from_millis(proof_age_ms.into());
     if let Some(proven_at) = asked_at.checked_sub(age) {
         gateway.knowledge.prove(proven_at);
-        gateway.peers.record_poll(proven_at);
+        gateway.peers.record_poll();
     }
     Event::KnowledgeFromPeer.record(fields(json!({
         "from": from.to_string(),
@@ -517,7 +516,7 @@
                 let now = self.clock.now();
                 // The age is read before the values, so that it is never
                 // younger than they are.
-                let Some(age) = self.knowledge.proof_age(now) else {
+                let Some(age) = self.knowledge.copy_age(now) else {
                     return PeerReply::Rejected("nothing is known".into());
                 };
                 let (as_of, packed) = self.knowledge.packed();
--- a/src/store_sync/knowledge.rs
+++ b/src/store_sync/knowledge.rs
@@ -226,6 +226,15 @@
         self.mirror.lock().expect("mirror lock").as_of()
     }
 
+    /// Records that a copy with this digest has every change up to a position.
+    /// If it is the same as this one, this one has them too.
+    pub fn complete_to(&self, as_of: StorePosition, digest: u64) {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        if mirror.digest() == digest {
+            mirror.complete_to(as_of);
+        }
+    }
+
     /// Returns a digest of the era and of all keys and their versions. Two VMs
     /// with the same digest have the same copy, but for a configuration that
     /// is newer than the store's.
--- a/src/store_sync/mirror.rs
+++ b/src/store_sync/mirror.rs
@@ -42,6 +42,13 @@
         self.as_of
     }
 
+    /// Records that every change up to a position of the present era is known.
+    pub(super) fn complete_to(&mut self, as_of: StorePosition) {
+        if as_of.era == self.as_of.era {
+            self.as_of = self.as_of.max(as_of);
+        }
+    }
+
     /// Returns a digest of the era and of all keys and their versions.
     pub(super) fn digest(&self) -> u64 {
         rendezvous::mix(self.digest, self.as_of.era.0)
--- a/src/store_sync/mod.rs
+++ b/src/store_sync/mod.rs
@@ -10,12 +10,13 @@
 //! * [`knowledge_pack`]: a packed snapshot of the copy, for VMs that start.
 //! * [`peers`]: the other VMs, and which of them watch the store.
 //! * [`gossip`]: heartbeats, pushed changes and requests between VMs.
-//! * [`freshness`]: whether a VM that does not watch is up to date.
+//! * [`staleness`]: how old the copy may become, and who renews its proof
+//!   when; [`catch_up`]: whether this VM is known to lack changes.
 //! * [`route`]: the operators' configuration.
 //! * [`engine`]: the inference engine of a service, as configured.
 
+pub(crate) mod catch_up;
 pub mod engine;
-pub(crate) mod freshness;
 pub(crate) mod gossip;
 mod held_updates;
 pub mod knowledge;
@@ -25,4 +26,5 @@
 mod older_copy;
 pub(crate) mod peers;
 pub mod route;
+pub(crate) mod staleness;
 pub mod store_position;
