Upstreams: a late write no longer makes a leaving upstream ready

Callers' requests ran at an upstream that had said that it leaves, from all VMs, until its next write: a regular write of the upstream that the store carried out six seconds late said ready after draining, and was taken for another incarnation. The number of the write was read and thrown away.

A record without a start time that says ready after leaving is ignored if its number is lower than that of the record by which the upstream leaves. One with a higher number, or of a later start, is another incarnation, as before.

--- a/src/gateway/limit_replay.rs
+++ b/src/gateway/limit_replay.rs
@@ -385,6 +385,7 @@
         slots: 10,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     }
 }
 
--- a/src/gateway/organisation_share_tests.rs
+++ b/src/gateway/organisation_share_tests.rs
@@ -45,6 +45,7 @@
             slots: 100,
             state: UpstreamState::Ready,
             warm_up_left: Duration::ZERO,
+            sequence: 1,
         };
         vm.pool.set(entry, vm.clock.now());
         let member = vm.pool.all().remove(0);
--- a/src/gateway/slot_test_site.rs
+++ b/src/gateway/slot_test_site.rs
@@ -299,6 +299,7 @@
         slots: 1,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     }
 }
 
--- a/src/gateway/suspension_tests.rs
+++ b/src/gateway/suspension_tests.rs
@@ -79,6 +79,7 @@
         slots: 8,
         state: UpstreamState::Ready,
         warm_up_left: Duration::from_secs(2),
+        sequence: 1,
     }
 }
 
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -92,6 +92,7 @@
                 slots: 4,
                 state,
                 warm_up_left: Duration::ZERO,
+                sequence: 1,
             },
             now,
         );
@@ -133,6 +134,7 @@
         slots: 8,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     };
     for vm in &fleet.vms {
         for number in 1..=4 {
@@ -192,6 +194,7 @@
             slots: 64,
             state: crate::placing::member::UpstreamState::Ready,
             warm_up_left: Duration::ZERO,
+            sequence: 1,
         };
         pool.set(entry, now);
     }
--- a/src/gateway/upstream_signals/tests.rs
+++ b/src/gateway/upstream_signals/tests.rs
@@ -36,6 +36,7 @@
         slots: 10,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     }
 }
 
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -79,6 +79,8 @@
     pub state: UpstreamState,
     /// How much longer it stays cold.
     pub warm_up_left: Duration,
+    /// The number of the write, which increases within one incarnation.
+    pub sequence: u64,
 }
 
 /// How a record relates to the one that is known under the same name.
@@ -92,7 +94,8 @@
     Changed,
     /// The record describes a later incarnation.
     Later,
-    /// The record describes an earlier incarnation.
+    /// The record describes an earlier incarnation, or was written before the
+    /// known one.
     Earlier,
 }
 
@@ -115,6 +118,10 @@
         let is_back = self.started.is_none()
             && known.state == UpstreamState::Leaving
             && self.state == UpstreamState::Ready;
+        // The store may carry out a write seconds after it was sent.
+        if is_back && self.sequence < known.sequence {
+            return EntryRelation::Earlier;
+        }
         let is_alike = self.service == known.service
             && self.address == known.address
             && self.data_hall == known.data_hall
@@ -160,6 +167,8 @@
     peer_prefill: Mutex<PeerPrefill>,
     peer_work: Mutex<HashMap<String, PeerWork>>,
     pub(super) vanished_at: Mutex<Option<BootInstant>>,
+    /// The number of the last write of its record.
+    sequence: AtomicU64,
     active_at: Mutex<BootInstant>,
     cold_until: Mutex<Option<BootInstant>>,
     pub(super) cold_sends: Mutex<SendWindow>,
@@ -277,6 +286,7 @@
             }),
             peer_work: Mutex::default(),
             vanished_at: Mutex::new(None),
+            sequence: AtomicU64::new(entry.sequence),
             active_at: Mutex::new(now),
             cold_until: Mutex::new(Some(now + entry.warm_up_left)),
             cold_sends: Mutex::default(),
@@ -314,12 +324,14 @@
             true => UpstreamState::Leaving,
             false => UpstreamState::Ready,
         };
-        UpstreamEntry { state, ..self.entry.clone() }
+        let sequence = self.sequence.load(Ordering::Relaxed);
+        UpstreamEntry { state, sequence, ..self.entry.clone() }
     }
 
     /// Applies a newer record of the same incarnation.
     pub(super) fn update(&self, entry: &UpstreamEntry, now: BootInstant) {
         *self.vanished_at.lock().expect("vanished lock") = None;
+        self.sequence.fetch_max(entry.sequence, Ordering::Relaxed);
         self.mark_cold_until(now + entry.warm_up_left);
         if entry.state == UpstreamState::Leaving {
             self.upstream.mark_leaving();
--- a/src/placing/memory/tests.rs
+++ b/src/placing/memory/tests.rs
@@ -76,6 +76,7 @@
             slots: 64,
             state: UpstreamState::Ready,
             warm_up_left: Duration::ZERO,
+            sequence: 1,
         };
         pool.set(entry, now);
     }
--- a/src/placing/pool/simulation_tests.rs
+++ b/src/placing/pool/simulation_tests.rs
@@ -73,6 +73,7 @@
         slots: 200,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     }
 }
 
--- a/src/placing/pool/slowness_simulation_tests.rs
+++ b/src/placing/pool/slowness_simulation_tests.rs
@@ -148,6 +148,7 @@
         slots: 64,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     }
 }
 
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -18,6 +18,7 @@
         slots: 10,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     }
 }
 
@@ -170,6 +171,29 @@
     assert_eq!(picked.unwrap_err(), PickError::NoCandidate);
 }
 
+/// The store may carry out a write of an upstream after a later one, by which
+/// the upstream leaves.
+#[test]
+fn a_late_write_does_not_make_a_leaving_upstream_ready() {
+    let now = BootInstant::now();
+    let written = |state, sequence| UpstreamEntry {
+        state,
+        sequence,
+        ..entry("i-1", "a", "v1")
+    };
+    let (ready, leaving) = (UpstreamState::Ready, UpstreamState::Leaving);
+    let criteria = PickCriteria::default();
+    // A VM that starts may know the record only as leaving.
+    for first in [written(ready, 3), written(leaving, 4)] {
+        let pool = pool(&[first], now);
+        pool.set(written(leaving, 9), now);
+        assert!(!pool.set(written(ready, 8), now), "no incarnation begins");
+        assert!(picks(&pool, &criteria, now).is_empty());
+        assert!(pool.set(written(ready, 10), now), "it is back");
+        assert_eq!(picks(&pool, &criteria, now), ["i-1"]);
+    }
+}
+
 #[test]
 fn a_record_that_vanished_in_a_store_outage_may_return() {
     let now = BootInstant::now();
--- a/src/placing/recent_version/tests.rs
+++ b/src/placing/recent_version/tests.rs
@@ -20,6 +20,7 @@
         slots: 8,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     };
     pool.set(entry, at);
 }
--- a/src/placing/warm_up/tests.rs
+++ b/src/placing/warm_up/tests.rs
@@ -142,6 +142,7 @@
         slots: 16,
         state: UpstreamState::Ready,
         warm_up_left: WARM_UP.time,
+        sequence: 1,
     }
 }
 
--- a/src/rollouts/fleet_tests.rs
+++ b/src/rollouts/fleet_tests.rs
@@ -242,6 +242,7 @@
         slots: 8,
         state: UpstreamState::Ready,
         warm_up_left: Duration::ZERO,
+        sequence: 1,
     };
     let busy = fleet.vms[3].clone();
     busy.pool.set(old, now);
--- a/src/rollouts/session_replay_tests.rs
+++ b/src/rollouts/session_replay_tests.rs
@@ -204,6 +204,7 @@
                 slots: 10_000,
                 state: UpstreamState::Ready,
                 warm_up_left: Duration::ZERO,
+                sequence: 1,
             };
             self.fleet.vms[vm].pool.set(entry, now);
         }
