Upstreams: count the use after a vanished record from the last proof of it

A VM whose call to the store had failed within 2.5 s used an upstream for 1.5 s after it had learned that its record was removed, however late it had learned. With a copy that is more than half a second old by then, callers' requests reach the upstream later than two seconds after it has gone.

The record was there when the copy was last proven current, so the use ends 0.9 of the bound after that at the latest. Where the copy is older than the bound, the store was away and the records of live upstreams may have lapsed: the 1.5 s stay.

an_upstream_without_record_is_not_used_past_the_bound failed before for copies of 0.9 s and more (used for 2.4 s and more after the removal). Not seen with real processes.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -120,6 +120,10 @@
 /// within two seconds.
 const STORE_HEALTHY_TIME: Duration = Duration::from_millis(2500);
 
+/// How long an upstream may still be used after its record vanished during a
+/// store outage; the record of a live one returns within about two seconds.
+const VANISHED_GRACE: Duration = Duration::from_millis(1500);
+
 /// Largest number of unreadable values that are logged per batch.
 const MAX_UNREADABLE_LOGGED: usize = 20;
 
@@ -456,6 +460,23 @@
         })
     }
 
+    /// Returns how long an upstream is still used whose record has vanished.
+    ///
+    /// The record was there when this VM's copy was last proven current. If
+    /// that is longer ago than changes may take to have effect, the store was
+    /// away, and the record may only have lapsed.
+    fn vanished_grace(&self, now: BootInstant) -> Duration {
+        if self.is_store_healthy(now) {
+            return Duration::ZERO;
+        }
+        let bound = self.settings.staleness_bound;
+        let age = self.knowledge.copy_age(now);
+        match age.and_then(|age| bound.use_left(age)) {
+            Some(left) => left.min(VANISHED_GRACE),
+            None => VANISHED_GRACE,
+        }
+    }
+
     /// Updates the state of this VM by items of the store.
     pub(crate) fn apply_items(&self, applied: AppliedItems, by: LearnedBy) {
         self.record_unreadable(&applied);
@@ -561,18 +582,19 @@
             // An entry that cannot be read gives no address to send to,
             // whoever wrote it. Requests in flight run to their end.
             StoreUpdate::UpstreamUnreadable(id) => {
-                self.pool.remove(&id, true, now)
+                self.pool.remove(&id, Duration::ZERO, now)
             }
             StoreUpdate::UpstreamGone(id) => {
-                let is_sure = self.is_store_healthy(now);
+                let grace = self.vanished_grace(now);
                 Event::UpstreamGone.record(self.change_fields(
                     by,
                     json!({
                         "upstream": id,
-                        "sure": is_sure,
+                        "sure": grace.is_zero(),
+                        "used_for_ms": grace.as_millis() as u64,
                     }),
                 ));
-                self.pool.remove(&id, is_sure, now);
+                self.pool.remove(&id, grace, now);
             }
             StoreUpdate::RolloutOrdered(service, order) => {
                 let target = order.target.clone();
--- a/src/gateway/slot_coordinator/tests.rs
+++ b/src/gateway/slot_coordinator/tests.rs
@@ -150,7 +150,7 @@
         let coordinator = Coordinator::new(2);
         assert_eq!(coordinator.grants(0..2).await, [0, 1]);
         let now = coordinator.clock.now();
-        coordinator.vm.pool.remove(&entry(0).id, true, now);
+        coordinator.vm.pool.remove(&entry(0).id, Duration::ZERO, now);
         coordinator.advance(Duration::ZERO);
         for ticket in [0, 1] {
             coordinator.release(ticket, Release::default());
--- a/src/gateway/suspension_tests.rs
+++ b/src/gateway/suspension_tests.rs
@@ -107,7 +107,9 @@
         Input::AddEntry => {
             gateway.pool.set(entry(), now);
         }
-        Input::RemoveEntry => gateway.pool.remove(&upstream(), false, now),
+        Input::RemoveEntry => {
+            gateway.pool.remove(&upstream(), VANISHED_GRACE, now)
+        }
         Input::Heartbeat => {
             let mut round = HeartbeatRound::new(&fleet.vms[OTHER]);
             while let Some((address, heartbeat)) = round.next_heartbeat() {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -163,6 +163,43 @@
     assert!(!was_ejected, "an upstream is ejected at the sound VM");
 }
 
+/// Returns for how long an upstream is used whose record vanishes this long
+/// after the copy was proven current, at a VM that the store has just failed.
+fn use_after_removal(copy_age: Duration) -> Duration {
+    let fleet = test_fleet::Fleet::new(1, 1);
+    let vm = &fleet.vms[0];
+    let entry = slot_test_site::entry(1);
+    let id = entry.id.clone();
+    vm.pool.set(entry, fleet.clock.now());
+    vm.knowledge.prove(fleet.clock.now());
+    fleet.clock.advance(copy_age);
+    vm.record_store_failure();
+    let member = vm.pool.member(&id).expect("the upstream is known");
+    let updates = vec![StoreUpdate::UpstreamGone(id)];
+    let applied = AppliedItems { updates, ..AppliedItems::default() };
+    vm.apply_items(applied, LearnedBy::Poll);
+    let since = fleet.clock.now();
+    while member.takes_requests(fleet.clock.now()) {
+        fleet.clock.advance(Duration::from_millis(10));
+    }
+    fleet.clock.now().saturating_duration_since(since)
+}
+
+/// A VM whose call to the store had failed went on using an upstream for 1.5 s
+/// after it had learned that its record was removed, however late that was.
+#[test]
+fn an_upstream_without_record_is_not_used_past_the_bound() {
+    let bound = Duration::from_secs(2);
+    for age_ms in [100, 900, 1_500, 1_950] {
+        let age = Duration::from_millis(age_ms);
+        let total = age + use_after_removal(age);
+        assert!(total < bound, "used for {total:?} after its removal");
+    }
+    // The store was away, and the records of live upstreams have lapsed.
+    let used = use_after_removal(Duration::from_secs(4));
+    assert!(used >= Duration::from_millis(1_400), "used for {used:?}");
+}
+
 /// Guards against a VM that coordinates although the settings switch it off,
 /// and against one that does not by default.
 #[test]
--- a/src/placing/member.rs
+++ b/src/placing/member.rs
@@ -33,10 +33,6 @@
 /// Age at which the work that another VM has reported no longer counts.
 pub(super) const PEER_WORK_TTL: Duration = Duration::from_millis(2500);
 
-/// How long an upstream may still be used after its record vanished during a
-/// store outage; the record of a live one returns within about two seconds.
-pub(super) const VANISHED_GRACE: Duration = Duration::from_millis(1500);
-
 /// Half-life of the weight of the request counts that an upstream reports;
 /// short requests come and go meanwhile.
 const REPORTED_LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
@@ -166,7 +162,8 @@
     peer_requests: AtomicU32,
     peer_prefill: Mutex<PeerPrefill>,
     peer_work: Mutex<HashMap<String, PeerWork>>,
-    pub(super) vanished_at: Mutex<Option<BootInstant>>,
+    /// Until when it is used although its record has vanished.
+    pub(super) used_until: Mutex<Option<BootInstant>>,
     /// The number of the last write of its record.
     sequence: AtomicU64,
     active_at: Mutex<BootInstant>,
@@ -285,7 +282,7 @@
                 at: now,
             }),
             peer_work: Mutex::default(),
-            vanished_at: Mutex::new(None),
+            used_until: Mutex::new(None),
             sequence: AtomicU64::new(entry.sequence),
             active_at: Mutex::new(now),
             cold_until: Mutex::new(Some(now + entry.warm_up_left)),
@@ -303,10 +300,8 @@
 
     /// Whether new requests may be sent to it.
     pub fn takes_requests(&self, now: BootInstant) -> bool {
-        let vanished = *self.vanished_at.lock().expect("vanished lock");
-        let is_listed = vanished.is_none_or(|at| {
-            now.saturating_duration_since(at) < VANISHED_GRACE
-        });
+        let used_until = *self.used_until.lock().expect("use lock");
+        let is_listed = used_until.is_none_or(|until| now < until);
         is_listed && !self.upstream.is_leaving()
     }
 
@@ -330,7 +325,7 @@
 
     /// Applies a newer record of the same incarnation.
     pub(super) fn update(&self, entry: &UpstreamEntry, now: BootInstant) {
-        *self.vanished_at.lock().expect("vanished lock") = None;
+        *self.used_until.lock().expect("use lock") = None;
         self.sequence.fetch_max(entry.sequence, Ordering::Relaxed);
         self.mark_cold_until(now + entry.warm_up_left);
         if entry.state == UpstreamState::Leaving {
--- a/src/placing/pool.rs
+++ b/src/placing/pool.rs
@@ -23,10 +23,7 @@
         event_gap,
         gossip_outbox::GossipOutbox,
         hall_link::HallLink,
-        member::{
-            EntryRelation, Member, UpstreamEntry, UpstreamState,
-            VANISHED_GRACE,
-        },
+        member::{EntryRelation, Member, UpstreamEntry, UpstreamState},
         memory::{MemoryNeed, PeerMemory},
         owners::Roster,
         recent_version::RecentVersions,
@@ -372,16 +369,11 @@
 
     /// Handles the deletion of an upstream's record.
     ///
-    /// `is_confirmed` says whether the store has been healthy for long enough
-    /// that the deletion can only mean that the upstream is leaving.
-    pub fn remove(
-        &self,
-        id: &UpstreamId,
-        is_confirmed: bool,
-        now: BootInstant,
-    ) {
+    /// The upstream is used for `grace` unless its record returns; none if the
+    /// deletion can only mean that it is leaving.
+    pub fn remove(&self, id: &UpstreamId, grace: Duration, now: BootInstant) {
         let Some(member) = self.member(id) else { return };
-        if is_confirmed {
+        if grace.is_zero() {
             member.upstream.mark_leaving();
             // The record may merely have expired, so the reported state is
             // kept in case it returns.
@@ -393,8 +385,8 @@
             });
             return;
         }
-        let mut vanished = member.vanished_at.lock().expect("vanished lock");
-        vanished.get_or_insert(now);
+        let mut used_until = member.used_until.lock().expect("use lock");
+        used_until.get_or_insert(now + grace);
     }
 
     /// Removes upstreams whose record vanished and did not return within the
@@ -404,15 +396,13 @@
             .all()
             .iter()
             .filter(|member| {
-                let at = *member.vanished_at.lock().expect("vanished lock");
-                at.is_some_and(|at| {
-                    now.saturating_duration_since(at) >= VANISHED_GRACE
-                })
+                let until = *member.used_until.lock().expect("use lock");
+                until.is_some_and(|until| until <= now)
             })
             .map(|member| member.entry.id.clone())
             .collect();
         for id in &gone {
-            self.remove(id, true, now);
+            self.remove(id, Duration::ZERO, now);
         }
         gone
     }
--- a/src/placing/pool/signals_tests.rs
+++ b/src/placing/pool/signals_tests.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use super::{
-    tests::{entry, picks, pool, untried},
+    tests::{GRACE, entry, picks, pool, untried},
     *,
 };
 use crate::{
@@ -53,13 +53,13 @@
         assert!(!pool.set(ready.clone(), now), "no incarnation begins");
         assert!(picked(&pool, now).is_empty(), "record read again");
         // The record expires, whether the store is known to be healthy or not.
-        for is_confirmed in [true, false] {
-            pool.remove(&ready.id, is_confirmed, now);
+        for grace in [Duration::ZERO, GRACE] {
+            pool.remove(&ready.id, grace, now);
             pool.set(ready.clone(), now);
             assert!(picked(&pool, now).is_empty(), "expired and back");
         }
-        pool.remove(&ready.id, false, now);
-        let later = now + VANISHED_GRACE;
+        pool.remove(&ready.id, GRACE, now);
+        let later = now + GRACE;
         assert_eq!(pool.sweep(later).len(), 1);
         pool.set(ready, later);
         assert!(picked(&pool, later).is_empty(), "gone and back");
@@ -172,7 +172,7 @@
     report(&pool, "i-1", backing_off(SECOND * 3), now);
     pool.set(ready.clone(), now);
     assert!(picked(&pool, now).is_empty());
-    pool.remove(&ready.id, true, now);
+    pool.remove(&ready.id, Duration::ZERO, now);
     pool.set(ready, now);
     assert!(picked(&pool, now).is_empty());
 }
--- a/src/placing/pool/tests.rs
+++ b/src/placing/pool/tests.rs
@@ -7,6 +7,9 @@
 pub(super) const SLACK: WarmUpSlack =
     WarmUpSlack { overshoot: 1.5, tolerance: 5.0 };
 
+/// How long upstreams are used whose record has vanished.
+pub(super) const GRACE: Duration = Duration::from_millis(1500);
+
 pub(super) fn entry(id: &str, hall: &str, software: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.parse().unwrap(),
@@ -92,7 +95,7 @@
     };
     assert_eq!(by(VersionRule::Prefer(new.clone())), ["i-2"]);
     assert_eq!(by(VersionRule::Avoid(new.clone())), ["i-1"]);
-    pool.remove(&"i-1".parse().unwrap(), true, now);
+    pool.remove(&"i-1".parse().unwrap(), Duration::ZERO, now);
     assert_eq!(by(VersionRule::Avoid(new.clone())), ["i-2"]);
     assert!(by(VersionRule::Never(new)).is_empty());
 }
@@ -110,7 +113,7 @@
     let service = "writers".parse().unwrap();
     assert!(picks(&pool, &criteria, now).is_empty());
     assert!(!pool.has_untried(&service, &criteria, now));
-    pool.remove(&"i-1".parse().unwrap(), true, now);
+    pool.remove(&"i-1".parse().unwrap(), Duration::ZERO, now);
     assert_eq!(picks(&pool, &criteria, now), ["i-2"]);
     assert!(pool.has_untried(&service, &criteria, now));
 }
@@ -199,16 +202,16 @@
     let now = BootInstant::now();
     let pool = pool(&[entry("i-1", "a", "v1")], now);
     let id = "i-1".parse().unwrap();
-    pool.remove(&id, false, now);
-    let soon = now + VANISHED_GRACE / 2;
+    pool.remove(&id, GRACE, now);
+    let soon = now + GRACE / 2;
     assert_eq!(picks(&pool, &PickCriteria::default(), soon), ["i-1"]);
     assert!(pool.sweep(soon).is_empty());
     pool.set(entry("i-1", "a", "v1"), soon);
-    let late = now + VANISHED_GRACE * 2;
+    let late = now + GRACE * 2;
     assert!(pool.sweep(late).is_empty());
     assert_eq!(picks(&pool, &PickCriteria::default(), late), ["i-1"]);
-    pool.remove(&id, false, late);
-    assert_eq!(pool.sweep(late + VANISHED_GRACE).len(), 1);
+    pool.remove(&id, GRACE, late);
+    assert_eq!(pool.sweep(late + GRACE).len(), 1);
     assert!(picks(&pool, &PickCriteria::default(), late).is_empty());
 }
 
--- a/src/store_sync/staleness.rs
+++ b/src/store_sync/staleness.rs
@@ -36,6 +36,10 @@
 /// call may hang.
 const OVERDUE: f64 = 0.75;
 
+/// Age of a change up to which a VM may go on as before it, so that what it
+/// sends then arrives in time.
+const LAST_USE: f64 = 0.9;
+
 /// Time that the push of a change may take before a VM that is behind others
 /// asks the store.
 const PUSH_TIME: f64 = 0.4;
@@ -72,6 +76,13 @@
         self.0.mul_f64(OVERDUE)
     }
 
+    /// Returns for how long a VM may go on as before a change that is at most
+    /// `age` old; `None` if that exceeds the bound.
+    pub(crate) fn use_left(self, age: Duration) -> Option<Duration> {
+        let left = self.0.mul_f64(LAST_USE).saturating_sub(age);
+        (age < self.0).then_some(left)
+    }
+
     /// Returns the time that the push of a change may take to arrive.
     pub(crate) fn push_time(self) -> Duration {
         self.0.mul_f64(PUSH_TIME)
