Store sync: a VM that nobody has told anything for long tells others what it finds

Simulated in virtual time at 9, 84 and 300 VMs (chain_tests): the VMs that follow the store are killed with half of the others, lose the store, the other VMs or their pushes, or each call takes 150 to 250 ms.

Only a watcher and the first VM of a hall pushed what they found. Now a VM of the first ranks whose copy is older than the age at which the second one renews it pushes as well.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -381,5 +381,7 @@
     }
 }
 
+#[cfg(test)]
+mod chain_tests;
 #[cfg(test)]
 mod tests;
--- a/src/gateway/test_fleet.rs
+++ b/src/gateway/test_fleet.rs
@@ -59,6 +59,8 @@
     early: BTreeSet<usize>,
     /// A data hall that exchanges no heartbeats with any other.
     pub(crate) partitioned_hall: Option<usize>,
+    /// VMs that neither send nor receive messages.
+    pub(crate) silent: BTreeSet<usize>,
     vms_per_hall: usize,
     /// Settings of the VMs in addition to the minimal ones.
     settings: &'static str,
@@ -89,6 +91,7 @@
             last_heartbeat_ms: HashMap::new(),
             early: BTreeSet::new(),
             partitioned_hall: None,
+            silent: BTreeSet::new(),
             vms_per_hall,
             settings,
         };
@@ -127,12 +130,20 @@
 
     /// Whether messages of one VM reach another.
     fn reaches(&self, from: usize, to: usize) -> bool {
+        if [from, to].iter().any(|vm| self.silent.contains(vm)) {
+            return false;
+        }
         let halls = [from, to].map(|vm| vm / self.vms_per_hall);
         let is_partitioned =
             |hall: &usize| Some(*hall) == self.partitioned_hall;
         halls[0] == halls[1] || !halls.iter().any(is_partitioned)
     }
 
+    /// Returns the VM that listens for others at an address.
+    pub(crate) fn vm_at(&self, address: SocketAddr) -> usize {
+        self.by_address[&address]
+    }
+
     /// Returns the name of the data hall of a VM.
     pub(crate) fn hall_name(&self, vm: usize) -> String {
         format!("hall-{}", vm / self.vms_per_hall)
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -376,7 +376,10 @@
 
 /// Sends a request to the VMs to which this one pushes changes.
 fn send_to_receivers(gateway: &Arc<Gateway>, request: &PeerRequest) {
-    for address in gateway.peers.change_receivers(gateway.clock.now()) {
+    let now = gateway.clock.now();
+    let age = gateway.knowledge.copy_age(now);
+    let bound = gateway.settings.staleness_bound;
+    for address in gateway.peers.change_receivers(age, bound, now) {
         let request = request.clone();
         let gateway = gateway.clone();
         task::spawn(async move {
--- a/src/store_sync/peers.rs
+++ b/src/store_sync/peers.rs
@@ -713,16 +713,22 @@
         }
     }
 
-    /// Returns the addresses to which this VM pushes changes; empty unless it
-    /// is a watcher or the first of its data hall, which polls most often and
-    /// so learns first where the watchers are cut off. They include the other
-    /// watchers, which take over if it is lost and until then poll less often.
+    /// Returns the addresses to which this VM pushes changes that it has found
+    /// with a copy of this age; empty unless it is a watcher, the first of its
+    /// data hall, which polls most often and so learns first where the
+    /// watchers are cut off, or one that nobody has told anything for long.
+    /// They include the other watchers, which take over if it is lost and until
+    /// then poll less often.
     pub(crate) fn change_receivers(
         &self,
+        copy_age: Option<Duration>,
+        bound: StalenessBound,
         now: BootInstant,
     ) -> Vec<SocketAddr> {
+        let rank = self.renewal_rank(now);
         let pushes = self.watchers(now).contains(&self.vm)
-            || self.is_first_of_hall(now);
+            || rank == 0
+            || copy_age.is_some_and(|age| bound.tells_others(rank, age));
         if !pushes {
             return Vec::new();
         }
--- a/src/store_sync/peers/tests.rs
+++ b/src/store_sync/peers/tests.rs
@@ -149,13 +149,19 @@
     let peers = &gateway.peers;
     assert!(!peers.find_watchers(now).iter().any(|vm| vm == peers.vm()));
     assert!(peers.is_first_of_hall(now));
-    assert_eq!(peers.change_receivers(now).len(), 9);
+    let receivers = |age_ms| {
+        let age = Duration::from_millis(age_ms);
+        let bound = gateway.settings.staleness_bound;
+        peers.change_receivers(Some(age), bound, now)
+    };
+    assert_eq!(receivers(100).len(), 9);
     // A VM that ranks before it in its hall leaves it nothing to do.
     let mut before = heartbeat(10, "hall-a", 1, 1);
     before.link_mbps = Mbps(1_000);
     peers.merge_heartbeat(&before, &gateway.knowledge, now);
     assert!(!peers.is_first_of_hall(now));
-    assert!(peers.change_receivers(now).is_empty());
+    assert!(receivers(100).is_empty());
+    assert_eq!(receivers(1_100).len(), 10, "nobody tells the others");
 }
 
 /// In a fleet of hundreds, the heartbeats of another hall arrive only every
--- a/src/store_sync/staleness.rs
+++ b/src/store_sync/staleness.rs
@@ -71,6 +71,14 @@
         (self.0.mul_f64(age), self.0.mul_f64(spread))
     }
 
+    /// Returns whether a VM tells others what it finds when its copy is that
+    /// old: the VMs that usually tell them seem to be lost. Of the VMs that
+    /// renew the proof at the same age, the first one does.
+    pub(crate) fn tells_others(self, rank: usize, age: Duration) -> bool {
+        let (second_age, _) = self.renewal(1);
+        rank <= LAST_RANK && age >= second_age
+    }
+
     /// Returns the age of the copy at which its renewal is overdue.
     pub(crate) fn overdue_age(self) -> Duration {
         self.0.mul_f64(OVERDUE)
