Store sync: a VM that a push has brought up to date asks the store no more

After a loss of the VMs that follow the store, each other VM asked the store once, 78 calls within two seconds with 84 VMs, although the first one that had asked told all. Its heartbeat overtakes its push, so it proved nothing and the receivers counted as behind until a watcher agreed with them, and the watchers were gone.

A VM is behind while its copy has not reached the position that it was told of, and the proofs of the last heartbeats count once a push has arrived. A new fleet without a configuration has nothing to prove, and its VMs do not ask at their start.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -348,7 +348,9 @@
         }
         let now = self.clock.now();
         let copy_age = self.knowledge.copy_age(now);
-        self.peers.watch_role(copy_age, self.settings.staleness_bound, now)
+        let as_of = self.knowledge.as_of();
+        let bound = self.settings.staleness_bound;
+        self.peers.watch_role(as_of, copy_age, bound, now)
     }
 
     /// Whether the proof of freshness is recent enough to accept keys.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -124,6 +124,9 @@
         read_everything(gateway, consistency, asked_at).await?;
         match consistency {
             Consistency::Linearizable => Ok(()),
+            // Before the operators' first configuration there is nothing to
+            // prove, and all VMs of a new fleet are in that state.
+            Consistency::Stale if gateway.knowledge.is_empty() => Ok(()),
             Consistency::Stale => revalidate(gateway).await,
         }
     }
--- a/src/store_sync/catch_up.rs
+++ b/src/store_sync/catch_up.rs
@@ -2,32 +2,36 @@
 
 use std::time::Duration;
 
-use crate::clock::BootInstant;
+use crate::{clock::BootInstant, store_sync::store_position::StorePosition};
 
 /// What this VM knows of changes that it lacks.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CatchUp {
-    /// Since when another VM is known to know more.
-    behind_since: Option<BootInstant>,
+    /// Since when another VM is known to have a copy up to a position that
+    /// this VM's copy had not reached.
+    behind: Option<(BootInstant, StorePosition)>,
     /// Whether this VM is to ask the store, whatever others report.
     is_requested: bool,
 }
 
 impl CatchUp {
-    /// Records that this VM knows what a watcher knows.
-    pub(crate) fn record_agreement(&mut self) {
-        self.behind_since = None;
-    }
-
     /// Records that this VM has asked for all changes.
     pub(crate) fn record_poll(&mut self) {
         *self = CatchUp::default();
     }
 
-    /// Records that another VM knows more. The push of a watcher may still be
-    /// on its way, so that alone does not make this VM poll.
-    pub(crate) fn record_behind(&mut self, now: BootInstant) {
-        self.behind_since.get_or_insert(now);
+    /// Records that another VM's copy is complete up to a position, while this
+    /// one's is up to `own`. A push may still be on its way, so that alone does
+    /// not make this VM poll.
+    pub(crate) fn record_behind(
+        &mut self,
+        position: StorePosition,
+        own: StorePosition,
+        now: BootInstant,
+    ) {
+        if !self.is_behind(own) {
+            self.behind = Some((now, position));
+        }
     }
 
     /// Makes this VM poll the store, whatever other VMs report.
@@ -35,17 +39,22 @@
         self.is_requested = true;
     }
 
-    /// Returns whether this VM has to poll the store, if a push may take
-    /// `push_time` to arrive.
+    /// Returns whether this VM, whose copy is complete up to `own`, has to poll
+    /// the store, if a push may take `push_time` to arrive.
     pub(crate) fn is_due(
         &self,
+        own: StorePosition,
         push_time: Duration,
         now: BootInstant,
     ) -> bool {
-        let is_overdue = self.behind_since.is_some_and(|since| {
+        let is_late = self.behind.is_some_and(|(since, _)| {
             now.saturating_duration_since(since) >= push_time
         });
-        self.is_requested || is_overdue
+        self.is_requested || (is_late && self.is_behind(own))
+    }
+
+    fn is_behind(&self, own: StorePosition) -> bool {
+        self.behind.is_some_and(|(_, position)| own < position)
     }
 }
 
--- a/src/store_sync/gossip.rs
+++ b/src/store_sync/gossip.rs
@@ -262,9 +262,6 @@
     let now = gateway.clock.now();
     let knows_more =
         gateway.peers.merge_heartbeat(heartbeat, &gateway.knowledge, now);
-    if heartbeat.digest == gateway.knowledge.digest() {
-        gateway.peers.record_agreement(&heartbeat.vm, now);
-    }
     gateway.pool.record_hall_heartbeat(&heartbeat.data_hall, now);
     gateway.pool.set_peer_work(&heartbeat.vm, &heartbeat.in_flight, now);
     gateway.pool.merge_peer_loads(&heartbeat.load_reports, now);
@@ -309,9 +306,10 @@
     if !knows_more {
         return;
     }
-    gateway.peers.record_behind(now);
+    let own_as_of = gateway.knowledge.as_of();
+    gateway.peers.record_behind(heartbeat.as_of, own_as_of, now);
     // No push brings this VM into a new era of the store.
-    let is_new_era = heartbeat.as_of.era > gateway.knowledge.as_of().era;
+    let is_new_era = heartbeat.as_of.era > own_as_of.era;
     let age = gateway.knowledge.copy_age(now);
     // Below that age, this VM's own calls keep it up to date.
     let overdue_age = gateway.settings.staleness_bound.overdue_age();
@@ -545,6 +543,7 @@
                 let applied =
                     self.knowledge.merge_peer_changes(digest_before, changes);
                 self.apply_items(applied, LearnedBy::Push);
+                self.peers.prove_by_heartbeats(&self.knowledge);
                 PeerReply::Done
             }
             PeerRequest::PullKnowledge { from } => {
