Soak: wait until calls are counted before the first quiet leave; tests: no wire name outside the adapter

A site that takes longer to start than the first leave is away would have had no count of its VMs' calls. A name of the platform stood in a simulation.

--- a/src/gateway/store_watch/chain_tests.rs
+++ b/src/gateway/store_watch/chain_tests.rs
@@ -15,7 +15,7 @@
 };
 
 /// The key that is changed.
-const KEY: &str = "servers/i-1";
+const KEY: &str = "key";
 
 /// When it is changed. By then, the VMs have agreed on the watchers.
 const CHANGE_MS: Range<u64> = 5_000..6_200;
--- a/standins/src/soak/quiet_leaves.rs
+++ b/standins/src/soak/quiet_leaves.rs
@@ -38,8 +38,7 @@
     is_used: bool,
     rng: ChaCha8Rng,
     next_at: Duration,
-    counted_at: Duration,
-    /// The calls for changes of each VM until `counted_at`.
+    /// The calls for changes of each VM until [`FOLLOWED_TIME`] before that.
     watches: Vec<usize>,
 }
 
@@ -51,7 +50,6 @@
             is_used: has_quiet_leaves(seed),
             rng,
             next_at,
-            counted_at: Duration::ZERO,
             watches: Vec::new(),
         }
     }
@@ -71,11 +69,15 @@
         let watches: Vec<usize> =
             self.site.vms.iter().map(|vm| vm.store.watches()).collect();
         let leaves = &mut self.quiet_leaves;
+        if leaves.watches.is_empty() {
+            // The site may have taken long to start.
+            leaves.next_at = leaves.next_at.max(now + FOLLOWED_TIME);
+            leaves.watches = watches;
+            return;
+        }
         if now < leaves.next_at {
-            if now + FOLLOWED_TIME < leaves.next_at
-                || leaves.watches.is_empty()
-            {
-                (leaves.counted_at, leaves.watches) = (now, watches);
+            if now + FOLLOWED_TIME < leaves.next_at {
+                leaves.watches = watches;
             }
             return;
         }
