--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -6,11 +6,11 @@
 //! it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption
 //! out.
 
+mod added;
 mod forgotten;
 mod http;
 mod json;
 mod leaving;
-mod memory;
 mod record;
 mod replica;
 mod restarted;
@@ -34,9 +34,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let folder = Path::new(folder);
     let outcome = match case.as_str() {
+        "added" => added::run(folder, trouble),
         "forgotten" => forgotten::run(folder, trouble),
         "leaving" => leaving::run(folder, trouble),
-        "memory" => memory::run(folder, trouble),
         "restarted" => restarted::run(folder, trouble),
         other => Err(format!("no case `{other}`")),
     };
--- a/review/lab-2/site.rs
+++ b/review/lab-2/site.rs
@@ -30,7 +30,6 @@
 }
 
 pub struct Vm {
-    pub name: String,
     pub callers: SocketAddr,
     readiness: SocketAddr,
     folder: PathBuf,
@@ -105,7 +104,7 @@
             fs::write(folder.join("boot.toml"), settings)
                 .map_err(|e| e.to_string())?;
             let child = None;
-            site.vms.push(Vm { name, callers, readiness, folder, child });
+            site.vms.push(Vm { callers, readiness, folder, child });
         }
         Ok(site)
     }
@@ -118,10 +117,10 @@
         self.wait_until_ready()
     }
 
-    /// Waits until all VMs are ready.
+    /// Waits until all VMs are ready that have been started.
     pub fn wait_until_ready(&self) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(15);
-        while !self.vms.iter().all(Vm::is_ready) {
+        while !self.vms.iter().all(|vm| vm.child.is_none() || vm.is_ready()) {
             if Instant::now() > until {
                 return Err("the VMs are not ready".to_owned());
             }
@@ -213,24 +212,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Whether the process runs; one that ended by itself does not.
-    pub fn runs(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
-    /// Returns the resident memory of the process in KiB; 0 if it does not
-    /// run.
-    pub fn memory_kib(&self) -> u64 {
-        let Some(child) = &self.child else { return 0 };
-        let status =
-            fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().nth(1));
-        kib.and_then(|kib| kib.parse().ok()).unwrap_or(0)
-    }
 }
 
 fn free_port(ip: Ipv4Addr) -> Result<u16, String> {
@@ -243,6 +224,12 @@
 /// The operator's configuration, with the limits and routes of the pages'
 /// examples.
 pub fn configuration(version: u64) -> String {
+    configuration_with_keys(version, &[KEY])
+}
+
+/// The same with these keys of the only tenant.
+pub fn configuration_with_keys(version: u64, keys: &[&str]) -> String {
+    let keys = keys.join(r#"",""#);
     let route = |name: &str, kind: &str, service: &str, rest: &str| {
         format!(
             r#"{{"name":"{name}","host":"{HOST}","path_prefix":"/{name}/","type":"{kind}","priority":1,"service":"{service}","public":false,{rest}}}"#
@@ -259,7 +246,7 @@
         route("receipt", "idempotent", PLAIN, plain),
     ];
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODELS}","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,"inference_engine":{{"capacity":64,"kv_capacity_tokens":431395,"models":[]}}}},{{"name":"{PLAIN}","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODELS}","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,"inference_engine":{{"capacity":64,"kv_capacity_tokens":431395,"models":[]}}}},{{"name":"{PLAIN}","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{keys}"],"priority":1}}]}}"#,
         routes.join(",")
     )
 }
--- a/review/lab-2/store.rs
+++ b/review/lab-2/store.rs
@@ -23,6 +23,14 @@
     revision: u64,
     next_lease: u64,
     is_silent: bool,
+    /// How often the store has come back from an older copy.
+    era: u64,
+}
+
+/// What the store held at a moment, for it to come back from.
+pub struct Copy {
+    items: BTreeMap<String, (String, u64)>,
+    revision: u64,
 }
 
 #[derive(Clone)]
@@ -49,6 +57,25 @@
         self.content.1.notify_all();
     }
 
+    /// Returns a copy without what was written under a lease: the records of
+    /// VMs.
+    pub fn copy(&self) -> Copy {
+        let content = self.content.0.lock().unwrap();
+        let mut items = content.items.clone();
+        items.retain(|key, _| !key.starts_with("lupinseam/"));
+        Copy { items, revision: content.revision }
+    }
+
+    /// Has the store come back from a copy, in a new era.
+    pub fn restore(&self, copy: Copy) {
+        let mut content = self.content.0.lock().unwrap();
+        content.items = copy.items;
+        content.revision = copy.revision;
+        content.events.retain(|(_, _, at)| *at <= copy.revision);
+        content.era += 1;
+        self.content.1.notify_all();
+    }
+
     /// Sets whether the store answers nothing.
     pub fn set_silent(&self, is_silent: bool) {
         self.content.0.lock().unwrap().is_silent = is_silent;
@@ -104,8 +131,9 @@
         thread::sleep(Duration::from_secs(60));
         return false;
     }
-    let kind = ("Content-Type", "application/json");
-    stream.write_all(&answer(status, &[kind], &body)).is_ok()
+    let era = content.0.lock().unwrap().era.to_string();
+    let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
+    stream.write_all(&answer(status, &headers, &body)).is_ok()
 }
 
 fn key(content: &(Mutex<Content>, Condvar), query: &str) -> (u16, String) {
@@ -143,6 +171,10 @@
     let (lock, changed) = content;
     let mut content = lock.lock().unwrap();
     loop {
+        // After a return from an older copy.
+        if since > content.revision {
+            return (410, "{}".to_owned());
+        }
         let events: Vec<String> = content
             .events
             .iter()
