review: case 8 waits until the machines are in touch

The core is stable one contact_ms after the store's return, and a machine in touch one more after that.

--- a/review/lab-2/forgotten.rs
+++ b/review/lab-2/forgotten.rs
@@ -105,7 +105,9 @@
     }
     site.wait_until_ready()?;
     record.line("the VMs are ready");
-    thread::sleep(CONTACT + Duration::from_secs(1));
+    // The core is stable after one `contact_ms`, and the VMs have been in touch
+    // with a stable core for another one after that.
+    thread::sleep(2 * CONTACT + Duration::from_secs(1));
     record.line("the VMs are in touch; the request comes again");
     let since = count(&arrivals);
     for _ in 0..4 {
