Tests: callers that stop short, creep, flood or read no answers

Crowds of 128 callers (1,200 where they only connect) at one VM whose settings state 64 MB and 1,000 descriptors; bodies may have 1 MiB. Checked: the process lives, resident memory and unread bytes stay within its memory, descriptors within their number, and an ordinary and a large request are answered before, beside and after the crowd.

The settings of `serve` state no memory, so `vm.memory_mb` and `vm.max_open_files` are read there from now on; nothing acts on them yet.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -55,6 +55,10 @@
 keys! {
     "vm"."id" = None, "Name of this VM; does not change when it restarts.";
     "vm"."data_hall" = None, "Name of the data hall that this VM is in.";
+    "vm"."memory_mb" = Some("1024"),
+        "Memory of this VM in MB, 0 if unknown; bounds the connections, bodies and answers of callers that it holds.";
+    "vm"."max_open_files" = Some("0"),
+        "Descriptors that the process may have open, 0 if unknown; bounds the connections of callers as well.";
     "listen"."callers" = None, "IP and port of the listener for callers (HTTP).";
     "listen"."operators" = None, "IP and port of the listener for operators (HTTP).";
     "listen"."peers" = None,
--- a/standins/src/gateway_site.rs
+++ b/standins/src/gateway_site.rs
@@ -18,7 +18,8 @@
 use tempfile::TempDir;
 
 use crate::{
-    platform_store::PlatformStore, process::FLEET_VARIABLE, scripted::Upstream,
+    footprint::status_bytes, platform_store::PlatformStore,
+    process::FLEET_VARIABLE, scripted::Upstream,
 };
 
 /// The service of the plain upstreams.
@@ -102,6 +103,12 @@
     pub link_mbps: u32,
     /// Share of a core in the settings of VMs that are added from now on.
     pub cores: f64,
+    /// Memory in the settings of VMs that are added from now on, in MB; 0 if
+    /// it is unknown to them.
+    pub memory_mb: u32,
+    /// Descriptors in the settings of VMs that are added from now on; 0 if
+    /// their number is unknown to them.
+    pub max_open_files: u32,
     /// Live VMs per slot above which VMs that are added from now on coordinate
     /// the slots of a service.
     pub vms_per_slot: u32,
@@ -138,6 +145,8 @@
             heartbeat_ms: 100,
             link_mbps: 0,
             cores: 0.0,
+            memory_mb: 0,
+            max_open_files: 0,
             vms_per_slot: 3,
             // Slightly above 1, so that a VM may retry its first request.
             retry_share: 1.1,
@@ -255,7 +264,7 @@
         let name = format!("vm-{at}");
         let settings = format!(
             "[vm]\nid = {name}\ndata_hall = {hall}\nlink_mbps = {}\n\
-             cores = {}\n\
+             cores = {}\nmemory_mb = {}\nmax_open_files = {}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\n\
              peers = {peers}\nmetrics = {metrics}\n\
              [cluster]\nkey = {CLUSTER_KEY}\n\
@@ -266,6 +275,8 @@
              [scheduling]\nvms_per_slot = {}\n[stop]\ngrace_s = 6\n",
             self.link_mbps,
             self.cores,
+            self.memory_mb,
+            self.max_open_files,
             self.heartbeat_ms,
             self.revoke_ms,
             self.fail_closed,
@@ -393,19 +404,22 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
+    /// Returns the operating system's id of its process.
+    ///
+    /// # Panics
+    ///
+    /// If it is not running.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().expect("a running VM").id()
+    }
+
     /// Returns the most memory that its process has had resident, in bytes.
     ///
     /// # Panics
     ///
     /// If it is not running.
     pub fn peak_memory_bytes(&self) -> u64 {
-        let child = self.child.as_ref().expect("a running VM");
-        let path = format!("/proc/{}/status", child.id());
-        let status = std::fs::read_to_string(path).expect("a running VM");
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let kib = line.and_then(|line| line.split_whitespace().nth(1));
-        let kib: u64 = kib.and_then(|kib| kib.parse().ok()).expect("a size");
-        kib << 10
+        status_bytes(self.process_id(), "VmHWM").expect("a running VM")
     }
 
     /// Returns the file that its processes log to.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod caller;
 pub mod check;
+pub mod crowd;
 pub mod demo;
 pub mod documents;
 pub mod engine;
 pub mod fleet;
+pub mod footprint;
 pub mod gateway_site;
 pub mod http_raw;
 pub mod kv;
