serve: callers within the memory and descriptors of the settings

A VM whose settings state 64 MB held 109 to 183 MB with 128 callers that stop short of 1 MiB, 418 MB while their whole bodies waited, 1,219 MB with chat bodies of 512 KiB that are lists of small numbers, and 1,229 descriptors (1,000 allowed) with 1,200 callers that send no request.

Cause: bodies were collected without a sum or a time limit, and copied for the answer; a chat request was kept as a tree of JSON values, of which each attempt made a copy, 32 bytes for two of text and more; the HTTP server accepts whatever connects, and a head takes nine times its size there.

Now the listener accepts a connection once there is room for it, bodies and answers have claims on the same account as before the platform, heads beyond 4 KiB are charged, and a transport whose caller stands still fails when others need its room; a request that is being handled is answered first. A chat request is kept as its text, with the places of its fields, so that it takes what its body takes.

--- a/src/api/caller_api.rs
+++ b/src/api/caller_api.rs
@@ -1,8 +1,9 @@
 //! The HTTP API for callers: chat completions, models and plain services.
 
-use std::sync::Arc;
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_lite::{AsyncReadExt, future, io::Cursor};
 use serde_json::json;
 use smol::channel::bounded;
 use trillium::{
@@ -13,11 +14,16 @@
 use crate::{
     answer::{Answer, Header},
     api::{
+        caller_transport::CallerTransport,
         dispatch::{ServiceTarget, is_forwarded_header},
         request::{CallHeaders, Received, Request},
         template::VersionState,
         vm::Vm,
     },
+    caller_memory::{
+        account::Purpose,
+        body_buffer::{BodyBuffer, Progress},
+    },
     error::{Error, ErrorKind},
     secret::KeyHash,
     task,
@@ -30,6 +36,16 @@
 /// Maximum total size of the request headers, in bytes.
 const HEADERS_LIMIT_BYTES: usize = 32 * 1024;
 
+/// Timeout for a request body, from the end of the request head; also for the
+/// rest of an oversized one.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Size of the buffer through which a body is read.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+
+/// Largest answer that is copied for the HTTP library.
+const COPIED_ANSWER_BYTES: usize = 16 << 10;
+
 /// Maximum size of an oversized body that is read and discarded before the
 /// rejection is sent, in bytes.
 const DISCARD_LIMIT_BYTES: u64 = 16 << 20;
@@ -52,6 +68,19 @@
 #[async_trait]
 impl Handler for CallerApi {
     async fn run(&self, conn: Conn) -> Conn {
+        if let Some(transport) = CallerTransport::of(&conn) {
+            transport.begin_request();
+        }
+        let conn = self.answer(conn).await;
+        if let Some(transport) = CallerTransport::of(&conn) {
+            transport.end_request();
+        }
+        conn
+    }
+}
+
+impl CallerApi {
+    async fn answer(&self, conn: Conn) -> Conn {
         let path = conn.path().to_owned();
         let method = conn.method();
         match (method, path.as_str()) {
@@ -72,9 +101,7 @@
             }
         }
     }
-}
 
-impl CallerApi {
     /// Handles a chat completion request.
     async fn chat(&self, mut conn: Conn) -> Conn {
         let (connected, cancel) = bounded(1);
@@ -147,36 +174,58 @@
             .and_then(|text| text.parse::<u64>().ok());
         if stated.is_some_and(|length| length > limit) {
             if stated.is_some_and(|length| length < DISCARD_LIMIT_BYTES) {
+                await_body(conn);
                 // A caller that is still sending its body might not read the
                 // answer.
                 let body = conn.request_body().await;
                 let body = body.with_max_len(DISCARD_LIMIT_BYTES);
-                let _ = body.drain().await;
+                let _ = task::within(BODY_TIMEOUT, body.drain()).await;
             }
             return Err(request.reject(too_large()));
         }
-        // The HTTP library rejects a body of exactly the maximum length.
-        let body = conn.request_body().await.with_max_len(limit + 1);
-        match body.read_bytes().await {
-            Ok(bytes) => Ok((request, bytes.into())),
-            Err(trillium::Error::ReceivedBodyTooLong(_)) => {
-                Err(request.reject(too_large()))
-            }
-            Err(error) => {
-                let unsupported = matches!(
-                    &error,
-                    trillium::Error::Io(io)
-                        if io.kind() == std::io::ErrorKind::Unsupported
-                );
-                let error = match unsupported {
-                    true => too_large(),
-                    false => Error::new(ErrorKind::InvalidInput)
-                        .context(error.to_string())
-                        .context("reading the body"),
-                };
-                Err(request.reject(error))
+        match self.read_body(conn, limit, stated).await {
+            Ok(body) => Ok((request, body)),
+            Err(error) => Err(request.reject(error)),
+        }
+    }
+
+    /// Reads a body within the memory that callers may take.
+    async fn read_body(
+        &self,
+        conn: &mut Conn,
+        limit_bytes: u64,
+        stated_bytes: Option<u64>,
+    ) -> Result<Bytes, Error> {
+        let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
+        let mut buffer = BodyBuffer::new(
+            self.vm.caller_connections.memory.clone(),
+            Purpose::Body,
+            limit,
+            stated_bytes.map(|stated| stated as usize),
+        );
+        await_body(conn);
+        let work = async {
+            let mut part = vec![0; READ_BUFFER_BYTES];
+            loop {
+                let count = read_part(conn, &buffer, &mut part).await?;
+                if count == 0 {
+                    return Ok(());
+                }
+                let progress = buffer.push(&part[..count]).await?;
+                if progress == Progress::Claimed {
+                    await_body(conn);
+                }
             }
+        };
+        let read = task::within(BODY_TIMEOUT, work).await;
+        if let Some(transport) = CallerTransport::of(conn) {
+            transport.begin_request();
         }
+        read.unwrap_or_else(|| {
+            Err(Error::new(ErrorKind::RequestTimeout)
+                .context(format!("no whole body within {BODY_TIMEOUT:?}")))
+        })?;
+        Ok(buffer.finish()?)
     }
 
     /// Lists the models and versions that the caller's template allows.
@@ -209,6 +258,37 @@
     }
 }
 
+fn await_body(conn: &Conn) {
+    if let Some(transport) = CallerTransport::of(conn) {
+        transport.await_body();
+    }
+}
+
+/// Reads the next part of a body, unless the body has to give way first;
+/// returns its size, 0 at the end.
+async fn read_part(
+    conn: &mut Conn,
+    buffer: &BodyBuffer,
+    part: &mut [u8],
+) -> Result<usize, Error> {
+    // One more byte than allowed, so that the buffer finds a body too large.
+    let mut body = conn.request_body().await;
+    let next = async { body.read(part).await.map_err(body_error) };
+    let Some(claim) = buffer.claim() else { return next.await };
+    let revoked = async { Err(claim.revoked().await.into()) };
+    future::or(next, revoked).await
+}
+
+/// Returns the error for a body that cannot be read to its end.
+fn body_error(error: io::Error) -> Error {
+    let kind = match error.kind() {
+        io::ErrorKind::Unsupported => ErrorKind::TooLarge,
+        io::ErrorKind::TimedOut => ErrorKind::RequestTimeout,
+        _ => ErrorKind::InvalidInput,
+    };
+    Error::new(kind).context(error.to_string()).context("reading the body")
+}
+
 /// Runs `work` to completion, even if the caller disconnects, and sends its
 /// answer.
 ///
@@ -247,7 +327,7 @@
     match answer {
         Answer::Whole { status, headers, body } => {
             let conn = conn.with_status(status);
-            with_headers(conn, headers).with_body(body.to_vec()).halt()
+            with_headers(conn, headers).with_body(whole_body(body)).halt()
         }
         Answer::Streamed { headers, body } => {
             let conn = with_headers(conn.with_status(200), headers);
@@ -256,6 +336,15 @@
     }
 }
 
+/// Returns the body of an answer; a large one stays where it is.
+fn whole_body(bytes: Bytes) -> Body {
+    if bytes.len() <= COPIED_ANSWER_BYTES {
+        return bytes.to_vec().into();
+    }
+    let length = bytes.len() as u64;
+    Body::new_streaming(Cursor::new(bytes), Some(length))
+}
+
 fn with_headers(mut conn: Conn, headers: Vec<Header>) -> Conn {
     for header in headers {
         let name = HeaderName::from(header.name);
--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -1,6 +1,13 @@
 //! Chat completion requests: the fields that the router reads and changes.
 
-use serde_json::{Map, Value};
+use std::{borrow::Cow, fmt, ops::Range};
+
+use bytes::Bytes;
+use serde::{
+    Deserialize, Deserializer,
+    de::{MapAccess, SeqAccess, Visitor},
+};
+use serde_json::{Value, value::RawValue};
 
 use crate::{
     api::template::{Priority, VersionEntry},
@@ -19,10 +26,24 @@
 /// prefix of a request.
 const PREFIX_BYTES: usize = 1024;
 
+/// Largest number of fields of a request.
+const MAX_FIELDS: usize = 256;
+
+/// Parts of a prompt after which no more are compared with those of other
+/// requests.
+const MAX_SEGMENTS: usize = 1024;
+
+/// Fields that the router sets itself.
+const OWN_FIELDS: [&str; 2] = ["model", "priority"];
+
 /// A chat completion request as the caller sent it.
+///
+/// Its fields are kept as parts of the body: a tree of small JSON values takes
+/// many times the memory of their text.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChatRequest {
-    fields: Map<String, Value>,
+    body: Bytes,
+    fields: Vec<Field>,
     /// The requested model; `None` for any allowed model.
     pub model: Option<ModelId>,
     /// Whether the caller asks for a streamed answer.
@@ -35,39 +56,68 @@
     pub prefix: u64,
 }
 
+/// A field of a request.
+#[derive(Clone, Debug, PartialEq)]
+struct Field {
+    name: String,
+    /// Where its value is in the body.
+    value: Range<usize>,
+}
+
 impl ChatRequest {
     /// Parses a request body.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::InvalidInput`] with the reason.
-    pub fn from_json(body: &[u8]) -> Result<ChatRequest, Error> {
-        let value: Value = serde_json::from_slice(body)
-            .map_err(|error| invalid(format!("not JSON: {error}")))?;
-        let Value::Object(fields) = value else {
-            return Err(invalid("the body must be a JSON object"));
+    pub fn from_json(body: Bytes) -> Result<ChatRequest, Error> {
+        let fields = read_fields(&body)?;
+        let mut request = ChatRequest {
+            body,
+            fields,
+            model: None,
+            stream: false,
+            output_tokens: None,
+            input_tokens: 0,
+            prefix: 0,
         };
-        let messages = fields
-            .get("messages")
-            .and_then(Value::as_array)
-            .filter(|messages| !messages.is_empty())
-            .ok_or_else(|| invalid("`messages` must be a non-empty list"))?;
-        if !messages.iter().all(Value::is_object) {
+        let messages = request.value("messages").filter(|m| is_list(m));
+        let no_messages = || invalid("`messages` must be a non-empty list");
+        let messages = messages.ok_or_else(no_messages)?;
+        let mut text_bytes = 0;
+        let mut prefix = Prefix::default();
+        let mut count = 0;
+        let mut are_objects = true;
+        for_each_item(messages, |message| {
+            count += 1;
+            are_objects &= message.starts_with('{');
+            let content = Content::of(message);
+            text_bytes += content.len_bytes();
+            prefix.push(&content);
+        })?;
+        if count == 0 {
+            return Err(no_messages());
+        }
+        if !are_objects {
             return Err(invalid("each item of `messages` must be an object"));
         }
-        let text_bytes = messages.iter().map(content_bytes).sum::<usize>();
-        let prefix = prefix_hash(messages);
-        let model = read_model(&fields)?;
-        let stream = read_flag(&fields, "stream")?;
-        let output_tokens = read_number(&fields, "max_tokens")?;
-        Ok(ChatRequest {
-            model,
-            stream,
-            output_tokens,
-            input_tokens: (text_bytes / BYTES_PER_TOKEN) as u64 + 1,
-            prefix,
-            fields,
-        })
+        request.input_tokens = (text_bytes / BYTES_PER_TOKEN) as u64 + 1;
+        request.prefix = prefix.finish();
+        request.model = read_model(request.value("model"))?;
+        request.stream = read_flag(request.value("stream"), "stream")?;
+        request.output_tokens =
+            read_number(request.value("max_tokens"), "max_tokens")?;
+        Ok(request)
+    }
+
+    /// Returns the JSON of a field.
+    fn value(&self, name: &str) -> Option<&str> {
+        let field = self.fields.iter().find(|field| field.name == name)?;
+        self.text(&field.value)
+    }
+
+    fn text(&self, range: &Range<usize>) -> Option<&str> {
+        str::from_utf8(self.body.get(range.clone())?).ok()
     }
 
     /// Returns the body to send to an upstream, with the version and priority.
@@ -76,40 +126,124 @@
         entry: &VersionEntry,
         priority: Priority,
     ) -> Vec<u8> {
-        let mut fields = self.fields.clone();
         let model = format!("{}@{}", entry.model, entry.version);
-        fields.insert("model".to_owned(), Value::from(model));
         // Engines process requests with a lower number first.
         let rank = match priority {
             Priority::Interactive => 0,
             Priority::Batch => 10,
         };
-        fields.insert("priority".to_owned(), Value::from(rank));
-        Value::Object(fields).to_string().into_bytes()
+        let model = Value::from(model);
+        let mut text = String::with_capacity(self.body.len() + 128);
+        text.push_str(&format!("{{\"model\":{model},\"priority\":{rank}"));
+        for field in &self.fields {
+            if OWN_FIELDS.contains(&field.name.as_str()) {
+                continue;
+            }
+            let Some(value) = self.text(&field.value) else { continue };
+            let name = Value::from(field.name.as_str());
+            text.push_str(&format!(",{name}:"));
+            text.push_str(value);
+        }
+        text.push('}');
+        text.into_bytes()
     }
 
     /// Returns ids of the parts of the prompt that other requests may share:
     /// the tools and all messages but the last.
-    pub(crate) fn shared_segments(&self) -> impl Iterator<Item = u64> {
-        let list =
-            |name: &str| self.fields.get(name).and_then(Value::as_array);
-        let tools = list("tools").map_or(&[][..], Vec::as_slice);
-        let messages = list("messages").map_or(&[][..], Vec::as_slice);
-        let earlier = messages.split_last().map_or(&[][..], |(_, all)| all);
-        tools.iter().chain(earlier).map(|part| {
-            let hash = blake3::hash(part.to_string().as_bytes());
-            rendezvous::first_u64(&hash)
-        })
+    pub(crate) fn shared_segments(&self) -> Vec<u64> {
+        let ids = |name: &str| {
+            let mut ids = Vec::new();
+            if let Some(list) = self.value(name).filter(|list| is_list(list)) {
+                // The body was parsed before.
+                let _ = for_each_item(list, |item| {
+                    if ids.len() <= MAX_SEGMENTS {
+                        let hash = blake3::hash(item.as_bytes());
+                        ids.push(rendezvous::first_u64(&hash));
+                    }
+                });
+            }
+            ids
+        };
+        let (tools, mut messages) = (ids("tools"), ids("messages"));
+        messages.pop();
+        let mut segments = [tools, messages].concat();
+        segments.truncate(MAX_SEGMENTS);
+        segments
     }
 
     /// Returns the text of the last message, for the rating service.
     pub fn last_text(&self) -> String {
-        let messages = self.fields.get("messages").and_then(Value::as_array);
-        let last = messages.and_then(|messages| messages.last());
-        last.and_then(|message| message.get("content"))
-            .and_then(Value::as_str)
-            .unwrap_or_default()
-            .to_owned()
+        let mut last = Content::None;
+        if let Some(messages) = self.value("messages") {
+            // The body was parsed before.
+            let _ = for_each_item(messages, |item| last = Content::of(item));
+        }
+        match last {
+            Content::Text(text) => text.into_owned(),
+            Content::Other(_) | Content::None => String::new(),
+        }
+    }
+}
+
+/// The `content` of a message.
+enum Content<'a> {
+    /// Text.
+    Text(Cow<'a, str>),
+    /// JSON that is not text.
+    Other(&'a str),
+    /// The message has none.
+    None,
+}
+
+impl<'a> Content<'a> {
+    fn of(message: &'a str) -> Content<'a> {
+        #[derive(Deserialize)]
+        struct Message<'b> {
+            #[serde(borrow)]
+            content: Option<&'b RawValue>,
+        }
+        #[derive(Deserialize)]
+        struct Text<'b>(#[serde(borrow)] Cow<'b, str>);
+        let parsed = serde_json::from_str::<Message<'a>>(message);
+        let Some(content) = parsed.ok().and_then(|parsed| parsed.content)
+        else {
+            return Content::None;
+        };
+        let json = content.get();
+        match serde_json::from_str::<Text<'a>>(json) {
+            Ok(Text(text)) => Content::Text(text),
+            Err(_) => Content::Other(json),
+        }
+    }
+
+    /// Returns its length; other content than text counts with its JSON.
+    fn len_bytes(&self) -> usize {
+        match self {
+            Content::Text(text) => text.len(),
+            Content::Other(json) => json.len(),
+            Content::None => 0,
+        }
+    }
+}
+
+/// Hashes the first [`PREFIX_BYTES`] of the messages' text.
+#[derive(Default)]
+struct Prefix {
+    hasher: blake3::Hasher,
+    len_bytes: usize,
+}
+
+impl Prefix {
+    fn push(&mut self, content: &Content<'_>) {
+        let Content::Text(text) = content else { return };
+        let left = PREFIX_BYTES - self.len_bytes;
+        let taken = &text.as_bytes()[..text.len().min(left)];
+        self.hasher.update(taken);
+        self.len_bytes += taken.len();
+    }
+
+    fn finish(&self) -> u64 {
+        rendezvous::first_u64(&self.hasher.finalize())
     }
 }
 
@@ -117,62 +251,122 @@
     Error::new(ErrorKind::InvalidInput).context(reason)
 }
 
-fn read_model(fields: &Map<String, Value>) -> Result<Option<ModelId>, Error> {
-    match fields.get("model") {
-        None | Some(Value::Null) => Ok(None),
-        Some(Value::String(name)) if name == AUTO_MODEL => Ok(None),
-        Some(Value::String(name)) => name.parse().map(Some),
-        Some(_) => Err(invalid("`model` must be a string")),
-    }
+fn not_json(error: serde_json::Error) -> Error {
+    invalid(format!("not JSON: {error}"))
 }
 
-fn read_flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Error> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(false),
-        Some(Value::Bool(flag)) => Ok(*flag),
-        Some(_) => Err(invalid(format!("`{name}` must be true or false"))),
+fn is_list(json: &str) -> bool {
+    json.starts_with('[')
+}
+
+/// Returns the fields of a JSON object; of a repeated one, the last counts.
+fn read_fields(body: &[u8]) -> Result<Vec<Field>, Error> {
+    struct Fields<'a>(Vec<(String, &'a RawValue)>);
+
+    impl<'de> Deserialize<'de> for Fields<'de> {
+        fn deserialize<D: Deserializer<'de>>(
+            deserializer: D,
+        ) -> Result<Fields<'de>, D::Error> {
+            deserializer.deserialize_map(FieldsVisitor)
+        }
+    }
+
+    struct FieldsVisitor;
+
+    impl<'de> Visitor<'de> for FieldsVisitor {
+        type Value = Fields<'de>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            write!(f, "a JSON object with at most {MAX_FIELDS} fields")
+        }
+
+        fn visit_map<A: MapAccess<'de>>(
+            self,
+            mut map: A,
+        ) -> Result<Fields<'de>, A::Error> {
+            let mut fields: Vec<(String, &RawValue)> = Vec::new();
+            while let Some((name, value)) = map.next_entry::<String, _>()? {
+                match fields.iter_mut().find(|(known, _)| *known == name) {
+                    Some((_, earlier)) => *earlier = value,
+                    None => fields.push((name, value)),
+                }
+                if fields.len() > MAX_FIELDS {
+                    let length = fields.len();
+                    return Err(serde::de::Error::invalid_length(
+                        length, &self,
+                    ));
+                }
+            }
+            Ok(Fields(fields))
+        }
     }
+
+    let fields: Fields<'_> = serde_json::from_slice(body).map_err(not_json)?;
+    let start = body.as_ptr() as usize;
+    let fields = fields.0.into_iter().map(|(name, value)| {
+        let json = value.get();
+        let at = json.as_ptr() as usize - start;
+        Field { name, value: at..at + json.len() }
+    });
+    Ok(fields.collect())
 }
 
-fn read_number(
-    fields: &Map<String, Value>,
-    name: &str,
-) -> Result<Option<u64>, Error> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(None),
-        Some(value) => value.as_u64().map(Some).ok_or_else(|| {
-            invalid(format!("`{name}` must be a non-negative integer"))
-        }),
+/// Passes the JSON of each item of a list to a function.
+fn for_each_item<'a>(
+    list: &'a str,
+    visit: impl FnMut(&'a str),
+) -> Result<(), Error> {
+    struct Items<F>(F);
+
+    impl<'de, F: FnMut(&'de str)> Visitor<'de> for Items<F> {
+        type Value = ();
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("a list")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(
+            mut self,
+            mut items: A,
+        ) -> Result<(), A::Error> {
+            while let Some(item) = items.next_element::<&RawValue>()? {
+                (self.0)(item.get());
+            }
+            Ok(())
+        }
     }
+
+    let mut deserializer = serde_json::Deserializer::from_str(list);
+    deserializer.deserialize_seq(Items(visit)).map_err(not_json)
 }
 
-/// Returns the length of a message's content; other content than text counts
-/// with its JSON.
-fn content_bytes(message: &Value) -> usize {
-    match message.get("content") {
-        Some(Value::String(text)) => text.len(),
-        Some(other) => other.to_string().len(),
-        None => 0,
+fn read_model(json: Option<&str>) -> Result<Option<ModelId>, Error> {
+    let Some(json) = json.filter(|json| *json != "null") else {
+        return Ok(None);
+    };
+    let name: String = serde_json::from_str(json)
+        .map_err(|_| invalid("`model` must be a string"))?;
+    match name == AUTO_MODEL {
+        true => Ok(None),
+        false => name.parse().map(Some),
     }
 }
 
-/// Hashes the first [`PREFIX_BYTES`] of the messages' text.
-fn prefix_hash(messages: &[Value]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    let mut left = PREFIX_BYTES;
-    for message in messages {
-        let text = match message.get("content") {
-            Some(Value::String(text)) => text.as_str(),
-            _ => "",
-        };
-        let taken = &text.as_bytes()[..text.len().min(left)];
-        hasher.update(taken);
-        left -= taken.len();
-        if left == 0 {
-            break;
-        }
+fn read_flag(json: Option<&str>, name: &str) -> Result<bool, Error> {
+    match json {
+        None | Some("null" | "false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => Err(invalid(format!("`{name}` must be true or false"))),
     }
-    rendezvous::first_u64(&hasher.finalize())
+}
+
+fn read_number(json: Option<&str>, name: &str) -> Result<Option<u64>, Error> {
+    let Some(json) = json.filter(|json| *json != "null") else {
+        return Ok(None);
+    };
+    serde_json::from_str(json).map(Some).map_err(|_| {
+        invalid(format!("`{name}` must be a non-negative integer"))
+    })
 }
 
 /// The token counts that an inference engine reports.
@@ -229,7 +423,7 @@
             (r#"{"messages":[{}],"max_tokens":-1}"#, "max_tokens"),
         ];
         for (body, what) in wrong {
-            let error = ChatRequest::from_json(body.as_bytes()).unwrap_err();
+            let error = ChatRequest::from_json(body.into()).unwrap_err();
             assert_eq!(error.kind(), ErrorKind::InvalidInput);
             assert!(error.to_string().contains(what), "{error}");
         }
@@ -239,7 +433,8 @@
     fn unknown_fields_are_forwarded_to_the_upstream() {
         let body = br#"{"model":"auto","messages":[{"role":"user",
             "content":"hello"}],"temperature":0.5}"#;
-        let request = ChatRequest::from_json(body).unwrap();
+        let request =
+            ChatRequest::from_json(Bytes::from_static(body)).unwrap();
         assert_eq!(request.model, None);
         assert_eq!(request.last_text(), "hello");
         let entry = VersionEntry::from_json(
@@ -257,9 +452,9 @@
 
     #[test]
     fn all_parts_of_a_prompt_but_the_last_message_are_shared() {
-        let segments = |body: &[u8]| -> Vec<u64> {
-            let request = ChatRequest::from_json(body).unwrap();
-            request.shared_segments().collect()
+        let segments = |body: &'static [u8]| -> Vec<u64> {
+            let body = Bytes::from_static(body);
+            ChatRequest::from_json(body).unwrap().shared_segments()
         };
         let one = br#"{"messages":[{"role":"user","content":"a"}]}"#;
         assert!(segments(one).is_empty());
--- a/src/api/dispatch.rs
+++ b/src/api/dispatch.rs
@@ -205,8 +205,7 @@
         let hash = RequestHash::of("POST", CHAT_PATH, body);
         let key = self.state.admitted.key.clone();
         let repeatable = self.state.repeatable;
-        let segments: Vec<u64> =
-            self.state.admitted.call.chat.shared_segments().collect();
+        let segments = self.state.admitted.call.chat.shared_segments();
         self.context.set_subjects("POST", CHAT_PATH, body, segments);
         if let Err(end) = self.context.claim(key, hash, repeatable).await {
             return self.context.settle(*end);
@@ -783,7 +782,9 @@
             let sent = self.vm.http.send(call, reuse).await;
             let exchange = sent.map_err(attempt_fault)?;
             self.apply_signals(selected, exchange.status, &exchange.headers);
-            exchange.read_to_end(most).await.map_err(attempt_fault)
+            let memory = &self.vm.caller_connections.memory;
+            let read = exchange.read_within(memory, most).await;
+            read.map_err(attempt_fault)
         };
         let result = match can_cancel {
             true => self.until_cancelled(limit, work).await,
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -5,6 +5,7 @@
 //! state that these steps use.
 
 pub(crate) mod caller_api;
+pub(crate) mod caller_transport;
 pub(crate) mod chat;
 pub(crate) mod crashes;
 pub mod decision;
--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -36,7 +36,7 @@
 };
 
 /// Parts buffered for a slow caller before reading from the upstream stops.
-const BUFFERED_PARTS: usize = 32;
+const BUFFERED_PARTS: usize = 4;
 
 /// Longest time without an event from the upstream within a stream.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
--- a/src/api/request.rs
+++ b/src/api/request.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use smol::channel::Receiver;
 
 use crate::{
@@ -182,7 +183,7 @@
     pub(crate) fn admit_chat(
         mut self,
         headers: &CallHeaders,
-        body: &[u8],
+        body: &Bytes,
     ) -> Result<Request<Admitted<ChatCall>>, Answer> {
         match self.context.read_chat(headers, body) {
             Ok(state) => Ok(Request { context: self.context, state }),
@@ -234,10 +235,10 @@
     fn read_chat(
         &mut self,
         headers: &CallHeaders,
-        body: &[u8],
+        body: &Bytes,
     ) -> Result<Admitted<ChatCall>, Error> {
         let template = self.authorize(headers)?;
-        let chat = ChatRequest::from_json(body)?;
+        let chat = ChatRequest::from_json(body.clone())?;
         let task = read_task(headers)?;
         self.decision.asked = RequestTarget::Chat {
             model: chat.model.clone(),
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -10,11 +10,12 @@
 use serde_json::{Map, Value};
 use smol::net::{TcpListener, UdpSocket};
 use trillium::HttpConfig;
-use trillium_server_common::ServerHandle;
+use trillium_server_common::{Config, Server as HttpServer, ServerHandle};
 
 use crate::{
     api::{
         caller_api::CallerApi,
+        caller_transport::CallerListener,
         gossip::{Gossiper, log_leaving},
         load,
         operators::OperatorApi,
@@ -23,6 +24,7 @@
         steward::Steward,
         vm::{Vm, VmParts},
     },
+    caller_memory::receive_buffer,
     chains::{configuration_sync, ledger::Ledger},
     clock::{SharedClock, SystemClock},
     error::{Error, ErrorKind},
@@ -153,10 +155,22 @@
             bound.addresses.peers
         ));
         let limit = vm.settings.requests.body_limit_bytes + 1;
-        let callers = CallerApi { vm: vm.clone() };
-        let callers = serve_http(bound.callers, callers, limit)?;
-        let operators = OperatorApi { vm: vm.clone() };
-        let operators = serve_http(bound.operators, operators, limit)?;
+        receive_buffer::bound_listener(&bound.callers);
+        let callers = CallerListener {
+            listener: into_listener(bound.callers)?,
+            connections: vm.caller_connections.clone(),
+        };
+        let api = CallerApi { vm: vm.clone() };
+        let callers = serve_http(
+            callers,
+            Config::<CallerListener, ()>::new(),
+            api,
+            limit,
+        );
+        let operators = into_listener(bound.operators)?;
+        let api = OperatorApi { vm: vm.clone() };
+        let operators =
+            serve_http(operators, trillium_smol::config(), api, limit);
         let tasks = start_tasks(&vm, bound.peer_tcp);
         Ok(Server(Running {
             vm,
@@ -251,6 +265,7 @@
     );
     vec![
         task::spawn(peers),
+        task::spawn(vm.caller_connections.clone().make_room_loop()),
         task::spawn(list_loop(vm.clone())),
         task::spawn(limits_loop(vm.clone())),
         task::spawn(Gossiper::receive_loop(vm.clone())),
@@ -342,24 +357,26 @@
     }
 }
 
-fn serve_http(
-    listener: StdTcpListener,
+fn into_listener(listener: StdTcpListener) -> Result<TcpListener, Error> {
+    listener.set_nonblocking(true).map_err(|e| bind_error(e, "a listener"))?;
+    TcpListener::try_from(listener).map_err(|e| bind_error(e, "a listener"))
+}
+
+fn serve_http<S: HttpServer>(
+    listener: impl Into<S>,
+    config: Config<S, ()>,
     handler: impl trillium::Handler,
     body_limit_bytes: u64,
-) -> Result<ServerHandle, Error> {
-    listener.set_nonblocking(true).map_err(|e| bind_error(e, "a listener"))?;
-    let listener = TcpListener::try_from(listener)
-        .map_err(|e| bind_error(e, "a listener"))?;
+) -> ServerHandle {
     let http = HttpConfig::default()
         .with_head_max_len(HEAD_LIMIT_BYTES)
         .with_received_body_max_len(body_limit_bytes);
-    let handle = trillium_smol::config()
+    config
         .without_signals()
         .with_nodelay()
         .with_http_config(http)
         .with_prebound_server(listener)
-        .spawn(handler);
-    Ok(handle)
+        .spawn(handler)
 }
 
 fn bind_tcp(address: SocketAddr) -> Result<StdTcpListener, Error> {
--- a/src/api/vm.rs
+++ b/src/api/vm.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     api::{
+        caller_transport::CallerConnections,
         decision::{Decision, DecisionLog},
         gossip::Gossiper,
         membership::Liveness,
@@ -26,6 +27,7 @@
         tally::Tallies,
         view::FleetView,
     },
+    caller_memory::account::CallerMemory,
     chains::{
         bill::Bill,
         claim::VmIncarnation,
@@ -43,6 +45,7 @@
     frame::FrameCodec,
     http_client::HttpClient,
     id::{Incarnation, ModelId, OrganisationId, RequestId, VmId},
+    intake::connection_capacity::ConnectionCapacity,
     message::{PeerReply, PeerRequest, ShortHash},
     metrics::Metrics,
     peer::{PeerClient, PeerError, PeerService, RelayedUpstream},
@@ -91,6 +94,8 @@
     pub(crate) decisions: DecisionLog,
     pub(crate) sessions: SessionKeys,
     pub(crate) http: HttpClient,
+    /// The connections of callers, and what they make this VM hold.
+    pub(crate) caller_connections: Arc<CallerConnections>,
     pub(crate) paths: Paths,
     pub(crate) store: SharedStore,
     pub(crate) store_counts: Arc<StoreCounts>,
@@ -170,6 +175,13 @@
                 }),
                 clock.clone(),
             ),
+            caller_connections: Arc::new(CallerConnections::new(
+                CallerMemory::new(settings.memory, clock.clone()),
+                ConnectionCapacity::new(
+                    settings.memory,
+                    settings.max_open_files,
+                ),
+            )),
             paths: Paths::default(),
             store_counts: store.counts(),
             store: Arc::new(store),
@@ -366,6 +378,7 @@
         let list_age = read_at.map(|at| now.saturating_duration_since(at));
         metrics.list_age_ms.set(millis_or_unknown(list_age));
         metrics.in_flight.set(self.in_flight() as i64);
+        self.caller_connections.memory.update_metrics(metrics);
         metrics.queued.set(self.dispatch_queue.waiting() as i64);
         metrics.bills_waiting.set(self.ledger.uncommitted_count() as i64);
         let stopped = self.rollout_guard.stopped().len();
@@ -474,8 +487,12 @@
         self: Arc<Vm>,
         upstream: ShortHash,
     ) -> Result<RelayedUpstream, String> {
+        let memory = &self.caller_connections.memory;
+        let memory = memory.claim_connection().ok_or_else(|| {
+            "this VM has no memory for another connection".to_owned()
+        })?;
         let stream = connect_for_peer(&*self, upstream).await?;
-        let guard = Box::new(self.begin_request());
+        let guard = Box::new((memory, self.begin_request()));
         Ok(RelayedUpstream { stream, _guard: guard })
     }
 }
--- a/src/caller_memory/claim.rs
+++ b/src/caller_memory/claim.rs
@@ -1,8 +1,13 @@
 //! The share of one holder in the memory that callers make a VM hold.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 
-use futures_lite::future;
+use futures_lite::{Stream, future};
 use smol::channel::Receiver;
 
 use crate::{
@@ -106,6 +111,17 @@
             Err(_) => future::pending().await,
         }
     }
+
+    /// Returns the reason once the claim has to end.
+    pub(crate) fn poll_revoked(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<GivesWay> {
+        match ready!(self.revoked.as_mut().poll_next(context)) {
+            Some(reason) => Poll::Ready(reason),
+            None => Poll::Pending,
+        }
+    }
 }
 
 impl Drop for MemoryClaim {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,6 +25,7 @@
     error::{Error, ErrorKind},
     id::{DataHallId, VmId},
     secret::{ClusterKey, KeyHash},
+    unit::Megabytes,
 };
 
 /// A key of a settings file.
@@ -308,6 +309,10 @@
     pub vm: VmId,
     /// The data hall that this VM is in.
     pub data_hall: DataHallId,
+    /// The memory of this VM; 0 if unknown.
+    pub memory: Megabytes,
+    /// The descriptors that the process may have open; 0 if unknown.
+    pub max_open_files: u32,
     /// The addresses on which this VM listens.
     pub listen: ListenSettings,
     /// The secret shared by all VMs.
@@ -547,6 +552,8 @@
     // does not hide the errors in the next.
     let vm = r.value("vm", "id");
     let data_hall = r.value("vm", "data_hall");
+    let memory = r.value("vm", "memory_mb");
+    let max_open_files = r.value("vm", "max_open_files");
     let listen = read_listen(r);
     let cluster_key = r.value("cluster", "key");
     let operators_key_hash = read_operators_key(r, listen.as_ref());
@@ -566,6 +573,8 @@
     Some(Settings {
         vm: vm?,
         data_hall: data_hall?,
+        memory: memory?,
+        max_open_files: max_open_files?,
         listen: listen?,
         cluster_key: cluster_key?,
         operators_key_hash: operators_key_hash?,
