An upstream's 101 counts as broken, not as an answer

What callers saw: 101 with the seal of the upstream, on a route whose requests run at most once, although nobody had asked for another protocol.

Cause: the HTTP library passes on 101 as a final response, since it answers a request for an upgrade; the client never makes one, and took it as the response.

The client now treats any informational status as no response, on every path that uses it: whole answers, streams, hedges, health checks, the store.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -430,6 +430,12 @@
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
     connection.head_limit.start();
     match connection.sender.try_send_request(request).await {
+        // The library passes on 101, which answers a request for another
+        // protocol; none is ever made.
+        Ok(response) if response.status().is_informational() => {
+            let reason = format!("no response, but {}", response.status());
+            Err(AttemptError::Sent(SendError::Broken(reason)))
+        }
         Ok(response) => {
             connection.head_limit.lift();
             Ok((response, connection))
