--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -17,7 +17,7 @@
     gateway_site::{HttpReply, exchange, wait_until},
 };
 
-/// Connections that a caller opens, if the earlier ones are closed.
+/// Connections that a caller usually opens, one after the other.
 const CONNECTIONS: usize = 4;
 
 /// Pause before another connection.
@@ -55,6 +55,8 @@
     pub pause: Duration,
     /// Whether the caller reads what it is sent.
     pub reads: bool,
+    /// Connections that the caller opens, if the earlier ones are closed.
+    pub connections: usize,
 }
 
 impl Form {
@@ -71,6 +73,7 @@
             repetitions,
             pause: Duration::ZERO,
             reads: true,
+            connections: CONNECTIONS,
         }
     }
 
@@ -142,7 +145,7 @@
             has_settled = true;
         }
     };
-    for _ in 0..CONNECTIONS {
+    for _ in 0..form.connections {
         if shared.is_over() {
             break;
         }
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -9,7 +9,7 @@
 use super::{
     crashing,
     evidence::{Call, Change, Evidence, Kind, Order, Run, Scope},
-    load, preferences, rate_limits, signals,
+    load, preferences, rate_limits, signals, unruly,
     upstreams::UNREADABLE,
 };
 use crate::gateway_site::KEY;
@@ -113,6 +113,8 @@
     Preferred,
     /// A graceful shutdown cuts off no request.
     PlannedStop,
+    /// A VM holds no more memory and descriptors than its settings allow.
+    WithinSettings,
     /// Requests are served again once all faults have ended.
     Recovery,
 }
@@ -157,6 +159,7 @@
         load::no_organisation_is_starved,
         load::upstreams_are_not_overfilled,
         preferences::preferred_vms_serve_their_callers,
+        unruly::within_settings,
         shutdowns_cut_off_no_request,
         site_recovers,
     ];
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -12,6 +12,7 @@
     preferences::Preference,
     rate_limits::{RateLimitPeriod, RateLimitSignal},
     signals::UpstreamSignal,
+    unruly::MostHeld,
 };
 
 /// Time for which a trouble at a VM or the store still counts after its end;
@@ -201,6 +202,8 @@
     pub troubles: Vec<Trouble>,
     /// Periods in which the load balancer preferred a VM.
     pub preferences: Vec<Preference>,
+    /// The most that VMs held, in a run with unruly callers.
+    pub most_held: MostHeld,
     /// The number of calls made after all faults had ended, and of those the
     /// number that got status 200.
     pub recovery: (usize, usize),
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -13,6 +13,8 @@
 //! * [`quiet_leaves`]: upstreams that leave while the VMs that follow the store
 //!   are lost.
 //! * [`preferences`]: a load balancer that prefers one VM.
+//! * [`unruly`]: callers that stop short within their requests, and what VMs
+//!   hold of them.
 //! * [`load`]: load that exceeds the slots, and how it is shared.
 //! * [`evidence`]: what a run records.
 //! * [`check`]: the promises, checked against the evidence.
@@ -39,6 +41,7 @@
 pub mod quiet_leaves;
 pub mod rate_limits;
 pub mod signals;
+pub mod unruly;
 pub mod upstreams;
 
 mod inject;
@@ -141,6 +144,8 @@
     pub latest_to_learn: Duration,
     /// Number of periods in which the load balancer preferred a VM.
     pub preferences: usize,
+    /// The most that VMs held at one moment, if there were unruly callers.
+    pub most_held: unruly::MostHeld,
     /// The load of the plain upstreams.
     pub load: Load,
     /// Number of calls with status 429 or 503.
@@ -173,6 +178,8 @@
             "older_copies": self.older_copies,
             "latest_to_learn_ms": self.latest_to_learn.as_millis() as u64,
             "preferences": self.preferences,
+            "most_memory_bytes": self.most_held.memory_bytes,
+            "most_descriptors": self.most_held.descriptors,
             "slots": self.load.slots,
             "uneven": self.load.is_uneven,
             "overloading": self.load.has_overload,
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -27,6 +27,7 @@
     quiet_leaves::{self, QuietLeaves},
     rate_limits::{self, RateLimitPeriod, Schedule},
     signals,
+    unruly::{self, UnrulyCallers},
     upstreams::{Runs, SERVICES, UNREADABLE, Worker},
 };
 use crate::{
@@ -135,6 +136,7 @@
     pub(super) older_copies: OlderCopies,
     pub(super) quiet_leaves: QuietLeaves,
     pub(super) preferences: Preferences,
+    pub(super) unruly_callers: UnrulyCallers,
     pub(super) load: Load,
     pub(super) next_worker: usize,
     /// The version of the configuration in the store.
@@ -160,6 +162,10 @@
         site.retry_share = RETRY_SHARE;
         site.retry_extra = RETRY_EXTRA;
         site.vms_per_slot = VMS_PER_SLOT;
+        if unruly::has_crowds(seed) {
+            site.memory_mb = unruly::MEMORY_MB;
+            site.max_open_files = unruly::MAX_OPEN_FILES;
+        }
         let mut store_proxies = Vec::new();
         let mut entry_proxies = Vec::new();
         let mut endpoints = Vec::new();
@@ -208,6 +214,7 @@
             older_copies: OlderCopies::new(seed),
             quiet_leaves: QuietLeaves::new(seed),
             preferences: Preferences::new(seed),
+            unruly_callers: UnrulyCallers::new(seed),
             load,
             next_worker: 1,
             configuration_version: 1,
@@ -296,6 +303,7 @@
             self.run_older_copies(now);
             self.run_quiet_leaves(now);
             self.run_preferences(now);
+            self.run_unruly_callers(now);
         }
         self.end_all_faults();
     }
@@ -494,6 +502,7 @@
             self.end(fault);
         }
         self.end_preference();
+        self.end_crowd();
         for worker in self.workers.iter().chain(&self.leaving) {
             worker.set_mode(Mode::Pass);
         }
@@ -563,6 +572,7 @@
                 .count(),
             latest_to_learn: quiet_leaves::latest_to_learn(&self.evidence),
             preferences: self.evidence.preferences.len(),
+            most_held: self.evidence.most_held,
             load: self.load,
             rejected: calls
                 .iter()
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -16,6 +16,7 @@
         quiet_leaves::has_quiet_leaves,
         rate_limits::{RateLimitPeriod, RateLimitSignal, sent_past_limit},
         signals::{UpstreamSignal, summary},
+        unruly::{MAX_OPEN_FILES, MEMORY_MB, MostHeld, has_crowds},
         upstreams::UNREADABLE,
     },
 };
@@ -715,6 +716,24 @@
     assert!(SEEDS.into_iter().any(has_quiet_leaves));
 }
 
+/// Guards against fixed seeds without callers that stop short.
+#[test]
+fn some_fixed_seed_has_unruly_callers() {
+    assert!(SEEDS.into_iter().any(has_crowds));
+}
+
+#[test]
+fn a_vm_that_holds_more_than_its_settings_allow_is_found() {
+    let with = |memory_bytes, descriptors| {
+        broken_by(|e| e.most_held = MostHeld { memory_bytes, descriptors })
+    };
+    let (most_bytes, most) =
+        (u64::from(MEMORY_MB) << 20, u64::from(MAX_OPEN_FILES));
+    assert_eq!(with(most_bytes, most), []);
+    assert_eq!(with(most_bytes + 1, 0), [Promise::WithinSettings]);
+    assert_eq!(with(0, most + 1), [Promise::WithinSettings]);
+}
+
 #[test]
 fn a_preferred_vm_that_serves_few_of_its_callers_is_found() {
     let with = |served: usize, is_disturbed: bool| {
