gateway: every rejection before a body is read can be read by its caller

A request whose head is malformed was rejected without reading on, so that closing the connection could reset it before the caller had the response; the other rejections read on for a moment already. Found by reading; no test fails before. Accepting is a function of its own.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -154,13 +154,19 @@
         }
     }
 
-    /// Records that the rest of a body will not be used, so that the
-    /// connection is closed after the response. Closing it at once would reset
-    /// it, and the caller might lose the response.
+    /// Has what the caller still sends read and discarded once the connection
+    /// is closed. Closing it with bytes that are not read would reset it, and
+    /// the caller might lose the response.
     pub(crate) fn discard_rest(&self) {
         self.must_discard_rest.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the body was read to its end, so that nothing is to be
+    /// discarded.
+    pub(crate) fn keep_rest(&self) {
+        self.must_discard_rest.store(false, Ordering::Relaxed);
+    }
+
     /// Records whether the caller has to read before more can be written.
     fn set_write_blocked(&self, is_blocked: bool) {
         let was_blocked =
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -8,6 +8,7 @@
 use std::{
     any::Any,
     convert::Infallible,
+    io,
     panic::AssertUnwindSafe,
     sync::{
         Arc, OnceLock,
@@ -145,23 +146,13 @@
         };
         let accepted = match bound {
             Ok(listening) => {
-                let accepting = listener.insert(listening).accept();
-                match is_nearly_full {
-                    false => accepting.await,
-                    // More may stand still by then, even if nobody connects.
-                    true => {
-                        let limit = LIMIT_CHECK_INTERVAL;
-                        match task::within(limit, accepting).await {
-                            Some(accepted) => accepted,
-                            None => continue,
-                        }
-                    }
-                }
+                accept(listener.insert(listening), is_nearly_full).await
             }
             Err(error) => Err(error),
         };
         match accepted {
-            Ok((stream, _)) => begin_connection(&gateway, stream, &closing),
+            Ok(Some(stream)) => begin_connection(&gateway, stream, &closing),
+            Ok(None) => {}
             // For example, the process is out of file descriptors; waits until
             // some are closed.
             Err(_) => task::sleep(LIMIT_CHECK_INTERVAL).await,
@@ -169,6 +160,25 @@
     }
 }
 
+/// Accepts the next connection. On a VM that is nearly full, returns `None` if
+/// none comes soon: by then, more connections may stand still.
+async fn accept(
+    listener: &TcpListener,
+    is_nearly_full: bool,
+) -> io::Result<Option<TcpStream>> {
+    let accepting = async {
+        let (stream, _) = listener.accept().await?;
+        Ok(Some(stream))
+    };
+    match is_nearly_full {
+        false => accepting.await,
+        true => {
+            let accepted = task::within(LIMIT_CHECK_INTERVAL, accepting).await;
+            accepted.unwrap_or(Ok(None))
+        }
+    }
+}
+
 /// Accepts the connections that have arrived already, as far as there is room.
 /// Closing the listener resets them, after their callers have sent their
 /// requests.
@@ -357,6 +367,12 @@
 ) -> Result<(Job, Trace), Rejection> {
     let started_at = gateway.clock.now();
     let (head, body) = request.into_parts();
+    let has_body = !body.is_end_stream();
+    if has_body {
+        // The connection is closed if the request is rejected before its body
+        // is read.
+        caller.discard_rest();
+    }
     let trace = |id: &str| {
         let clock = gateway.clock.clone();
         Trace::new(id, clock, gateway.metrics.clone())
@@ -374,10 +390,6 @@
     let admitted = match admit(gateway, &request, &mut trace) {
         Ok(admitted) => admitted,
         Err(error) => {
-            let has_body = !body.is_end_stream();
-            if has_body {
-                caller.discard_rest();
-            }
             let reply = reject(&request.id, trace, &error);
             return Err(Box::new((reply, has_body)));
         }
@@ -386,11 +398,11 @@
     let body = match read_body(gateway, caller, body, limit).await {
         Ok(body) => body,
         Err(error) => {
-            caller.discard_rest();
             let reply = reject(&request.id, trace, &error);
             return Err(Box::new((reply, true)));
         }
     };
+    caller.keep_rest();
     trace.record_read();
     let route = admitted.route;
     let time =
