--- a/src/api/caller_api.rs
+++ b/src/api/caller_api.rs
@@ -271,7 +271,6 @@
     buffer: &BodyBuffer,
     part: &mut [u8],
 ) -> Result<usize, Error> {
-    // One more byte than allowed, so that the buffer finds a body too large.
     let mut body = conn.request_body().await;
     let next = async { body.read(part).await.map_err(body_error) };
     let Some(claim) = buffer.claim() else { return next.await };
@@ -282,7 +281,9 @@
 /// Returns the error for a body that cannot be read to its end.
 fn body_error(error: io::Error) -> Error {
     let kind = match error.kind() {
+        // How the HTTP library reports a body above its limit.
         io::ErrorKind::Unsupported => ErrorKind::TooLarge,
+        // The transport makes room for others.
         io::ErrorKind::TimedOut => ErrorKind::RequestTimeout,
         _ => ErrorKind::InvalidInput,
     };
--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -33,6 +33,19 @@
     task,
 };
 
+/// Time for which the rest of a body is read and discarded, so that its caller
+/// can read why the request was rejected.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Bytes of the rest that are read at most.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
+/// Interval between two checks whether a request has its answer.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time that a request has for its answer once its body gives way.
+const REJECTION_TIME: Duration = Duration::from_millis(500);
+
 /// Why a connection ended; the first cause counts.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionEnd(OnceLock<(AnswerLoss, String)>);
@@ -49,19 +62,6 @@
     }
 }
 
-/// Time for which the rest of a body is read and discarded, so that its caller
-/// can read why the request was rejected.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
-
-/// Bytes of the rest that are read at most.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
-
-/// Interval between two checks whether a request has its answer.
-const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Time that a request has for its answer once its body gives way.
-const REJECTION_TIME: Duration = Duration::from_millis(500);
-
 /// The connection of a caller. Responses that it has not written when it is
 /// dropped are lost.
 pub(crate) struct CallerConnection {
